Lay the base: schema, configuration, transport and the lab's stand-ins

Cause: nothing stood. The thin path needs these four layers first. Found on the way: libcurl sends a request again by itself when a reused connection closes before the answer; a test shows it, and a call that must run at most once gets a connection of its own.

--- /dev/null
+++ b/libs/base/src/error.cc
@@ -0,0 +1,60 @@
+// The table from error kind to answer.
+#include "base/error.h"
+
+#include <array>
+
+#include "base/check.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr std::array<ErrorAnswer, kErrorKindCount> kAnswers = {{
+    {ErrorKind::kMalformedRequest, "malformed_request", 400, 0},
+    {ErrorKind::kBodyTooLarge, "body_too_large", 413, 0},
+    {ErrorKind::kHeadersTooLarge, "headers_too_large", 431, 0},
+    {ErrorKind::kUnauthenticated, "unauthenticated", 401, 0},
+    {ErrorKind::kForbidden, "forbidden", 403, 0},
+    {ErrorKind::kNotFound, "not_found", 404, 0},
+    {ErrorKind::kUnknownAdapter, "unknown_adapter", 404, 0},
+    {ErrorKind::kMethodNotAllowed, "method_not_allowed", 405, 0},
+    {ErrorKind::kConflict, "conflict", 409, 0},
+    {ErrorKind::kInvalidDocument, "invalid_document", 422, 0},
+    {ErrorKind::kRateLimited, "rate_limited", 429, 1},
+    {ErrorKind::kRequestExceedsBurst, "request_exceeds_burst", 400, 0},
+    {ErrorKind::kOverloaded, "overloaded", 503, 1},
+    {ErrorKind::kQueueTimeout, "queue_timeout", 503, 1},
+    {ErrorKind::kQuarantined, "quarantined", 422, 0},
+    {ErrorKind::kKeyReused, "idempotency_key_reused", 422, 0},
+    {ErrorKind::kKeyInUse, "idempotency_key_in_use", 409, 1},
+    {ErrorKind::kUpstreamUnavailable, "upstream_unavailable", 503, 1},
+    {ErrorKind::kUpstreamFailed, "upstream_failed", 502, 0},
+    {ErrorKind::kUpstreamTimeout, "upstream_timeout", 504, 0},
+    {ErrorKind::kWrongAnswer, "wrong_answer", 502, 0},
+    {ErrorKind::kOutcomeUnknown, "outcome_unknown", 502, 0},
+    {ErrorKind::kStoreUnavailable, "store_unavailable", 503, 2},
+    {ErrorKind::kStopping, "stopping", 503, 1},
+    {ErrorKind::kKeyWithdrawn, "key_withdrawn", 401, 0},
+    {ErrorKind::kInternal, "internal", 500, 0},
+}};
+
+}  // namespace
+
+const ErrorAnswer& AnswerFor(ErrorKind kind) {
+  const ErrorAnswer& it = kAnswers.at(static_cast<size_t>(kind));
+  BP_CHECK(it.kind == kind, "the table is in the order of the list");
+  return it;
+}
+
+std::string_view NotRunName(NotRun not_run) {
+  switch (not_run) {
+    case NotRun::kTrue:
+      return "true";
+    case NotRun::kFalse:
+      return "false";
+    case NotRun::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/base/src/json.cc
@@ -0,0 +1,2 @@
+// Compiles Boost.JSON's sources once.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/libs/base/test/base_test.cc
@@ -0,0 +1,34 @@
+// Tests of the base library.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "base/error.h"
+#include "base/hash.h"
+#include "base/strong.h"
+
+namespace bilberrypitch {
+
+TEST_CASE("every error kind has one answer with a name of its own") {
+  std::set<std::string_view> names;
+  for (int i = 0; i < kErrorKindCount; ++i) {
+    const ErrorAnswer& it = AnswerFor(static_cast<ErrorKind>(i));
+    REQUIRE(it.status >= 400);
+    names.insert(it.name);
+  }
+  REQUIRE(names.size() == kErrorKindCount);
+}
+
+TEST_CASE("SHA-256 agrees with the published vector") {
+  REQUIRE(Sha256Hex("abc") ==
+          "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+TEST_CASE("constant-time comparison compares") {
+  REQUIRE(EqualInConstantTime("abc", "abc"));
+  REQUIRE_FALSE(EqualInConstantTime("abc", "abd"));
+  REQUIRE_FALSE(EqualInConstantTime("abc", "ab"));
+}
+
+TEST_CASE("random ids differ") { REQUIRE(RandomHex(8) != RandomHex(8)); }
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/config/include/config/settings.h
@@ -0,0 +1,21 @@
+// The settings of one process, checked, with defaults filled in.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "schema/json_reader.h"
+
+namespace bilberrypitch {
+
+namespace schema {
+class Settings;
+}
+
+// Reads and checks the JSON text of a settings file and fills in defaults.
+// Returns all errors.
+std::vector<FieldError> ReadSettings(std::string_view text,
+                                     schema::Settings* settings);
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/transport/include/transport/http_message.h
@@ -0,0 +1,42 @@
+// Requests and answers of HTTP as the program passes them around.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bilberrypitch {
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+// Fields in the order in which they came. Names compare without case.
+class HttpHeaders {
+ public:
+  void Add(std::string name, std::string value);
+  // Empty when there is none; the first one when there are several.
+  std::string_view Get(std::string_view name) const;
+  const std::vector<HttpHeader>& all() const { return all_; }
+  size_t ByteSize() const;
+
+ private:
+  std::vector<HttpHeader> all_;
+};
+
+struct HttpRequest {
+  std::string method;
+  std::string path;   // Without the query.
+  std::string query;  // Without the question mark.
+  HttpHeaders headers;
+  std::string body;
+};
+
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+};
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/transport/src/http_server.cc
@@ -0,0 +1,251 @@
+// RESTinio behind HttpServer. The only file that includes RESTinio.
+#include "transport/http_server.h"
+
+#include <fmt/format.h>
+#include <strings.h>
+
+#include <atomic>
+#include <mutex>
+#include <restinio/all.hpp>
+
+#include "base/error.h"
+#include "base/json.h"
+
+namespace bilberrypitch {
+
+void HttpHeaders::Add(std::string name, std::string value) {
+  all_.push_back({std::move(name), std::move(value)});
+}
+
+std::string_view HttpHeaders::Get(std::string_view name) const {
+  for (const HttpHeader& it : all_) {
+    if (it.name.size() == name.size() &&
+        strncasecmp(it.name.data(), name.data(), name.size()) == 0) {
+      return it.value;
+    }
+  }
+  return {};
+}
+
+size_t HttpHeaders::ByteSize() const {
+  size_t n = 0;
+  for (const HttpHeader& it : all_) {
+    n += it.name.size() + it.value.size() + 4;
+  }
+  return n;
+}
+
+std::string ErrorBody(const Error& error, const std::string& request_id) {
+  const ErrorAnswer& answer = AnswerFor(error.kind);
+  json::object body;
+  body["message"] = error.detail;
+  body["type"] = answer.name;
+  body["code"] = answer.name;
+  body["request_id"] = request_id;
+  body["not_run"] = NotRunName(error.not_run);
+  return json::serialize(json::object{{"error", std::move(body)}});
+}
+
+HttpResponse ErrorResponse(const Error& error, const std::string& request_id) {
+  const ErrorAnswer& answer = AnswerFor(error.kind);
+  HttpResponse response;
+  response.status = answer.status;
+  response.headers.Add("Content-Type", "application/json");
+  response.headers.Add("X-Request-Id", request_id);
+  if (answer.retry_after_s > 0) {
+    response.headers.Add("Retry-After", std::to_string(answer.retry_after_s));
+  }
+  response.body = ErrorBody(error, request_id);
+  return response;
+}
+
+namespace {
+
+// Bodies somewhat over the limit are still read, so that a typed answer can be
+// given; far over it the connection is closed.
+constexpr size_t kReadBeyondLimit = 16;
+constexpr size_t kLargestField = 64 << 10;
+constexpr Millis kReadLimit{30 * 1000};
+
+struct Traits : restinio::default_traits_t {
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::request_handle_t)>;
+};
+
+using Server = restinio::http_server_t<Traits>;
+
+restinio::http_status_line_t StatusLine(int status) {
+  return restinio::http_status_line_t{
+      restinio::http_status_code_t{static_cast<uint16_t>(status)},
+      status < 400 ? "OK" : "Error"};
+}
+
+class RestinioResponder : public Responder {
+ public:
+  explicit RestinioResponder(restinio::request_handle_t request)
+      : request_(std::move(request)) {}
+
+  ~RestinioResponder() override {
+    if (request_ != nullptr && !stream_) {
+      Error error{ErrorKind::kInternal, "The request was dropped.",
+                  NotRun::kUnknown};
+      Send(ErrorResponse(error, ""));
+    } else if (stream_) {
+      EndStream();
+    }
+  }
+
+  void Send(HttpResponse response) override {
+    std::lock_guard lock(lock_);
+    if (request_ == nullptr) {
+      return;
+    }
+    auto builder = request_->create_response(StatusLine(response.status));
+    for (const HttpHeader& it : response.headers.all()) {
+      builder.append_header(it.name, it.value);
+    }
+    builder.set_body(std::move(response.body));
+    builder.done();
+    request_.reset();
+  }
+
+  void StartStream(int status, const HttpHeaders& headers) override {
+    std::lock_guard lock(lock_);
+    if (request_ == nullptr) {
+      return;
+    }
+    stream_ = std::make_unique<Stream>(
+        request_->create_response<restinio::chunked_output_t>(
+            StatusLine(status)));
+    for (const HttpHeader& it : headers.all()) {
+      stream_->append_header(it.name, it.value);
+    }
+    stream_->flush();
+    request_.reset();
+  }
+
+  void WriteChunk(std::string data,
+                  std::function<void(bool)> written) override {
+    std::lock_guard lock(lock_);
+    if (!stream_) {
+      return;
+    }
+    stream_->append_chunk(std::move(data));
+    if (!written) {
+      stream_->flush();
+      return;
+    }
+    stream_->flush([written = std::move(written)](
+                       const restinio::asio_ns::error_code& ec) noexcept {
+      written(!ec);
+    });
+  }
+
+  void EndStream() override {
+    std::lock_guard lock(lock_);
+    if (stream_) {
+      stream_->done();
+      stream_.reset();
+    }
+  }
+
+ private:
+  using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
+
+  std::mutex lock_;
+  restinio::request_handle_t request_;  // Null once an answer has begun.
+  std::unique_ptr<Stream> stream_;      // Set between start and end.
+};
+
+HttpRequest Convert(const restinio::request_handle_t& from) {
+  HttpRequest request;
+  const auto& header = from->header();
+  request.method = header.method().c_str();
+  request.path = std::string(header.path());
+  request.query = std::string(header.query());
+  header.for_each_field([&](const auto& field) {
+    request.headers.Add(std::string(field.name()), std::string(field.value()));
+  });
+  request.body = from->body();
+  return request;
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(HttpServerOptions options, Handler handler)
+      : options_(std::move(options)), handler_(std::move(handler)) {
+    restinio::server_settings_t<Traits> settings;
+    settings.address(options_.bind_ip)
+        .port(options_.port)
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(kLargestField)
+                .max_field_value_size(kLargestField)
+                .max_body_size(options_.max_body_bytes * kReadBeyondLimit))
+        .read_next_http_message_timelimit(
+            std::chrono::milliseconds(kReadLimit.count()))
+        .write_http_response_timelimit(
+            std::chrono::milliseconds(options_.write_limit.count()))
+        .handle_request_timeout(
+            std::chrono::milliseconds(options_.handle_limit.count()))
+        .socket_options_setter([](auto& it) {
+          it.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
+        })
+        .acceptor_options_setter([](auto& it) {
+          it.set_option(
+              restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
+        })
+        .request_handler([this](restinio::request_handle_t request) {
+          return Handle(std::move(request));
+        });
+    server_ = restinio::run_async<Traits>(restinio::own_io_context(),
+                                          std::move(settings), options_.threads);
+  }
+
+  ~Impl() { Stop(); }
+
+  void Stop() {
+    if (stopped_.exchange(true)) {
+      return;
+    }
+    server_->stop();
+    server_->wait();
+  }
+
+ private:
+  restinio::request_handling_status_t Handle(restinio::request_handle_t from) {
+    HttpRequest request = Convert(from);
+    auto responder = std::make_shared<RestinioResponder>(std::move(from));
+    if (request.body.size() > options_.max_body_bytes) {
+      Refuse(*responder, ErrorKind::kBodyTooLarge,
+             fmt::format("The body exceeds {} bytes.", options_.max_body_bytes));
+    } else if (request.headers.ByteSize() > options_.max_header_bytes) {
+      Refuse(*responder, ErrorKind::kHeadersTooLarge,
+             fmt::format("The header fields exceed {} bytes.",
+                         options_.max_header_bytes));
+    } else {
+      handler_(std::move(request), std::move(responder));
+    }
+    return restinio::request_accepted();
+  }
+
+  static void Refuse(Responder& responder, ErrorKind kind, std::string detail) {
+    responder.Send(ErrorResponse({kind, std::move(detail), NotRun::kTrue}, ""));
+  }
+
+  const HttpServerOptions options_;
+  const Handler handler_;
+  std::atomic<bool> stopped_ = false;
+  restinio::running_server_handle_t<Traits> server_;
+};
+
+HttpServer::HttpServer(HttpServerOptions options, Handler handler)
+    : impl_(std::make_unique<Impl>(std::move(options), std::move(handler))) {}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::Stop() { impl_->Stop(); }
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/tools/bilberrypitch_lab/main.cc
@@ -0,0 +1,144 @@
+// bilberrypitch_lab: stand-ins of what bilberrypitch serves, each a process of
+// its own. Not shipped.
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <functional>
+#include <map>
+
+#include "engine.h"
+#include "plain_service.h"
+#include "platform_list.h"
+#include "platform_store.h"
+#include "relay.h"
+
+namespace bilberrypitch::lab {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int kUsageError = 2;
+
+// Blocks SIGTERM and SIGINT for all threads to come, so that WaitForStop gets
+// them.
+void BlockStopSignals(sigset_t* signals) {
+  sigemptyset(signals);
+  sigaddset(signals, SIGTERM);
+  sigaddset(signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, signals, nullptr);
+}
+
+int WaitForStop(const sigset_t& signals) {
+  int received = 0;
+  sigwait(&signals, &received);
+  return 0;
+}
+
+po::variables_map Parse(int argc, char** argv,
+                        const po::options_description& options) {
+  po::variables_map values;
+  po::store(po::command_line_parser(argc, argv).options(options).run(), values);
+  po::notify(values);
+  return values;
+}
+
+int RunEngine(int argc, char** argv, const sigset_t& signals) {
+  EngineOptions it;
+  po::options_description options("engine");
+  auto add = options.add_options();
+  add("name", po::value(&it.name)->required(), "name");
+  add("port", po::value(&it.port)->required(), "port on the loopback address");
+  add("adapter-slots", po::value(&it.adapter_slots), "adapters held at once");
+  add("batch-slots", po::value(&it.batch_slots), "sequences run at once");
+  add("step-ms", po::value(&it.step_ms), "time for a token");
+  add("load-ms", po::value(&it.load_ms), "time for a load");
+  add("checks-fencing", po::bool_switch(&it.checks_fencing),
+      "refuse orders with an old fencing number");
+  Parse(argc, argv, options);
+  Engine engine(it);
+  return WaitForStop(signals);
+}
+
+int RunService(int argc, char** argv, const sigset_t& signals) {
+  std::string name;
+  uint16_t port = 0;
+  po::options_description options("service");
+  auto add = options.add_options();
+  add("name", po::value(&name)->required(), "name");
+  add("port", po::value(&port)->required(), "port");
+  Parse(argc, argv, options);
+  PlainService service(name, port);
+  return WaitForStop(signals);
+}
+
+int RunStore(int argc, char** argv, const sigset_t& signals) {
+  uint16_t port = 0;
+  po::options_description options("store");
+  options.add_options()("port", po::value(&port)->required(), "port");
+  Parse(argc, argv, options);
+  PlatformStore store(port);
+  return WaitForStop(signals);
+}
+
+int RunList(int argc, char** argv, const sigset_t& signals) {
+  uint16_t port = 0;
+  int64_t lag_ms = 0;
+  po::options_description options("list");
+  auto add = options.add_options();
+  add("port", po::value(&port)->required(), "port");
+  add("lag-ms", po::value(&lag_ms), "how late the list is");
+  Parse(argc, argv, options);
+  PlatformList list(port, lag_ms);
+  return WaitForStop(signals);
+}
+
+int RunRelay(int argc, char** argv, const sigset_t& signals) {
+  uint16_t port = 0;
+  uint16_t target_port = 0;
+  uint16_t control_port = 0;
+  po::options_description options("relay");
+  auto add = options.add_options();
+  add("port", po::value(&port)->required(), "port");
+  add("target-port", po::value(&target_port)->required(), "where to pass to");
+  add("control-port", po::value(&control_port)->required(), "for faults");
+  Parse(argc, argv, options);
+  Relay relay(port, "127.0.0.1", target_port, control_port);
+  return WaitForStop(signals);
+}
+
+using Command = std::function<int(int, char**, const sigset_t&)>;
+
+const std::map<std::string, Command>& Commands() {
+  static const std::map<std::string, Command> commands = {
+      {"engine", RunEngine}, {"service", RunService}, {"store", RunStore},
+      {"list", RunList},     {"relay", RunRelay},
+  };
+  return commands;
+}
+
+int Main(int argc, char** argv) {
+  auto it = argc < 2 ? Commands().end() : Commands().find(argv[1]);
+  if (it == Commands().end()) {
+    fmt::print(stderr, "usage: bilberrypitch_lab COMMAND [OPTIONS]\n");
+    for (const auto& [name, command] : Commands()) {
+      fmt::print(stderr, "  {}\n", name);
+    }
+    return kUsageError;
+  }
+  sigset_t signals;
+  BlockStopSignals(&signals);
+  signal(SIGPIPE, SIG_IGN);
+  try {
+    return it->second(argc - 1, argv + 1, signals);
+  } catch (const std::exception& e) {
+    fmt::print(stderr, "lab: {}\n", e.what());
+    return kUsageError;
+  }
+}
+
+}  // namespace
+}  // namespace bilberrypitch::lab
+
+int main(int argc, char** argv) { return bilberrypitch::lab::Main(argc, argv); }
