--- a/libs/membership/include/membership/registration.h
+++ b/libs/membership/include/membership/registration.h
@@ -83,8 +83,6 @@
   void OnVouch(const BootId& from, Millis sent);
   // A member has seen these marks.
   void OnMarksSeen(const BootId& from, const std::vector<SeenMark>& marks);
-  // The process was paused: nothing before counts.
-  void OnPause(Millis now);
 
   // Whether this instance may use its rights now.
   bool Confirmed(Millis now) const;
@@ -131,7 +129,6 @@
   bool marked_ = false;     // The own record was seen marked.
   bool removed_ = false;    // The own record had stood and is gone: for good.
   Millis store_confirmed_;  // Begin of the last read that showed us unmarked.
-  Millis paused_at_{-1};
   int64_t highest_revision_ = 0;
   // Views under which the own record may stand; a vouch needs a majority of
   // each. More than one only after a write whose answer was lost.
--- a/libs/membership/src/registration.cc
+++ b/libs/membership/src/registration.cc
@@ -22,7 +22,7 @@
 void RegistrationKeeper::OnStoreRead(
     const std::vector<RegistrationRecord>& records, int64_t revision,
     Millis begun) {
-  if (begun < paused_at_ || revision < highest_revision_) {
+  if (revision < highest_revision_) {
     return;
   }
   highest_revision_ = revision;
@@ -61,9 +61,6 @@
 }
 
 void RegistrationKeeper::OnVouch(const BootId& from, Millis sent) {
-  if (sent < paused_at_) {
-    return;
-  }
   Millis& latest = vouched_[from];
   latest = std::max(latest, sent);
 }
@@ -79,12 +76,6 @@
   }
 }
 
-void RegistrationKeeper::OnPause(Millis now) {
-  paused_at_ = now;
-  vouched_.clear();
-  // Acknowledged marks stay: who saw a mark does not vouch again under it.
-}
-
 bool RegistrationKeeper::HasMajority(const std::vector<BootId>& view,
                                      Millis now) const {
   size_t n = 0;
@@ -104,7 +95,7 @@
     return false;
   }
   Millis age = now - store_confirmed_;
-  if (store_confirmed_ >= paused_at_ && age <= options_.confirmation) {
+  if (age <= options_.confirmation) {
     return true;
   }
   if (age > options_.isolation) {
--- a/libs/membership/test/registration_test.cc
+++ b/libs/membership/test/registration_test.cc
@@ -10,7 +10,6 @@
 #include <random>
 
 #include "base/check.h"
-#include "membership/pause_detector.h"
 #include "membership/registration.h"
 
 namespace bilberrypitch {
@@ -18,7 +17,6 @@
 
 constexpr int kEventsInCi = 400000;
 constexpr Millis kTick{100};
-constexpr Millis kLongestGap{1000};
 constexpr size_t kInstances = 4;
 
 // A store that holds the registrations of one zone.
@@ -53,7 +51,6 @@
   InstanceId instance;
   BootId boot;
   std::unique_ptr<RegistrationKeeper> keeper;
-  PauseDetector detector{kLongestGap};
   Millis paused_until;
   bool store_cut = false;
   bool listed = true;
@@ -121,7 +118,7 @@
     if (!Chance(0.004)) return;
     auto i = static_cast<size_t>(Between(0, kInstances - 1));
     Process& it = processes_[i];
-    switch (Between(0, 7)) {
+    switch (Between(0, 9)) {
       case 0:
         it.paused_until = now_ + Millis(Between(100, 15000));
         break;
@@ -142,11 +139,28 @@
       case 5:
         Replace(i);
         break;
+      case 6:
+      case 7:
+        CutPart();
+        break;
       default:
         Heal();
     }
   }
 
+  // Some instances together lose the rest, the store and the list.
+  void CutPart() {
+    std::vector<bool> inside(kInstances);
+    for (size_t i = 0; i < kInstances; ++i) inside[i] = Chance(0.5);
+    for (size_t i = 0; i < kInstances; ++i) {
+      processes_[i].store_cut = inside[i];
+      processes_[i].listed = !inside[i];
+      for (size_t j = 0; j < kInstances; ++j) {
+        cut_[i][j] = inside[i] != inside[j];
+      }
+    }
+  }
+
   void Heal() {
     store_out_ = false;
     for (Process& it : processes_) {
@@ -171,7 +185,6 @@
   void Step(size_t i) {
     Process& it = processes_[i];
     if (it.paused_until > now_) return;
-    if (it.detector.OnTick(now_)) it.keeper->OnPause(now_);
     Heartbeats(i);
     if (store_out_ || it.store_cut) return;
     it.keeper->OnStoreRead(store_.All(), store_.revision, now_);
@@ -246,10 +259,6 @@
     bool stands = store_.records.count(it->boot) != 0;
     if (stands) it->was_registered = true;
     bool confirmed = it->keeper->Confirmed(now_);
-    if (it->detector.OnTick(now_)) {
-      it->keeper->OnPause(now_);
-      confirmed = it->keeper->Confirmed(now_);
-    }
     if (confirmed && store_out_) ++confirmed_without_store_;
     if (confirmed && !stands && it->was_registered) ++broken_;
   }
@@ -280,8 +289,49 @@
   return text == nullptr ? kEventsInCi : std::atoi(text);
 }
 
+RegistrationRecord Record(const char* boot, std::vector<BootId> view,
+                          int64_t revision, const char* marked_by = "") {
+  return {InstanceId(boot), BootId(boot),     ZoneId("a"),
+          std::move(view),  BootId(marked_by), revision};
+}
+
 }  // namespace
 
+TEST_CASE("an acknowledgement of an earlier mark does not count for a new one") {
+  const std::vector<BootId> view = {BootId("h"), BootId("p"), BootId("q")};
+  RegistrationOptions options;
+  RegistrationKeeper keeper(InstanceId("p"), BootId("p"), ZoneId("a"), options);
+  auto sight = [](const RegistrationRecord& it) {
+    return MemberSight{it.boot != BootId("h"), it.boot != BootId("h")};
+  };
+  int64_t now = 0;
+  auto read = [&](RegistrationRecord h, int64_t revision) {
+    now += 1000;
+    keeper.OnStoreRead({std::move(h), Record("p", view, 2), Record("q", view, 3)},
+                       revision, Millis(now));
+    bool removes = false;
+    for (const RegistrationAction& it : keeper.Tick(Millis(now), sight)) {
+      removes = removes || it.kind == RegistrationActionKind::kRemove;
+    }
+    return removes;
+  };
+  for (int i = 0; i < 8; ++i) read(Record("h", view, 1), 3);
+  read(Record("h", view, 4, "p"), 4);           // Marked,
+  keeper.OnMarksSeen(BootId("q"), {{BootId("h"), 4}});
+  read(Record("h", view, 5), 5);                // cleared,
+  read(Record("h", view, 6, "p"), 6);           // and marked anew.
+  keeper.OnMarksSeen(BootId("q"), {{BootId("h"), 4}});  // Late.
+  for (int i = 0; i < 20; ++i) {
+    REQUIRE_FALSE(read(Record("h", view, 6, "p"), 6));
+  }
+  keeper.OnMarksSeen(BootId("q"), {{BootId("h"), 6}});
+  bool removed = false;
+  for (int i = 0; i < 20; ++i) {
+    removed = read(Record("h", view, 6, "p"), 6) || removed;
+  }
+  REQUIRE(removed);
+}
+
 TEST_CASE("no instance is confirmed after its registration was removed") {
   for (uint64_t seed : {1, 2, 3}) {
     Run run(seed);
