--- a/libs/config/include/config/catalog.h
+++ b/libs/config/include/config/catalog.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/adapter_ref.h"
 #include "base/strong.h"
 #include "config/chunks.h"
 
@@ -55,13 +56,6 @@
   uint32_t loads_in_flight = 8;
 };
 
-// An adapter and version as one request asked for them.
-struct AdapterVersionRef {
-  AdapterId adapter;
-  uint32_t version = 0;
-  auto operator<=>(const AdapterVersionRef&) const = default;
-};
-
 struct ResolvedAdapter {
   AdapterVersionRef ref;
   WorkspaceId workspace;  // Empty: every workspace may use it.
