--- a/libs/residency/test/residency_test.cc
+++ b/libs/residency/test/residency_test.cc
@@ -181,6 +181,15 @@
   REQUIRE_FALSE(leader.collecting());
 }
 
+TEST_CASE("an instance that registers late refuses a leader replaced before") {
+  Fixture old(1);
+  old.Load(kOne);
+  ResidencyHolder fresh;
+  fresh.SetMinimumEpoch(kZone, 2);  // Read after it had registered.
+  REQUIRE(fresh.OnTable(old.leader.Table()) == TableVerdict::kStale);
+  REQUIRE(fresh.Candidates(kOne).empty());
+}
+
 TEST_CASE("what an instance removed before the takeover left running ends") {
   ZoneLeader leader(kZone, 2, BootId("m"), Options(), false, Millis(5000));
   leader.SetEngines({{kEngine, kPool, 1, 4, false, true}});
