Count a crash once for a request that ran there twice

Ruled out: gossip, the waiting time (the copies were in one crash). Change: the fingerprints present are a set.

--- a/libs/dispatch/include/dispatch/quarantine.h
+++ b/libs/dispatch/include/dispatch/quarantine.h
@@ -51,7 +51,7 @@
   void OnBegin(const Fingerprint& fingerprint, const UpstreamId& upstream);
   void OnEnd(const Fingerprint& fingerprint, const UpstreamId& upstream);
   // An upstream crashed while these ran there.
-  void OnCrash(const std::vector<Fingerprint>& present, Millis now);
+  void OnCrash(const std::vector<Fingerprint>& running, Millis now);
   // It ran whole: no longer a suspect here.
   void OnSuccess(const Fingerprint& fingerprint);
   // What another instance knows; `expires` is on this instance's clock.
--- a/libs/dispatch/src/quarantine.cc
+++ b/libs/dispatch/src/quarantine.cc
@@ -72,7 +72,9 @@
   }
 }
 
-void Quarantine::OnCrash(const std::vector<Fingerprint>& present, Millis now) {
+void Quarantine::OnCrash(const std::vector<Fingerprint>& running, Millis now) {
+  // A request that ran there twice was present at one crash.
+  std::set<Fingerprint> present(running.begin(), running.end());
   auto is_suspect = [&](const Fingerprint& it) {
     return suspects_.count(it) != 0;
   };
