--- a/libs/base/include/base/error.h
+++ b/libs/base/include/base/error.h
@@ -33,6 +33,7 @@
   kStoreUnavailable,
   kStopping,
   kKeyWithdrawn,
+  kSlowCaller,
   kInternal,
 };
 
--- a/libs/base/src/error.cc
+++ b/libs/base/src/error.cc
@@ -34,6 +34,7 @@
     {ErrorKind::kStoreUnavailable, "store_unavailable", 503, 2},
     {ErrorKind::kStopping, "stopping", 503, 1},
     {ErrorKind::kKeyWithdrawn, "key_withdrawn", 401, 0},
+    {ErrorKind::kSlowCaller, "slow_caller", 408, 0},
     {ErrorKind::kInternal, "internal", 500, 0},
 }};
 
