--- a/libs/base/include/base/check.h
+++ b/libs/base/include/base/check.h
@@ -11,9 +11,9 @@
 
 }  // namespace bilberrypitch
 
-#define BP_CHECK(condition, message)                                       \
-  do {                                                                     \
-    if (!(condition)) {                                                    \
+#define BP_CHECK(condition, message)                                         \
+  do {                                                                       \
+    if (!(condition)) {                                                      \
       ::bilberrypitch::CheckFailed(__FILE__, __LINE__, #condition, message); \
-    }                                                                      \
+    }                                                                        \
   } while (false)
--- a/libs/base/include/base/error.h
+++ b/libs/base/include/base/error.h
@@ -37,7 +37,8 @@
   kInternal,
 };
 
-inline constexpr int kErrorKindCount = static_cast<int>(ErrorKind::kInternal) + 1;
+inline constexpr int kErrorKindCount =
+    static_cast<int>(ErrorKind::kInternal) + 1;
 
 // Whether the request reached an upstream. `kUnknown` is said whenever the
 // process can't prove one of the others.
--- a/libs/config/include/config/config_tracker.h
+++ b/libs/config/include/config/config_tracker.h
@@ -18,11 +18,11 @@
 class Catalog;
 
 enum class HeadVerdict : uint8_t {
-  kInForce,       // Compiled and in force now.
-  kNeedsChunks,   // Newer; `missing` says what to fetch.
-  kNotNewer,      // Known or older.
-  kDamaged,       // Can't be read, or a chunk does not match its hash.
-  kNewerSchema,   // Written by a newer program.
+  kInForce,      // Compiled and in force now.
+  kNeedsChunks,  // Newer; `missing` says what to fetch.
+  kNotNewer,     // Known or older.
+  kDamaged,      // Can't be read, or a chunk does not match its hash.
+  kNewerSchema,  // Written by a newer program.
 };
 
 // Where to fetch a chunk: by key from the store, by hash from a peer.
--- a/libs/config/src/catalog.cc
+++ b/libs/config/src/catalog.cc
@@ -105,9 +105,9 @@
     bucket->adapters.emplace(it.name(), std::move(record));
   }
   for (const schema::Key& it : part.keys()) {
-    bucket->keys.emplace(it.id(), KeyRecord{WorkspaceId(it.workspace()),
-                                            it.salt(), it.hash(),
-                                            it.withdrawn()});
+    bucket->keys.emplace(
+        it.id(), KeyRecord{WorkspaceId(it.workspace()), it.salt(), it.hash(),
+                           it.withdrawn()});
   }
   return bucket;
 }
@@ -171,7 +171,9 @@
     return std::nullopt;
   }
   return ResolvedAdapter{{AdapterId(std::string(name)), number},
-                         record->workspace, record->pool, it->second};
+                         record->workspace,
+                         record->pool,
+                         it->second};
 }
 
 WorkspaceId Catalog::Authenticate(std::string_view clear_key) const {
--- a/libs/config/src/config_tracker.cc
+++ b/libs/config/src/config_tracker.cc
@@ -25,11 +25,9 @@
   if (head->schema_version() > kSchemaVersion) {
     return HeadVerdict::kNewerSchema;
   }
-  uint64_t newest =
-      pending_ == nullptr ? generation() : pending_->generation();
+  uint64_t newest = pending_ == nullptr ? generation() : pending_->generation();
   if (head->generation() <= newest && newest != 0) {
-    bool pending_again =
-        pending_ != nullptr && head->generation() == newest;
+    bool pending_again = pending_ != nullptr && head->generation() == newest;
     return pending_again ? HeadVerdict::kNeedsChunks : HeadVerdict::kNotNewer;
   }
   pending_ = std::move(head);
--- a/libs/config/test/config_tracker_test.cc
+++ b/libs/config/test/config_tracker_test.cc
@@ -1,11 +1,12 @@
 // Tests of the generation in force: it only rises, whatever arrives.
+#include "config/config_tracker.h"
+
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
 
 #include "config/catalog.h"
-#include "config/config_tracker.h"
 #include "config/proposal.h"
 #include "schema/document.pb.h"
 
@@ -39,9 +40,9 @@
   schema::Document before;
   for (int i = 1; i <= n; ++i) {
     schema::Document after = DocumentWith(i);
-    Proposal it = MakeProposal(i == 1 ? nullptr : &head,
-                               i == 1 ? "" : chain.heads.back(), before, after,
-                               {}, std::to_string(i), 0);
+    Proposal it =
+        MakeProposal(i == 1 ? nullptr : &head, i == 1 ? "" : chain.heads.back(),
+                     before, after, {}, std::to_string(i), 0);
     for (const ChunkWrite& chunk : it.chunks) {
       chain.chunks[chunk.key.substr(chunk.key.rfind('/') + 1)] = chunk.bytes;
     }
--- a/libs/dispatch/include/dispatch/fair_queue.h
+++ b/libs/dispatch/include/dispatch/fair_queue.h
@@ -39,6 +39,12 @@
   Millis oldest;  // When the oldest was enqueued.
 };
 
+// What waits for one workspace.
+struct WaitingForWorkspace {
+  WorkspaceId workspace;
+  double cost_tokens = 0;
+};
+
 struct PushOutcome {
   bool accepted = false;
   // A request of the workspace with the longest queue that gave its place.
@@ -67,12 +73,15 @@
 
   size_t size() const { return size_; }
   std::vector<WaitingForAdapter> Waiting() const;
+  std::vector<WaitingForWorkspace> WaitingByWorkspace() const;
+  double WaitingCost(const WorkspaceId& workspace) const;
 
  private:
   using Fifo = std::list<QueuedRequest>;
   struct Lane {
     std::map<AdapterVersionRef, Fifo> by_ref;  // No empty lists.
     double counter = 0;
+    double cost = 0;  // Invariant: the sum of its requests' costs.
     size_t size = 0;
   };
 
--- a/libs/dispatch/include/dispatch/retry_policy.h
+++ b/libs/dispatch/include/dispatch/retry_policy.h
@@ -26,7 +26,7 @@
   bool answer_begun = false;  // The caller has got a part of an answer.
   bool ran_before = false;    // An earlier attempt may have run.
   int attempts = 1;
-  Millis remaining;           // Until the caller's deadline.
+  Millis remaining;  // Until the caller's deadline.
 };
 
 struct RetryDecision {
--- a/libs/dispatch/src/claim.cc
+++ b/libs/dispatch/src/claim.cc
@@ -22,8 +22,7 @@
 }
 
 std::string ClaimKey(const WorkspaceId& workspace, std::string_view key) {
-  return "/bilberrypitch/claims/" + workspace.str() + "/" +
-         Sha256Hex(key);
+  return "/bilberrypitch/claims/" + workspace.str() + "/" + Sha256Hex(key);
 }
 
 }  // namespace bilberrypitch
--- a/libs/dispatch/src/fair_queue.cc
+++ b/libs/dispatch/src/fair_queue.cc
@@ -23,6 +23,7 @@
   if (lane.size == 0) {
     lane.counter = std::max(lane.counter, LowestWaiting());
   }
+  lane.cost += request.cost_tokens;
   Fifo& fifo = lane.by_ref[request.ref];
   fifo.insert(at_front ? fifo.begin() : fifo.end(), std::move(request));
   ++lane.size;
@@ -51,8 +52,7 @@
         newest = it;
       }
     }
-    outcome.shed =
-        Take(&lane, newest, std::prev(newest->second.end())).id;
+    outcome.shed = Take(&lane, newest, std::prev(newest->second.end())).id;
   }
   Insert(std::move(request), false);
   outcome.accepted = true;
@@ -61,15 +61,16 @@
   return outcome;
 }
 
-QueuedRequest FairQueue::Take(
-    Lane* lane, std::map<AdapterVersionRef, Fifo>::iterator it,
-    Fifo::iterator place) {
+QueuedRequest FairQueue::Take(Lane* lane,
+                              std::map<AdapterVersionRef, Fifo>::iterator it,
+                              Fifo::iterator place) {
   QueuedRequest request = std::move(*place);
   it->second.erase(place);
   if (it->second.empty()) {
     lane->by_ref.erase(it);
   }
   --lane->size;
+  lane->cost = lane->size == 0 ? 0 : lane->cost - request.cost_tokens;
   --size_;
   return request;
 }
@@ -82,9 +83,9 @@
       lanes.push_back(&lane);
     }
   }
-  std::stable_sort(lanes.begin(), lanes.end(), [](const Lane* a, const Lane* b) {
-    return a->counter < b->counter;
-  });
+  std::stable_sort(
+      lanes.begin(), lanes.end(),
+      [](const Lane* a, const Lane* b) { return a->counter < b->counter; });
   for (Lane* lane : lanes) {
     auto best = lane->by_ref.end();
     for (auto it = lane->by_ref.begin(); it != lane->by_ref.end(); ++it) {
@@ -154,6 +155,19 @@
   }
 }
 
+double FairQueue::WaitingCost(const WorkspaceId& workspace) const {
+  auto it = lanes_.find(workspace);
+  return it == lanes_.end() ? 0 : it->second.cost;
+}
+
+std::vector<WaitingForWorkspace> FairQueue::WaitingByWorkspace() const {
+  std::vector<WaitingForWorkspace> list;
+  for (const auto& [workspace, lane] : lanes_) {
+    list.push_back({workspace, lane.cost});
+  }
+  return list;
+}
+
 std::vector<WaitingForAdapter> FairQueue::Waiting() const {
   std::map<AdapterVersionRef, WaitingForAdapter> all;
   for (const auto& [workspace, lane] : lanes_) {
--- a/libs/dispatch/src/retry_policy.cc
+++ b/libs/dispatch/src/retry_policy.cc
@@ -62,8 +62,7 @@
     error.not_run = NotRun::kTrue;
     return error;
   }
-  error.kind =
-      facts.idempotent ? KindOf(facts) : ErrorKind::kOutcomeUnknown;
+  error.kind = facts.idempotent ? KindOf(facts) : ErrorKind::kOutcomeUnknown;
   error.not_run = facts.answer_begun ? NotRun::kFalse : NotRun::kUnknown;
   return error;
 }
--- a/libs/dispatch/src/upstream_choice.cc
+++ b/libs/dispatch/src/upstream_choice.cc
@@ -17,8 +17,8 @@
 }  // namespace
 
 double Fullness(const UpstreamLoad& load) {
-  double running = std::max<double>(load.reported + load.own_since,
-                                    load.own_in_flight);
+  double running =
+      std::max<double>(load.reported + load.own_since, load.own_in_flight);
   return running / std::max<uint32_t>(load.batch_slots, 1);
 }
 
--- a/libs/dispatch/test/fair_queue_test.cc
+++ b/libs/dispatch/test/fair_queue_test.cc
@@ -1,10 +1,11 @@
 // Tests of the fair queue, the choice of an upstream and its health.
+#include "dispatch/fair_queue.h"
+
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
 
-#include "dispatch/fair_queue.h"
 #include "dispatch/upstream_choice.h"
 #include "dispatch/upstream_health.h"
 
@@ -80,7 +81,8 @@
   REQUIRE(rc::check("queue", [] {
     FairQueue queue(20);
     std::set<std::string> inside;
-    auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+    auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
     int n = 0;
     for (int step : steps) {
       if (step < 60) {
--- a/libs/dispatch/test/quarantine_test.cc
+++ b/libs/dispatch/test/quarantine_test.cc
@@ -1,13 +1,13 @@
 // A randomised run of poison requests: each crashes the upstream that runs it
 // and is sent again by its caller to other instances. The bound on crashes is
 // the one that the header states.
+#include "dispatch/quarantine.h"
+
 #include <fmt/format.h>
 
 #include <catch2/catch.hpp>
 #include <random>
 
-#include "dispatch/quarantine.h"
-
 namespace bilberrypitch {
 namespace {
 
@@ -104,7 +104,8 @@
   quarantine.OnCrash({it}, Millis(0));
   quarantine.OnCrash({it}, Millis(0));
   REQUIRE(quarantine.Judge(it, Millis(0)) == QuarantineVerdict::kQuarantined);
-  REQUIRE(quarantine.Judge(it, Millis(3600 * 1000)) == QuarantineVerdict::kFree);
+  REQUIRE(quarantine.Judge(it, Millis(3600 * 1000)) ==
+          QuarantineVerdict::kFree);
 }
 
 }  // namespace bilberrypitch
--- a/libs/limits/include/limits/token_account.h
+++ b/libs/limits/include/limits/token_account.h
@@ -87,7 +87,7 @@
     double moved_in = 0;
     double returned_out = 0;  // Of moved_in.
     double gave_back_out = 0;
-    Millis expires;           // When what is left of moved_in ends.
+    Millis expires;  // When what is left of moved_in ends.
     bool changed = true;
   };
 
--- a/libs/limits/src/slot_assignment.cc
+++ b/libs/limits/src/slot_assignment.cc
@@ -18,7 +18,8 @@
     counts[it] = 0;
   }
   for (const schema::SlotOwner& it : table.slots()) {
-    auto owner = counts.find(BootId(it.next().empty() ? it.owner() : it.next()));
+    auto owner =
+        counts.find(BootId(it.next().empty() ? it.owner() : it.next()));
     if (owner != counts.end()) {
       ++owner->second;
     }
@@ -58,7 +59,8 @@
     if (registered.count(BootId(it.next())) == 0) {
       it.clear_next();
     }
-    bool dead = !it.owner().empty() && registered.count(BootId(it.owner())) == 0;
+    bool dead =
+        !it.owner().empty() && registered.count(BootId(it.owner())) == 0;
     if (dead) {
       it.clear_owner();
       it.set_clean(false);
--- a/libs/limits/test/limits_run_test.cc
+++ b/libs/limits/test/limits_run_test.cc
@@ -172,12 +172,11 @@
     size_t index = static_cast<size_t>(it - instances_.data());
     double skew = index < 2 ? 3.2 : 0.27;
     constexpr double kMeanCost = 60;
-    double per_step =
-        load_ * kRate * skew / kInstances * 0.012 / kMeanCost;
+    double per_step = load_ * kRate * skew / kInstances * 0.012 / kMeanCost;
     if (it->waiting == 0 && Chance(per_step)) {
       bool large = Chance(0.05);
-      it->waiting = static_cast<double>(large ? Between(200, 600)
-                                              : Between(10, 80));
+      it->waiting =
+          static_cast<double>(large ? Between(200, 600) : Between(10, 80));
       it->waiting_since = now_;
     }
   }
@@ -251,7 +250,8 @@
       Run run(seed, load);
       run.Events(EventCount());
       fmt::print(
-          "limits: {} events, seed {}, load {}, served {}, refused {}, replaced "
+          "limits: {} events, seed {}, load {}, served {}, refused {}, "
+          "replaced "
           "{}, used {:.2f} of the rate, broken invariants {}\n",
           EventCount(), seed, load, run.served, run.refused, run.replaced,
           (run.spent - run.refunded) / (kRate * run.seconds()), run.broken);
--- a/libs/limits/test/slot_assignment_test.cc
+++ b/libs/limits/test/slot_assignment_test.cc
@@ -1,7 +1,8 @@
 // Tests of who owns which part.
+#include "limits/slot_assignment.h"
+
 #include <catch2/catch.hpp>
 
-#include "limits/slot_assignment.h"
 #include "limits/token_account.h"
 #include "schema/peer.pb.h"
 
--- a/libs/limits/test/token_account_test.cc
+++ b/libs/limits/test/token_account_test.cc
@@ -1,8 +1,8 @@
 // Tests of one workspace's tokens, one failure each.
-#include <catch2/catch.hpp>
-
 #include "limits/token_account.h"
 
+#include <catch2/catch.hpp>
+
 namespace bilberrypitch {
 namespace {
 
--- a/libs/membership/src/registration.cc
+++ b/libs/membership/src/registration.cc
@@ -35,7 +35,9 @@
       marks_seen_[it.boot] = it.mod_revision;
     }
   }
-  auto forgotten = [&](const auto& it) { return records_.count(it.first) == 0; };
+  auto forgotten = [&](const auto& it) {
+    return records_.count(it.first) == 0;
+  };
   std::erase_if(removals_, forgotten);
   std::erase_if(unseen_since_, forgotten);
   auto own = records_.find(boot_);
@@ -69,8 +71,7 @@
                                      const std::vector<SeenMark>& marks) {
   for (const SeenMark& it : marks) {
     auto removal = removals_.find(it.boot);
-    if (removal != removals_.end() &&
-        removal->second.revision == it.revision) {
+    if (removal != removals_.end() && removal->second.revision == it.revision) {
       removal->second.acknowledged.insert(from);
     }
   }
@@ -101,9 +102,8 @@
   if (age > options_.isolation) {
     return false;
   }
-  return std::all_of(views_.begin(), views_.end(), [&](const auto& view) {
-    return HasMajority(view, now);
-  });
+  return std::all_of(views_.begin(), views_.end(),
+                     [&](const auto& view) { return HasMajority(view, now); });
 }
 
 bool RegistrationKeeper::VouchesFor(const BootId& boot) const {
@@ -166,9 +166,8 @@
   }
   bool lapsed = removal.half && now - removal.half_acknowledged_at >
                                     Longer(options_.confirmation);
-  bool isolated_too_long =
-      now - removal.marked_at >
-      Longer(options_.isolation + options_.confirmation);
+  bool isolated_too_long = now - removal.marked_at >
+                           Longer(options_.isolation + options_.confirmation);
   if (lapsed || isolated_too_long) {
     return RegistrationAction{RegistrationActionKind::kRemove, record};
   }
@@ -190,8 +189,7 @@
     record.boot = boot_;
     record.zone = zone_;
     record.view = view;
-    record.mod_revision =
-        own == records_.end() ? 0 : own->second.mod_revision;
+    record.mod_revision = own == records_.end() ? 0 : own->second.mod_revision;
     actions.push_back({RegistrationActionKind::kWriteOwn, record});
   }
   if (!Confirmed(now)) {
--- a/libs/membership/test/registration_test.cc
+++ b/libs/membership/test/registration_test.cc
@@ -1,6 +1,8 @@
 // A randomised run of registrations: instances pause, are cut from the store
 // and from each other, die and are replaced. No instance may be confirmed once
 // its registration was removed.
+#include "membership/registration.h"
+
 #include <fmt/format.h>
 
 #include <catch2/catch.hpp>
@@ -10,7 +12,6 @@
 #include <random>
 
 #include "base/check.h"
-#include "membership/registration.h"
 
 namespace bilberrypitch {
 namespace {
@@ -188,7 +189,9 @@
     Heartbeats(i);
     if (store_out_ || it.store_cut) return;
     it.keeper->OnStoreRead(store_.All(), store_.revision, now_);
-    auto sight = [&](const RegistrationRecord& record) { return See(i, record); };
+    auto sight = [&](const RegistrationRecord& record) {
+      return See(i, record);
+    };
     for (const RegistrationAction& action : it.keeper->Tick(now_, sight)) {
       bool done = store_.Apply(action);
       if (done && action.kind == RegistrationActionKind::kRemove) {
@@ -246,7 +249,8 @@
       to.heard[it.from_boot] = now_;
       Millis& newest = newest_sent_[{to.boot, it.from_boot}];
       newest = std::max(newest, it.sent);
-      if (it.vouched == to.boot) to.keeper->OnVouch(it.from_boot, it.vouched_sent);
+      if (it.vouched == to.boot)
+        to.keeper->OnVouch(it.from_boot, it.vouched_sent);
       to.keeper->OnMarksSeen(it.from_boot, it.marks);
     }
     messages_.swap(later);
@@ -291,13 +295,14 @@
 
 RegistrationRecord Record(const char* boot, std::vector<BootId> view,
                           int64_t revision, const char* marked_by = "") {
-  return {InstanceId(boot), BootId(boot),     ZoneId("a"),
+  return {InstanceId(boot), BootId(boot),      ZoneId("a"),
           std::move(view),  BootId(marked_by), revision};
 }
 
 }  // namespace
 
-TEST_CASE("an acknowledgement of an earlier mark does not count for a new one") {
+TEST_CASE(
+    "an acknowledgement of an earlier mark does not count for a new one") {
   const std::vector<BootId> view = {BootId("h"), BootId("p"), BootId("q")};
   RegistrationOptions options;
   RegistrationKeeper keeper(InstanceId("p"), BootId("p"), ZoneId("a"), options);
@@ -307,8 +312,9 @@
   int64_t now = 0;
   auto read = [&](RegistrationRecord h, int64_t revision) {
     now += 1000;
-    keeper.OnStoreRead({std::move(h), Record("p", view, 2), Record("q", view, 3)},
-                       revision, Millis(now));
+    keeper.OnStoreRead(
+        {std::move(h), Record("p", view, 2), Record("q", view, 3)}, revision,
+        Millis(now));
     bool removes = false;
     for (const RegistrationAction& it : keeper.Tick(Millis(now), sight)) {
       removes = removes || it.kind == RegistrationActionKind::kRemove;
@@ -316,10 +322,10 @@
     return removes;
   };
   for (int i = 0; i < 8; ++i) read(Record("h", view, 1), 3);
-  read(Record("h", view, 4, "p"), 4);           // Marked,
+  read(Record("h", view, 4, "p"), 4);  // Marked,
   keeper.OnMarksSeen(BootId("q"), {{BootId("h"), 4}});
-  read(Record("h", view, 5), 5);                // cleared,
-  read(Record("h", view, 6, "p"), 6);           // and marked anew.
+  read(Record("h", view, 5), 5);                        // cleared,
+  read(Record("h", view, 6, "p"), 6);                   // and marked anew.
   keeper.OnMarksSeen(BootId("q"), {{BootId("h"), 4}});  // Late.
   for (int i = 0; i < 20; ++i) {
     REQUIRE_FALSE(read(Record("h", view, 6, "p"), 6));
@@ -336,10 +342,11 @@
   for (uint64_t seed : {1, 2, 3}) {
     Run run(seed);
     int broken = run.Events(EventCount());
-    fmt::print("registration: {} events, seed {}, removals {}, confirmed "
-               "without the store {}, broken invariants {}\n",
-               EventCount(), seed, run.removals(),
-               run.confirmed_without_store(), broken);
+    fmt::print(
+        "registration: {} events, seed {}, removals {}, confirmed "
+        "without the store {}, broken invariants {}\n",
+        EventCount(), seed, run.removals(), run.confirmed_without_store(),
+        broken);
     REQUIRE(broken == 0);
     REQUIRE(run.removals() > 10);
     REQUIRE(run.confirmed_without_store() > 10);
--- a/libs/node/src/config_service.cc
+++ b/libs/node/src/config_service.cc
@@ -42,8 +42,8 @@
     int64_t spread = static_cast<int64_t>(
         StableHash(context_.boot.str(), std::to_string(now.count())) %
         kSpreadMs);
-    Millis period = watches || generation() == 0 ? kReadPeriod
-                                                 : kReadPeriodWithoutWatch;
+    Millis period =
+        watches || generation() == 0 ? kReadPeriod : kReadPeriodWithoutWatch;
     next_read_ms_ = now.count() + period.count() + spread;
     ReadHead(now);
   }
@@ -116,8 +116,8 @@
     {
       std::lock_guard lock(lock_);
       catalog = tracker_.catalog();
-      bool newer = catalog_ == nullptr ||
-                   catalog->generation() > catalog_->generation();
+      bool newer =
+          catalog_ == nullptr || catalog->generation() > catalog_->generation();
       if (newer) {
         catalog_ = catalog;
       }
@@ -132,8 +132,7 @@
 
 void ConfigService::OnPeerGeneration(const std::string& peer_address,
                                      uint64_t peer_generation, Millis now) {
-  if (peer_generation <= generation() ||
-      now.count() < next_peer_request_ms_) {
+  if (peer_generation <= generation() || now.count() < next_peer_request_ms_) {
     return;
   }
   next_peer_request_ms_ = now.count() + kPeerRequestPeriod.count();
--- /dev/null
+++ b/libs/node/src/dispatcher.cc
@@ -0,0 +1,606 @@
+// Dispatch of model requests.
+#include "node/dispatcher.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "dispatch/upstream_choice.h"
+#include "membership/pause_detector.h"
+#include "membership/rendezvous.h"
+#include "node/fleet_service.h"
+#include "node/limit_service.h"
+#include "node/metrics.h"
+#include "node/residency_service.h"
+#include "node/upstream_table.h"
+#include "schema/peer.pb.h"
+#include "schema/settings.pb.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr Millis kDemandPeriod{100};
+constexpr Millis kQuarantinePeriod{1000};
+constexpr Millis kProbeDeadline{1000};
+// Waiting so long for the home zone makes the own zone load too.
+constexpr Millis kOwnZoneAfter{1000};
+
+}  // namespace
+
+Dispatcher::Dispatcher(const NodeContext& context, FleetService* fleet,
+                       ResidencyService* residency, UpstreamTable* upstreams,
+                       LimitService* limits)
+    : context_(context),
+      fleet_(fleet),
+      residency_(residency),
+      upstreams_(upstreams),
+      limits_(limits),
+      quarantine_(context.instance) {
+  for (size_t i = 0; i < kShards; ++i) {
+    shards_.push_back(
+        std::make_unique<Shard>(context.settings->sizes().queue_length()));
+  }
+}
+
+Dispatcher::Shard& Dispatcher::ShardOf(const PoolId& pool) {
+  return *shards_[StableHash(pool.str()) % kShards];
+}
+
+QueuedRequest Dispatcher::ToQueued(const ModelRequest& request,
+                                   Millis now) const {
+  const ModelRequestFacts& facts = request.facts();
+  QueuedRequest it;
+  it.id = facts.id;
+  it.workspace = facts.workspace;
+  it.weight = facts.weight;
+  it.cost_tokens = facts.cost();
+  it.ref = facts.adapter.ref;
+  it.pool = facts.adapter.pool;
+  it.enqueued = facts.admitted;
+  Millis longest(context_.settings->deadlines().queue_ms());
+  it.deadline = std::min(facts.deadline, now + longest);
+  return it;
+}
+
+void Dispatcher::Refuse(const RequestPtr& request, ErrorKind kind,
+                        const char* detail) {
+  context_.metrics->Add("refused_total",
+                        "kind=\"" + std::string(AnswerFor(kind).name) + "\"");
+  NotRun not_run = request->ran_before ? NotRun::kUnknown : NotRun::kTrue;
+  request->Fail({kind, detail, not_run});
+}
+
+void Dispatcher::Submit(RequestPtr request, Millis now) {
+  const ModelRequestFacts& facts = request->facts();
+  std::shared_ptr<const Catalog> catalog = context_.catalog();
+  const WorkspaceEntry* workspace = catalog->FindWorkspace(facts.workspace);
+  if (workspace == nullptr || facts.cost() > workspace->burst_tokens) {
+    Refuse(request, ErrorKind::kRequestExceedsBurst,
+           "Prompt and max_tokens exceed the workspace's burst.");
+    return;
+  }
+  {
+    std::lock_guard lock(lock_);
+    if (closed_) {
+      Refuse(request, ErrorKind::kStopping, "This instance is stopping.");
+      return;
+    }
+    if (quarantine_.Judge(facts.fingerprint, now) ==
+        QuarantineVerdict::kQuarantined) {
+      Refuse(request, ErrorKind::kQuarantined,
+             "This request crashed upstreams and is quarantined.");
+      return;
+    }
+    retries_.OnFirstAttempt();
+    arrivals_[facts.adapter.ref] += 1;
+  }
+  Shard& shard = ShardOf(facts.adapter.pool);
+  RequestPtr shed;
+  {
+    std::lock_guard lock(shard.lock);
+    double ahead = shard.queue.WaitingCost(facts.workspace) + facts.cost();
+    double queue_s = context_.settings->deadlines().queue_ms() / 1000.0;
+    bool hopeless = ahead > workspace->burst_tokens +
+                                workspace->rate_tokens_per_s * queue_s;
+    if (hopeless) {
+      Refuse(request, ErrorKind::kRateLimited,
+             "The workspace's rate can't carry what already waits.");
+      return;
+    }
+    PushOutcome outcome = shard.queue.Push(ToQueued(*request, now));
+    if (!outcome.accepted) {
+      Refuse(request, ErrorKind::kOverloaded, "The queue is full.");
+      return;
+    }
+    shard.requests[facts.id] = request;
+    if (outcome.shed) {
+      shed = shard.requests[*outcome.shed];
+      shard.requests.erase(*outcome.shed);
+    }
+  }
+  if (shed != nullptr) {
+    Refuse(shed, ErrorKind::kOverloaded, "Shed for a smaller workspace.");
+  }
+  Pump(&shard, now);
+}
+
+void Dispatcher::PumpAll(Millis now) {
+  for (const auto& shard : shards_) {
+    Pump(shard.get(), now);
+  }
+}
+
+void Dispatcher::Pump(Shard* shard, Millis now) {
+  std::set<WorkspaceId> poor;  // Lack tokens in this round.
+  while (PumpOne(shard, &poor, now)) {
+  }
+}
+
+bool Dispatcher::PumpOne(Shard* shard, std::set<WorkspaceId>* poor,
+                         Millis now) {
+  std::shared_ptr<const Catalog> catalog = context_.catalog();
+  if (catalog == nullptr || !fleet_->Trusted()) {
+    return false;
+  }
+  RequestPtr request;
+  std::map<RequestId, Choice> choices;
+  {
+    std::lock_guard lock(shard->lock);
+    ++shard->draw;
+    uint64_t draw =
+        StableHash(context_.boot.str(), std::to_string(shard->draw));
+    auto popped = shard->queue.Pop([&](const QueuedRequest& it) {
+      if (poor->count(it.workspace) != 0) {
+        return false;
+      }
+      const RequestPtr& candidate = shard->requests[it.id];
+      auto choice = Choose(*candidate, draw, *catalog, now);
+      if (!choice) {
+        return false;
+      }
+      if (limits_->Tokens(it.workspace, now) < it.cost_tokens) {
+        candidate->lacked_tokens = true;
+        poor->insert(it.workspace);
+        return false;
+      }
+      choices[it.id] = std::move(*choice);
+      return true;
+    });
+    if (!popped) {
+      return false;
+    }
+    request = shard->requests[popped->id];
+    if (!Begin(request, choices[popped->id], now)) {
+      poor->insert(popped->workspace);
+      shard->queue.Return(std::move(*popped));
+      return true;
+    }
+    shard->requests.erase(popped->id);
+  }
+  Send(request, choices[request->facts().id], now);
+  return true;
+}
+
+std::optional<Dispatcher::Choice> Dispatcher::Choose(
+    const ModelRequest& request, uint64_t draw, const Catalog& catalog,
+    Millis now) {
+  const ModelRequestFacts& facts = request.facts();
+  QuarantineVerdict verdict;
+  {
+    std::lock_guard lock(lock_);
+    verdict = quarantine_.Judge(facts.fingerprint, now);
+  }
+  if (verdict == QuarantineVerdict::kBusy) {
+    return std::nullopt;
+  }
+  std::vector<ResidencyCandidate> candidates =
+      residency_->Candidates(facts.adapter.ref);
+  std::vector<UpstreamLoad> loads;
+  std::vector<Choice> choices;
+  for (const ResidencyCandidate& it : candidates) {
+    const UpstreamEntry* upstream = catalog.FindUpstream(it.upstream);
+    if (upstream == nullptr) {
+      continue;
+    }
+    if (verdict == QuarantineVerdict::kAlone) {
+      std::lock_guard lock(lock_);
+      if (!quarantine_.MayRunAlone(it.upstream)) continue;
+    }
+    loads.push_back(upstreams_->LoadOf(*upstream, now));
+    choices.push_back({it, *upstream});
+  }
+  auto index = ChooseUpstream(loads, facts.affinity, draw);
+  return index ? std::optional<Choice>(choices[*index]) : std::nullopt;
+}
+
+bool Dispatcher::Begin(const RequestPtr& request, const Choice& choice,
+                       Millis now) {
+  const ModelRequestFacts& facts = request->facts();
+  if (!residency_->Begin(choice.candidate, now)) {
+    return false;
+  }
+  if (!limits_->Reserve(facts.workspace, facts.cost(), now)) {
+    residency_->End(choice.candidate);
+    return false;
+  }
+  upstreams_->Begin(choice.upstream.id);
+  ++request->attempts;
+  std::lock_guard lock(lock_);
+  quarantine_.OnBegin(facts.fingerprint, choice.upstream.id);
+  running_[facts.id] = {request, choice};
+  return true;
+}
+
+void Dispatcher::Send(const RequestPtr& request, const Choice& choice,
+                      Millis now) {
+  const ModelRequestFacts& facts = request->facts();
+  const schema::Deadlines& limits = context_.settings->deadlines();
+  CallDeadlines deadlines;
+  deadlines.connect = Millis(limits.connect_ms());
+  deadlines.first_byte = Millis(limits.first_byte_ms());
+  deadlines.progress = Millis(limits.progress_ms());
+  deadlines.whole = std::max(Millis(1), facts.deadline - now);
+  if (request->attempts == 1) {
+    context_.metrics->Observe("queue_wait_seconds",
+                              (now - facts.admitted).seconds());
+  }
+  request->Start(context_.http, choice.upstream.address, choice.candidate,
+                 deadlines, request->fresh_connection,
+                 [this, choice](RequestPtr it, AttemptEnd end) {
+                   OnAttemptEnd(it, choice, end);
+                 });
+}
+
+void Dispatcher::OnAttemptEnd(const RequestPtr& request, const Choice& choice,
+                              const AttemptEnd& end) {
+  Millis now = BootTimeNow();
+  const ModelRequestFacts& facts = request->facts();
+  upstreams_->OnResult(choice.upstream.id, end.result, now);
+  bool broke =
+      !end.answered && !end.caller_gone && end.result == CallResult::kBroken;
+  if (broke) {
+    OnBroken(request, choice, end);  // Takes the picture of what runs there.
+  }
+  upstreams_->End(choice.upstream.id);
+  residency_->End(choice.candidate);
+  double used = end.output_tokens;
+  if (end.answered || used > 0) {
+    used += facts.prompt_tokens;
+  }
+  limits_->Refund(facts.workspace, facts.cost() - used, now);
+  if (end.not_loaded) {
+    residency_->Withdraw(choice.candidate);
+  }
+  {
+    std::lock_guard lock(lock_);
+    quarantine_.OnEnd(facts.fingerprint, choice.upstream.id);
+    running_.erase(facts.id);
+    if (end.answered) quarantine_.OnSuccess(facts.fingerprint);
+  }
+  if (end.answered) {
+    context_.metrics->Add("answered_total", "");
+    context_.metrics->Add("output_tokens_total", "",
+                          static_cast<uint64_t>(end.output_tokens));
+    context_.metrics->Observe("request_seconds",
+                              (now - facts.admitted).seconds());
+  } else if (end.caller_gone) {
+    context_.metrics->Add("ended_early_total", "");
+  } else if (!broke) {
+    RetryOrFail(request, end);
+  }
+  Pump(&ShardOf(facts.adapter.pool), now);
+}
+
+void Dispatcher::OnBroken(const RequestPtr& request, const Choice& choice,
+                          const AttemptEnd& end) {
+  bool first = false;
+  {
+    std::lock_guard lock(lock_);
+    auto [it, added] = episodes_.try_emplace(choice.upstream.id);
+    first = added;
+    if (added) {
+      for (const auto& [id, running] : running_) {
+        if (running.choice.upstream.id == choice.upstream.id) {
+          it->second.present.push_back(running.request->facts().fingerprint);
+        }
+      }
+    }
+    it->second.broken.emplace_back(request, end);
+  }
+  if (!first) {
+    return;
+  }
+  HttpCall probe;
+  probe.address = choice.upstream.address;
+  probe.target = "/v1/models";
+  probe.own_connection = true;
+  probe.deadlines = {kProbeDeadline, kProbeDeadline, kProbeDeadline,
+                     kProbeDeadline};
+  probe.on_done = [this, id = choice.upstream.id](CallOutcome outcome) {
+    OnProbe(id, outcome.result);
+  };
+  context_.http->Start(std::move(probe));
+}
+
+void Dispatcher::OnProbe(const UpstreamId& upstream, CallResult result) {
+  Millis now = BootTimeNow();
+  upstreams_->OnProbe(upstream, result, now);
+  Episode episode;
+  {
+    std::lock_guard lock(lock_);
+    auto node = episodes_.extract(upstream);
+    episode = std::move(node.mapped());
+    bool crashed = SurelyNotSent(result) || episode.broken.size() > 1;
+    if (crashed) {
+      quarantine_.OnCrash(episode.present, now);
+      quarantine_news_ = true;
+      context_.metrics->Add("upstream_crashes_total", "");
+      LogWarning("dispatch", "Upstream {} crashed with {} requests.",
+                 upstream.str(), episode.present.size());
+    }
+  }
+  SendQuarantine(now);
+  for (const auto& [request, end] : episode.broken) {
+    RetryOrFail(request, end);
+  }
+}
+
+void Dispatcher::RetryOrFail(const RequestPtr& request, const AttemptEnd& end) {
+  Millis now = BootTimeNow();
+  const ModelRequestFacts& facts = request->facts();
+  AttemptFacts attempt;
+  attempt.failure = end.failure;
+  attempt.idempotent = true;  // A completion changes nothing.
+  attempt.answer_begun = end.output_tokens > 0;
+  attempt.ran_before = request->ran_before;
+  attempt.attempts = request->attempts;
+  attempt.remaining = facts.deadline - now;
+  bool quarantined = false;
+  RetryDecision decision;
+  {
+    std::lock_guard lock(lock_);
+    quarantined = quarantine_.Judge(facts.fingerprint, now) ==
+                  QuarantineVerdict::kQuarantined;
+    decision = DecideRetry(attempt, &retries_);
+  }
+  if (end.failure != AttemptFailure::kNotSent &&
+      end.failure != AttemptFailure::kRefusedUnrun) {
+    request->ran_before = true;
+  }
+  if (quarantined) {
+    Refuse(request, ErrorKind::kQuarantined,
+           "This request crashed upstreams and is quarantined.");
+    return;
+  }
+  if (!decision.retry) {
+    context_.metrics->Add(
+        "failed_total",
+        "kind=\"" + std::string(AnswerFor(decision.error.kind).name) + "\"");
+    request->Fail(decision.error);
+    return;
+  }
+  context_.metrics->Add("retries_total", "");
+  request->fresh_connection = decision.fresh_connection;
+  Requeue(request, now);
+}
+
+void Dispatcher::Requeue(const RequestPtr& request, Millis now) {
+  Shard& shard = ShardOf(request->facts().adapter.pool);
+  {
+    std::lock_guard lock(shard.lock);
+    QueuedRequest queued = ToQueued(*request, now);
+    queued.cost_tokens = request->facts().cost();
+    shard.requests[request->facts().id] = request;
+    shard.queue.Return(std::move(queued));
+  }
+  Pump(&shard, now);
+}
+
+void Dispatcher::ExpireWaiting(Millis now) {
+  for (const auto& shard : shards_) {
+    std::vector<RequestPtr> expired;
+    {
+      std::lock_guard lock(shard->lock);
+      for (const QueuedRequest& it : shard->queue.TakeExpired(now)) {
+        expired.push_back(shard->requests[it.id]);
+        shard->requests.erase(it.id);
+      }
+    }
+    for (const RequestPtr& it : expired) {
+      if (it->lacked_tokens) {
+        Refuse(it, ErrorKind::kRateLimited,
+               "The workspace's rate and burst are used up.");
+      } else {
+        Refuse(it, ErrorKind::kQueueTimeout,
+               "No engine could take the request in time.");
+      }
+    }
+  }
+}
+
+void Dispatcher::Tick(Millis now) {
+  ExpireWaiting(now);
+  PumpAll(now);
+  SendDemand(now);
+  bool send = false;
+  {
+    std::lock_guard lock(lock_);
+    send = now >= next_quarantine_;
+  }
+  if (send) SendQuarantine(now);
+}
+
+ZoneId Dispatcher::HomeZone(const AdapterVersionRef& ref, const PoolId& pool,
+                            const std::vector<ZoneId>& led,
+                            const Catalog& catalog) const {
+  std::vector<std::string> zones;
+  for (const ZoneId& zone : led) {
+    bool has_pool =
+        std::any_of(catalog.upstreams().begin(), catalog.upstreams().end(),
+                    [&](const UpstreamEntry& it) {
+                      return it.zone == zone && it.pool == pool &&
+                             !upstreams_->IsLeaving(it);
+                    });
+    if (has_pool) zones.push_back(zone.str());
+  }
+  if (zones.empty()) {
+    return context_.zone;
+  }
+  return ZoneId(zones[PickByRendezvous(ref.adapter.str(), zones)]);
+}
+
+void Dispatcher::SendDemand(Millis now) {
+  std::map<AdapterVersionRef, double> arrivals;
+  double seconds = 0;
+  {
+    std::lock_guard lock(lock_);
+    if (now < next_demand_) {
+      return;
+    }
+    seconds = (now - next_demand_ + kDemandPeriod).seconds();
+    next_demand_ = now + kDemandPeriod;
+    arrivals.swap(arrivals_);
+  }
+  std::shared_ptr<const Catalog> catalog = context_.catalog();
+  std::vector<ZoneId> led = residency_->LedZones(now);
+  if (catalog == nullptr || led.empty()) {
+    return;
+  }
+  std::map<ZoneId, schema::Demand> demands;
+  std::map<WorkspaceId, double> waiting_cost;
+  for (const auto& shard : shards_) {
+    std::lock_guard lock(shard->lock);
+    for (const WaitingForAdapter& it : shard->queue.Waiting()) {
+      ZoneId home = HomeZone(it.ref, it.pool, led, *catalog);
+      std::set<ZoneId> zones = {home};
+      if (now - it.oldest >= kOwnZoneAfter) zones.insert(context_.zone);
+      for (const ZoneId& zone : zones) {
+        schema::DemandEntry* entry = demands[zone].add_entries();
+        entry->set_adapter(it.ref.adapter.str());
+        entry->set_version(it.ref.version);
+        entry->set_waiting(it.count);
+        entry->set_oldest_wait_ms(
+            static_cast<uint32_t>((now - it.oldest).count()));
+        auto arrived = arrivals.find(it.ref);
+        if (arrived != arrivals.end()) {
+          entry->set_requests_per_s(arrived->second / seconds);
+        }
+      }
+    }
+    for (const WaitingForWorkspace& it : shard->queue.WaitingByWorkspace()) {
+      waiting_cost[it.workspace] += it.cost_tokens;
+    }
+  }
+  for (const auto& [workspace, cost] : waiting_cost) {
+    double lacking = cost - limits_->Tokens(workspace, now);
+    limits_->SetWanted(workspace, std::max(0.0, lacking));
+  }
+  for (auto& [zone, demand] : demands) {
+    std::string address = residency_->LeaderAddress(zone, now);
+    if (address.empty()) {
+      continue;
+    }
+    demand.set_zone(zone.str());
+    schema::Envelope envelope;
+    *envelope.mutable_demand() = std::move(demand);
+    context_.send(address, std::move(envelope));
+  }
+}
+
+void Dispatcher::SendQuarantine(Millis now) {
+  std::vector<QuarantineRecord> records;
+  {
+    std::lock_guard lock(lock_);
+    bool due = quarantine_news_ || now >= next_quarantine_;
+    if (!due) {
+      return;
+    }
+    quarantine_news_ = false;
+    next_quarantine_ = now + kQuarantinePeriod;
+    records = quarantine_.Records(now);
+  }
+  if (records.empty()) {
+    return;
+  }
+  schema::Envelope envelope;
+  for (const QuarantineRecord& it : records) {
+    schema::QuarantineEntry* entry =
+        envelope.mutable_quarantine()->add_entries();
+    entry->set_fingerprint(it.fingerprint.str());
+    entry->set_crashes(it.crashes);
+    entry->set_remaining_ms(static_cast<uint32_t>((it.expires - now).count()));
+  }
+  for (const Member& it : fleet_->LivePeers(now)) {
+    context_.send(it.peer_address, envelope);
+  }
+}
+
+void Dispatcher::OnQuarantine(const schema::Envelope& envelope, Millis now) {
+  std::lock_guard lock(lock_);
+  for (const schema::QuarantineEntry& it : envelope.quarantine().entries()) {
+    quarantine_.OnGossip({Fingerprint(it.fingerprint()),
+                          InstanceId(envelope.from()), it.crashes(),
+                          now + Millis(it.remaining_ms())});
+  }
+}
+
+void Dispatcher::OnDocument(const Catalog& catalog) {
+  std::vector<RequestPtr> withdrawn;
+  {
+    std::lock_guard lock(lock_);
+    for (const auto& [id, running] : running_) {
+      if (!catalog.KeyInForce(running.request->facts().key_id)) {
+        withdrawn.push_back(running.request);
+      }
+    }
+  }
+  Error error{ErrorKind::kKeyWithdrawn, "The key was withdrawn.",
+              NotRun::kFalse};
+  for (const RequestPtr& it : withdrawn) {
+    it->Abort(context_.http, error);
+  }
+  error.not_run = NotRun::kTrue;
+  for (const auto& shard : shards_) {
+    std::vector<RequestPtr> waiting;
+    {
+      std::lock_guard lock(shard->lock);
+      for (auto it = shard->requests.begin(); it != shard->requests.end();) {
+        if (catalog.KeyInForce(it->second->facts().key_id)) {
+          ++it;
+          continue;
+        }
+        waiting.push_back(it->second);
+        shard->queue.Remove(it->first);
+        it = shard->requests.erase(it);
+      }
+    }
+    for (const RequestPtr& it : waiting) {
+      Refuse(it, ErrorKind::kKeyWithdrawn, "The key was withdrawn.");
+    }
+  }
+}
+
+void Dispatcher::Close() {
+  std::lock_guard lock(lock_);
+  closed_ = true;
+}
+
+size_t Dispatcher::waiting() const {
+  size_t n = 0;
+  for (const auto& shard : shards_) {
+    std::lock_guard lock(shard->lock);
+    n += shard->queue.size();
+  }
+  return n;
+}
+
+size_t Dispatcher::in_flight() const {
+  std::lock_guard lock(lock_);
+  size_t n = running_.size();
+  for (const auto& [id, episode] : episodes_) {
+    n += episode.broken.size();
+  }
+  return n;
+}
+
+}  // namespace bilberrypitch
--- a/libs/node/src/fleet_service.cc
+++ b/libs/node/src/fleet_service.cc
@@ -101,8 +101,9 @@
     std::lock_guard lock(lock_);
     if (pauses_.OnTick(now)) {
       paused_at_ = now;
-      LogWarning("fleet", "This process was paused. Nothing is trusted until "
-                          "the store or a peer confirms.");
+      LogWarning("fleet",
+                 "This process was paused. Nothing is trusted until "
+                 "the store or a peer confirms.");
       context_.metrics->Add("pauses_total", "");
     }
     confirmed_at_ = std::max(confirmed_at_, store_confirmed);
@@ -144,8 +145,8 @@
         it->set_vouched_sent_ms(sent->second.count());
         // Given back to every peer, to show that it was heard; a vouch only
         // when this instance stands for it.
-        bool vouches = peer.zone != context_.zone ||
-                       keeper_.VouchesFor(peer.boot);
+        bool vouches =
+            peer.zone != context_.zone || keeper_.VouchesFor(peer.boot);
         it->set_vouched_boot(vouches ? peer.boot.str() : "");
       }
       for (const SeenMark& mark : keeper_.MarksSeen()) {
@@ -218,11 +219,10 @@
         if (is_leaving) leaving.insert(UpstreamId(StringIn(it, "instance")));
         continue;
       }
-      listed.push_back({InstanceId(StringIn(it, "instance")),
-                        ZoneId(StringIn(it, "zone")),
-                        StringIn(it, "peer_address"),
-                        is_leaving ? ListedState::kLeaving
-                                   : ListedState::kLive});
+      listed.push_back(
+          {InstanceId(StringIn(it, "instance")), ZoneId(StringIn(it, "zone")),
+           StringIn(it, "peer_address"),
+           is_leaving ? ListedState::kLeaving : ListedState::kLive});
     }
     std::lock_guard lock(lock_);
     members_.OnList(listed, now);
@@ -272,8 +272,8 @@
       bool replaced = record.instance == context_.instance;
       for (const Member& member : members_.Peers()) {
         bool same = member.instance == record.instance;
-        replaced = replaced || (same && !member.boot.empty() &&
-                                member.boot != record.boot);
+        replaced = replaced ||
+                   (same && !member.boot.empty() && member.boot != record.boot);
       }
       // An instance runs one process: a later boot means the earlier is dead.
       it.listed = !replaced && members_.IsListed(record.instance);
--- a/libs/node/src/metrics.cc
+++ b/libs/node/src/metrics.cc
@@ -9,6 +9,7 @@
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <sstream>  // Used by Boost.Accumulators, which does not include it.
 
 namespace bilberrypitch {
 namespace {
@@ -26,9 +27,8 @@
 }  // namespace
 
 struct Metrics::Summary {
-  acc::accumulator_set<
-      double, acc::stats<acc::tag::count, acc::tag::sum,
-                         acc::tag::extended_p_square_quantile>>
+  acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
+                                          acc::tag::extended_p_square_quantile>>
       values{acc::extended_p_square_probabilities = kProbabilities};
 };
 
--- a/libs/residency/include/residency/zone_leader.h
+++ b/libs/residency/include/residency/zone_leader.h
@@ -60,9 +60,9 @@
 };
 
 struct LeaderOptions {
-  Millis order_lifetime{10 * 1000};   // Longest time that an order can act.
+  Millis order_lifetime{10 * 1000};  // Longest time that an order can act.
   Millis longest_request{120 * 1000};
-  Millis minimum_residency{2000};     // Not evicted sooner: no thrash.
+  Millis minimum_residency{2000};  // Not evicted sooner: no thrash.
   Millis idle_before_eviction{500};
   Millis starvation{1500};  // A wait that justifies evicting what is in use.
   Millis unload_retry{2000};
@@ -138,7 +138,7 @@
     UpstreamId upstream;
     AdapterVersionRef ref;
     State state = State::kLoading;
-    Millis since;             // When the state began.
+    Millis since;  // When the state began.
     Millis last_used;
     uint64_t revoked_at = 0;  // Sequence of the table that revoked it.
     Millis last_order;        // For kUnloading.
@@ -148,7 +148,7 @@
   struct MemberState {
     bool reported = false;  // Under this epoch.
     bool closed = false;
-    bool removed = false;   // Its registration is gone.
+    bool removed = false;  // Its registration is gone.
     Millis removed_at;
     uint64_t sequence = 0;
     std::set<IncarnationId> busy;
--- a/libs/residency/src/zone_leader.cc
+++ b/libs/residency/src/zone_leader.cc
@@ -345,10 +345,9 @@
 }
 
 size_t ZoneLeader::SlotsUsed(const UpstreamId& upstream) const {
-  return static_cast<size_t>(
-      std::count_if(loads_.begin(), loads_.end(), [&](const auto& it) {
-        return it.second.upstream == upstream;
-      }));
+  return static_cast<size_t>(std::count_if(
+      loads_.begin(), loads_.end(),
+      [&](const auto& it) { return it.second.upstream == upstream; }));
 }
 
 size_t ZoneLeader::Replicas(const AdapterVersionRef& ref) const {
@@ -368,8 +367,9 @@
   });
 }
 
-const ZoneLeader::Engine* ZoneLeader::ChooseEngine(
-    const PoolId& pool, const AdapterVersionRef& ref, Millis now) const {
+const ZoneLeader::Engine* ZoneLeader::ChooseEngine(const PoolId& pool,
+                                                   const AdapterVersionRef& ref,
+                                                   Millis now) const {
   (void)now;
   const Engine* best = nullptr;
   size_t best_free = 0;
@@ -406,13 +406,11 @@
   double victim_score = 0;
   for (const auto& [name, load] : loads_) {
     auto engine = engines_.find(load.upstream);
-    bool candidate = load.state == State::kOffered &&
-                     engine != engines_.end() &&
-                     engine->second.spec.pool == pool &&
-                     !engine->second.spec.leaving &&
-                     engine->second.spec.reachable &&
-                     !Holds(load.upstream, demand.ref) &&
-                     now - load.since >= options_.minimum_residency;
+    bool candidate =
+        load.state == State::kOffered && engine != engines_.end() &&
+        engine->second.spec.pool == pool && !engine->second.spec.leaving &&
+        engine->second.spec.reachable && !Holds(load.upstream, demand.ref) &&
+        now - load.since >= options_.minimum_residency;
     if (!candidate) {
       continue;
     }
@@ -425,8 +423,8 @@
       continue;
     }
     // Idle ones first, the longest idle before others; then the least wanted.
-    double score = is_idle ? 1e6 + idle.seconds()
-                           : 1.0 / (1.0 + own.requests_per_s);
+    double score =
+        is_idle ? 1e6 + idle.seconds() : 1.0 / (1.0 + own.requests_per_s);
     if (victim.empty() || score > victim_score) {
       victim = name;
       victim_score = score;
--- a/libs/residency/test/residency_run_test.cc
+++ b/libs/residency/test/residency_run_test.cc
@@ -114,8 +114,7 @@
 
   void Disturb() {
     if (!Chance(0.0015)) return;
-    Instance& it =
-        instances_[static_cast<size_t>(Between(0, kInstances - 1))];
+    Instance& it = instances_[static_cast<size_t>(Between(0, kInstances - 1))];
     switch (Between(0, 5)) {
       case 0:
         it.paused_until = now_ + Millis(Between(50, 6000));
@@ -165,7 +164,8 @@
     if (Chance(0.05)) return;
     int copies = Chance(0.05) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-      message.at = now_ + Millis(Chance(0.02) ? Between(0, 3000) : Between(1, 30));
+      message.at =
+          now_ + Millis(Chance(0.02) ? Between(0, 3000) : Between(1, 30));
       messages_.push_back(message);
     }
   }
@@ -344,10 +344,10 @@
   }
 
   void Request(Instance* it) {
-    AdapterVersionRef ref{AdapterId(fmt::format("x{}", Between(0, 9) < 7
-                                                           ? Between(0, 4)
-                                                           : Between(0, kAdapters))),
-                          static_cast<uint32_t>(Between(1, 2))};
+    AdapterVersionRef ref{
+        AdapterId(fmt::format(
+            "x{}", Between(0, 9) < 7 ? Between(0, 4) : Between(0, kAdapters))),
+        static_cast<uint32_t>(Between(1, 2))};
     std::vector<ResidencyCandidate> all = it->holder.Candidates(ref);
     std::vector<DemandReport>& wants = wants_[it->boot];
     if (wants.size() > 10) wants.erase(wants.begin());
@@ -356,8 +356,8 @@
       return;
     }
     std::erase_if(wants, [&](const auto& want) { return want.ref == ref; });
-    const ResidencyCandidate& chosen =
-        all[static_cast<size_t>(Between(0, static_cast<int64_t>(all.size()) - 1))];
+    const ResidencyCandidate& chosen = all[static_cast<size_t>(
+        Between(0, static_cast<int64_t>(all.size()) - 1))];
     if (!it->holder.Begin(chosen.name)) return;
     // A pause between the check and the send: the request is counted already.
     FakeEngine& engine = EngineOf(chosen.upstream);
@@ -371,8 +371,9 @@
     AdapterVersionRef runs;
     BP_CHECK(ZoneLeader::ParseName(chosen.name, &runs), "names parse");
     if (runs != ref) ++wrong_adapter;
-    engine.running.push_back({chosen.name, ref, it->boot,
-                              now_ + Millis(Between(20, kLongestRequestMs - 100))});
+    engine.running.push_back(
+        {chosen.name, ref, it->boot,
+         now_ + Millis(Between(20, kLongestRequestMs - 100))});
   }
 
   LeaderOptions options_;
--- a/libs/schema/src/json_reader.cc
+++ b/libs/schema/src/json_reader.cc
@@ -103,8 +103,9 @@
     for (int i = 0; i < descriptor.field_count(); ++i) {
       const pb::FieldDescriptor& field = *descriptor.field(i);
       const schema::Rule& rule = RuleOf(field);
-      bool is_number = field.cpp_type() != pb::FieldDescriptor::CPPTYPE_STRING &&
-                       field.cpp_type() != pb::FieldDescriptor::CPPTYPE_MESSAGE;
+      bool is_number =
+          field.cpp_type() != pb::FieldDescriptor::CPPTYPE_STRING &&
+          field.cpp_type() != pb::FieldDescriptor::CPPTYPE_MESSAGE;
       bool needed = rule.required() ||
                     (is_number && rule.min() > 0 && !field.has_presence());
       if (needed && object.if_contains(field.name()) == nullptr) {
--- a/libs/transport/include/transport/http_client.h
+++ b/libs/transport/include/transport/http_client.h
@@ -14,19 +14,20 @@
 
 // How a call ended.
 enum class CallResult : uint8_t {
-  kComplete,       // An answer with its proper end.
-  kRefused,        // No connection could be made: nothing was sent.
-  kConnectTimeout, // The peer did not take the connection: nothing was sent.
-  kBroken,         // The connection broke after the request may have been read.
-  kSilent,         // No progress within the deadline on an open connection.
-  kTooLong,        // The whole deadline passed.
-  kTooLarge,       // The answer exceeds the bound.
-  kCancelled,      // By the caller of Start.
+  kComplete,        // An answer with its proper end.
+  kRefused,         // No connection could be made: nothing was sent.
+  kConnectTimeout,  // The peer did not take the connection: nothing was sent.
+  kBroken,     // The connection broke after the request may have been read.
+  kSilent,     // No progress within the deadline on an open connection.
+  kTooLong,    // The whole deadline passed.
+  kTooLarge,   // The answer exceeds the bound.
+  kCancelled,  // By the caller of Start.
 };
 
 // True only when the upstream can't have seen the request.
 constexpr bool SurelyNotSent(CallResult result) {
-  return result == CallResult::kRefused || result == CallResult::kConnectTimeout;
+  return result == CallResult::kRefused ||
+         result == CallResult::kConnectTimeout;
 }
 
 struct CallDeadlines {
@@ -40,7 +41,7 @@
   CallResult result = CallResult::kCancelled;
   int status = 0;
   HttpHeaders headers;
-  std::string body;          // Empty when `on_data` was given.
+  std::string body;  // Empty when `on_data` was given.
   bool reused_connection = false;
 };
 
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -26,8 +26,7 @@
 // the error kinds for that and don't reach the handler.
 class HttpServer {
  public:
-  using Handler =
-      std::function<void(HttpRequest, std::shared_ptr<Responder>)>;
+  using Handler = std::function<void(HttpRequest, std::shared_ptr<Responder>)>;
 
   // Throws std::exception when the port can't be bound.
   HttpServer(HttpServerOptions options, Handler handler);
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -200,8 +200,8 @@
         .request_handler([this](restinio::request_handle_t request) {
           return Handle(std::move(request));
         });
-    server_ = restinio::run_async<Traits>(restinio::own_io_context(),
-                                          std::move(settings), options_.threads);
+    server_ = restinio::run_async<Traits>(
+        restinio::own_io_context(), std::move(settings), options_.threads);
   }
 
   ~Impl() { Stop(); }
@@ -219,8 +219,9 @@
     HttpRequest request = Convert(from);
     auto responder = std::make_shared<RestinioResponder>(std::move(from));
     if (request.body.size() > options_.max_body_bytes) {
-      Refuse(*responder, ErrorKind::kBodyTooLarge,
-             fmt::format("The body exceeds {} bytes.", options_.max_body_bytes));
+      Refuse(
+          *responder, ErrorKind::kBodyTooLarge,
+          fmt::format("The body exceeds {} bytes.", options_.max_body_bytes));
     } else if (request.headers.ByteSize() > options_.max_header_bytes) {
       Refuse(*responder, ErrorKind::kHeadersTooLarge,
              fmt::format("The header fields exceed {} bytes.",
--- a/libs/transport/src/peer_mesh.cc
+++ b/libs/transport/src/peer_mesh.cc
@@ -107,8 +107,7 @@
 
   void SendNow(const Outgoing& it) {
     zmq::socket_t& socket = SocketFor(it.address);
-    auto sent =
-        socket.send(zmq::buffer(it.bytes), zmq::send_flags::dontwait);
+    auto sent = socket.send(zmq::buffer(it.bytes), zmq::send_flags::dontwait);
     std::lock_guard lock(lock_);
     if (sent) {
       ++counters_.messages_sent;
--- a/libs/transport/src/store_client.cc
+++ b/libs/transport/src/store_client.cc
@@ -211,7 +211,8 @@
 
 StoreReadResult StoreClient::ReadNow(const std::string& key) {
   std::promise<StoreReadResult> promise;
-  Read(key, [&](StoreReadResult result) { promise.set_value(std::move(result)); });
+  Read(key,
+       [&](StoreReadResult result) { promise.set_value(std::move(result)); });
   return promise.get_future().get();
 }
 
@@ -232,7 +233,8 @@
 std::unique_ptr<StoreClient> MakeEtcdStoreClient(HttpClient* client,
                                                  std::string address,
                                                  Millis deadline) {
-  return std::make_unique<EtcdStoreClient>(client, std::move(address), deadline);
+  return std::make_unique<EtcdStoreClient>(client, std::move(address),
+                                           deadline);
 }
 
 }  // namespace bilberrypitch
--- a/tools/bilberrypitch_lab/engine.cc
+++ b/tools/bilberrypitch_lab/engine.cc
@@ -143,8 +143,8 @@
   int64_t in_flight = static_cast<int64_t>(loads_.size()) + 1;
   facts_.most_loads_in_flight =
       std::max(facts_.most_loads_in_flight, in_flight);
-  int64_t factor = std::max<int64_t>(
-      1, (in_flight + kPermittedLoads - 1) / kPermittedLoads);
+  int64_t factor =
+      std::max<int64_t>(1, (in_flight + kPermittedLoads - 1) / kPermittedLoads);
   int64_t ready =
       NowMs() + options_.load_ms * factor + faults_.extra_order_delay_ms;
   loads_.push_back({name, ready, std::move(responder)});
@@ -288,15 +288,16 @@
   if (it->tokens_made == 1) {
     HttpHeaders headers;
     headers.Add("Content-Type", "text/event-stream");
-    headers.Add("X-Request-Id", faults_.cross_request_ids ? "another"
-                                                          : it->request_id);
+    headers.Add("X-Request-Id",
+                faults_.cross_request_ids ? "another" : it->request_id);
     it->responder->StartStream(200, headers);
   }
   std::string event =
       "data: " + json::serialize(ChunkJson(*it, it->tokens_left == 0)) + "\n\n";
-  it->responder->WriteChunk(std::move(event), [gone = it->caller_gone](bool ok) {
-    if (!ok) gone->store(true);
-  });
+  it->responder->WriteChunk(std::move(event),
+                            [gone = it->caller_gone](bool ok) {
+                              if (!ok) gone->store(true);
+                            });
   if (faults_.stop_mid_stream && it->tokens_made == 2) {
     it->tokens_left = 0;
   }
@@ -331,12 +332,11 @@
   choice["message"] = {{"role", "assistant"}, {"content", text}};
   choice["text"] = text;
   choice["finish_reason"] = "stop";
-  json::object body{
-      {"id", "cmpl-" + it->request_id},
-      {"object", "chat.completion"},
-      {"model", faults_.answer_wrong_model ? "other" : it->model},
-      {"choices", {std::move(choice)}},
-      {"usage", {{"completion_tokens", it->tokens_made}}}};
+  json::object body{{"id", "cmpl-" + it->request_id},
+                    {"object", "chat.completion"},
+                    {"model", faults_.answer_wrong_model ? "other" : it->model},
+                    {"choices", {std::move(choice)}},
+                    {"usage", {{"completion_tokens", it->tokens_made}}}};
   HttpResponse response = JsonResponse(200, std::move(body));
   response.headers.Add("X-Request-Id",
                        faults_.cross_request_ids ? "another" : it->request_id);
--- a/tools/bilberrypitch_lab/engine.h
+++ b/tools/bilberrypitch_lab/engine.h
@@ -21,7 +21,7 @@
   uint16_t port = 0;
   size_t adapter_slots = 4;
   size_t batch_slots = 8;
-  int step_ms = 5;    // One token for each running sequence.
+  int step_ms = 5;  // One token for each running sequence.
   int load_ms = 250;
   bool checks_fencing = false;
 };
@@ -50,7 +50,7 @@
     std::shared_ptr<Responder> responder;
   };
   struct Faults {
-    std::string crash_on_text;   // A prompt with it ends the process.
+    std::string crash_on_text;  // A prompt with it ends the process.
     bool fail_loads = false;
     bool lose_order_answers = false;
     bool answer_wrong_model = false;
@@ -79,8 +79,7 @@
                        std::shared_ptr<Responder> responder);
   void StartLoad(const HttpRequest& request,
                  std::shared_ptr<Responder> responder);
-  void Unload(const HttpRequest& request,
-              std::shared_ptr<Responder> responder);
+  void Unload(const HttpRequest& request, std::shared_ptr<Responder> responder);
   bool RefuseStaleOrder(const HttpRequest& request, Responder& responder);
   void SetFaults(const json::object& object);
   json::value FactsJson();
@@ -94,7 +93,7 @@
   json::object ChunkJson(const Sequence& it, bool last) const;
 
   const EngineOptions options_;
-  std::mutex lock_;  // Guards all below but the thread.
+  std::mutex lock_;                          // Guards all below but the thread.
   std::map<std::string, int64_t> adapters_;  // Loaded names; last use.
   std::list<Load> loads_;
   std::list<Sequence> waiting_;
--- a/tools/bilberrypitch_lab/plain_service.cc
+++ b/tools/bilberrypitch_lab/plain_service.cc
@@ -36,8 +36,8 @@
   }
   std::string call = request.method + " " + request.path + " " + request.body;
   int64_t n = ++runs_[call];
-  HttpResponse response = JsonResponse(static_cast<int>(status_),
-                                       {{"service", name_}, {"run", n}});
+  HttpResponse response =
+      JsonResponse(static_cast<int>(status_), {{"service", name_}, {"run", n}});
   response.headers.Add("X-Request-Id",
                        std::string(request.headers.Get("X-Request-Id")));
   responder->Send(std::move(response));
--- a/tools/bilberrypitch_lab/plain_service.h
+++ b/tools/bilberrypitch_lab/plain_service.h
@@ -21,7 +21,7 @@
   void Handle(HttpRequest request, std::shared_ptr<Responder> responder);
 
   const std::string name_;
-  std::mutex lock_;  // Guards all below.
+  std::mutex lock_;                      // Guards all below.
   std::map<std::string, int64_t> runs_;  // By method, path and body.
   int64_t credentials_seen_ = 0;
   int64_t status_ = 200;
--- a/tools/bilberrypitch_lab/platform_list.h
+++ b/tools/bilberrypitch_lab/platform_list.h
@@ -27,7 +27,7 @@
   void Handle(HttpRequest request, std::shared_ptr<Responder> responder);
 
   const int64_t lag_ms_;
-  std::mutex lock_;  // Guards all below.
+  std::mutex lock_;               // Guards all below.
   std::deque<Version> versions_;  // Oldest first; never empty.
   bool out_ = false;
   std::unique_ptr<HttpServer> server_;
--- a/tools/bilberrypitch_lab/platform_store.cc
+++ b/tools/bilberrypitch_lab/platform_store.cc
@@ -239,9 +239,8 @@
 void PlatformStore::Notify(const std::string& key) {
   for (Watcher& it : watchers_) {
     if (it.key == key) {
-      it.responder->WriteChunk(
-          "{\"result\":{\"events\":[{}]}}\n",
-          [gone = it.gone](bool ok) { gone->store(!ok); });
+      it.responder->WriteChunk("{\"result\":{\"events\":[{}]}}\n",
+                               [gone = it.gone](bool ok) { gone->store(!ok); });
     }
   }
 }
--- a/tools/bilberrypitch_lab/relay.cc
+++ b/tools/bilberrypitch_lab/relay.cc
@@ -81,8 +81,8 @@
 
 Relay::Relay(uint16_t port, std::string target_ip, uint16_t target_port,
              uint16_t control_port)
-    : acceptor_(context_, tcp::endpoint(asio::ip::make_address("127.0.0.1"),
-                                        port)),
+    : acceptor_(context_,
+                tcp::endpoint(asio::ip::make_address("127.0.0.1"), port)),
       target_(asio::ip::make_address(target_ip), target_port) {
   Accept();
   thread_ = std::thread([this] { context_.run(); });
--- a/tools/bilberrypitch_lab/relay.h
+++ b/tools/bilberrypitch_lab/relay.h
@@ -17,11 +17,11 @@
 
 enum class RelayMode : uint8_t {
   kPass,
-  kCut,           // Nothing passes; new connections are taken and stay silent.
-  kRefuse,        // New connections are closed at once, open ones too.
-  kSilenceOpen,   // Connections open at that moment go silent; new ones pass.
-  kLoseAnswers,   // Requests pass; at the first byte of an answer both ends
-                  // are closed.
+  kCut,          // Nothing passes; new connections are taken and stay silent.
+  kRefuse,       // New connections are closed at once, open ones too.
+  kSilenceOpen,  // Connections open at that moment go silent; new ones pass.
+  kLoseAnswers,  // Requests pass; at the first byte of an answer both ends
+                 // are closed.
 };
 
 // POST /lab/faults {"mode": NAME} on the control port switches.
