Measure policies against a baseline with an open-loop load

Cause: nothing of what the users measure had a figure. Change: experiments as files, a load generator that measures from when a request was due, a report as JSON and SVG, a baseline policy in the product (queue by arrival, random upstream, plain LRU in each zone, equal rates).

--- a/libs/config/include/config/settings.h
+++ b/libs/config/include/config/settings.h
@@ -13,6 +13,9 @@
 class Settings;
 }
 
+inline constexpr char kStandardPolicy[] = "standard";
+inline constexpr char kBaselinePolicy[] = "baseline";
+
 // Reads and checks the JSON text of a settings file and fills in defaults.
 // Returns all errors.
 std::vector<FieldError> ReadSettings(std::string_view text,
--- a/libs/config/src/settings.cc
+++ b/libs/config/src/settings.cc
@@ -52,6 +52,7 @@
   std::vector<FieldError> errors = ReadJson(text, settings);
   if (!settings->has_threads()) settings->set_threads(kThreads);
   if (!settings->has_log_level()) settings->set_log_level("info");
+  if (!settings->has_policy()) settings->set_policy(kStandardPolicy);
   FillDeadlines(settings->mutable_deadlines());
   FillSizes(settings->mutable_sizes());
   LogLevel level;
@@ -59,6 +60,10 @@
     errors.push_back(
         {"log_level", "must be one of debug, info, warning, error"});
   }
+  if (settings->policy() != kStandardPolicy &&
+      settings->policy() != kBaselinePolicy) {
+    errors.push_back({"policy", "must be standard or baseline"});
+  }
   if (errors.empty() && !PortsDiffer(*settings)) {
     errors.push_back({"caller_port", "ports must differ from each other"});
   }
--- a/libs/dispatch/include/dispatch/fair_queue.h
+++ b/libs/dispatch/include/dispatch/fair_queue.h
@@ -51,10 +51,14 @@
   std::optional<RequestId> shed;
 };
 
+// By arrival only for comparison in experiments.
+enum class QueueOrder : uint8_t { kFair, kByArrival };
+
 // Not thread-safe; its owner holds the lock of the shard.
 class FairQueue {
  public:
-  explicit FairQueue(size_t longest) : longest_(longest) {}
+  explicit FairQueue(size_t longest, QueueOrder order = QueueOrder::kFair)
+      : longest_(longest), order_(order) {}
 
   // A full queue takes the request only by shedding one of a workspace that
   // has more waiting than this one.
@@ -90,8 +94,11 @@
   QueuedRequest Take(Lane* lane, std::map<AdapterVersionRef, Fifo>::iterator it,
                      Fifo::iterator place);
   std::map<WorkspaceId, Lane>::iterator LongestLane();
+  // Lanes that wait, in the order in which they may go.
+  std::vector<Lane*> LanesInOrder();
 
   const size_t longest_;
+  const QueueOrder order_;
   size_t size_ = 0;  // Invariant: the sum of the lanes' sizes.
   std::map<WorkspaceId, Lane> lanes_;
 };
--- a/libs/dispatch/src/fair_queue.cc
+++ b/libs/dispatch/src/fair_queue.cc
@@ -42,7 +42,8 @@
   if (size_ >= longest_) {
     auto longest = LongestLane();
     size_t own = lanes_[request.workspace].size;
-    if (longest == lanes_.end() || longest->second.size <= own + 1) {
+    if (order_ == QueueOrder::kByArrival || longest == lanes_.end() ||
+        longest->second.size <= own + 1) {
       return outcome;
     }
     Lane& lane = longest->second;
@@ -75,18 +76,31 @@
   return request;
 }
 
-std::optional<QueuedRequest> FairQueue::Pop(
-    const std::function<bool(const QueuedRequest&)>& ready) {
+std::vector<FairQueue::Lane*> FairQueue::LanesInOrder() {
   std::vector<Lane*> lanes;
   for (auto& [workspace, lane] : lanes_) {
     if (lane.size > 0) {
       lanes.push_back(&lane);
     }
   }
+  auto oldest = [](const Lane* lane) {
+    Millis first = lane->by_ref.begin()->second.front().enqueued;
+    for (const auto& [ref, fifo] : lane->by_ref) {
+      first = std::min(first, fifo.front().enqueued);
+    }
+    return first;
+  };
   std::stable_sort(
-      lanes.begin(), lanes.end(),
-      [](const Lane* a, const Lane* b) { return a->counter < b->counter; });
-  for (Lane* lane : lanes) {
+      lanes.begin(), lanes.end(), [&](const Lane* a, const Lane* b) {
+        return order_ == QueueOrder::kFair ? a->counter < b->counter
+                                           : oldest(a) < oldest(b);
+      });
+  return lanes;
+}
+
+std::optional<QueuedRequest> FairQueue::Pop(
+    const std::function<bool(const QueuedRequest&)>& ready) {
+  for (Lane* lane : LanesInOrder()) {
     auto best = lane->by_ref.end();
     for (auto it = lane->by_ref.begin(); it != lane->by_ref.end(); ++it) {
       bool older = best == lane->by_ref.end() ||
--- a/libs/node/include/node/dispatcher.h
+++ b/libs/node/include/node/dispatcher.h
@@ -63,7 +63,7 @@
     Choice choice;
   };
   struct Shard {
-    explicit Shard(size_t longest) : queue(longest) {}
+    Shard(size_t longest, QueueOrder order) : queue(longest, order) {}
     mutable std::mutex lock;  // Guards all below.
     FairQueue queue;
     std::map<RequestId, RequestPtr> requests;  // Those that wait.
@@ -81,6 +81,7 @@
   bool PumpOne(Shard* shard, std::set<WorkspaceId>* poor, Millis now);
   std::optional<Choice> Choose(const ModelRequest& request, uint64_t draw,
                                const Catalog& catalog, Millis now);
+  void NoteStall(const ModelRequest& request, bool missing, Millis now);
   bool Begin(const RequestPtr& request, const Choice& choice, Millis now);
   void Send(const RequestPtr& request, const Choice& choice, Millis now);
   void OnAttemptEnd(const RequestPtr& request, const Choice& choice,
@@ -103,6 +104,7 @@
   ResidencyService* const residency_;
   UpstreamTable* const upstreams_;
   LimitService* const limits_;
+  const bool baseline_;  // For comparison in experiments.
   std::vector<std::unique_ptr<Shard>> shards_;
   mutable std::mutex lock_;  // Guards all below; taken after a shard's lock.
   std::map<RequestId, Running> running_;
--- a/libs/node/include/node/model_request.h
+++ b/libs/node/include/node/model_request.h
@@ -72,7 +72,13 @@
   void Abort(HttpClient* client, const Error& error);
   bool ended() const;
 
-  int attempts = 0;  // Used by the dispatcher under its lock.
+  // Used by the dispatcher under the lock of the request's shard.
+  struct Stall {
+    bool begun = false;
+    bool ended = false;
+  };
+  mutable Stall stall;
+  int attempts = 0;
   bool ran_before = false;
   bool fresh_connection = false;
   bool lacked_tokens = false;
--- a/libs/node/src/dispatcher.cc
+++ b/libs/node/src/dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "config/settings.h"
 #include "dispatch/upstream_choice.h"
 #include "membership/pause_detector.h"
 #include "membership/rendezvous.h"
@@ -25,6 +26,15 @@
 // Waiting so long for the home zone makes the own zone load too.
 constexpr Millis kOwnZoneAfter{1000};
 
+// All look alike: the choice is random among those with room.
+void ForgetLoads(std::vector<UpstreamLoad>* loads) {
+  for (UpstreamLoad& it : *loads) {
+    it.reported = 0;
+    it.own_since = 0;
+    it.same_zone = true;
+  }
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(const NodeContext& context, FleetService* fleet,
@@ -35,10 +45,12 @@
       residency_(residency),
       upstreams_(upstreams),
       limits_(limits),
+      baseline_(context.settings->policy() == kBaselinePolicy),
       quarantine_(context.instance) {
   for (size_t i = 0; i < kShards; ++i) {
-    shards_.push_back(
-        std::make_unique<Shard>(context.settings->sizes().queue_length()));
+    shards_.push_back(std::make_unique<Shard>(
+        context.settings->sizes().queue_length(),
+        baseline_ ? QueueOrder::kByArrival : QueueOrder::kFair));
   }
 }
 
@@ -209,10 +221,30 @@
     loads.push_back(upstreams_->LoadOf(*upstream, now));
     choices.push_back({it, *upstream});
   }
-  auto index = ChooseUpstream(loads, facts.affinity, draw);
+  NoteStall(request, candidates.empty(), now);
+  if (baseline_) {
+    ForgetLoads(&loads);
+  }
+  auto index = ChooseUpstream(loads, baseline_ ? 0 : facts.affinity, draw);
   return index ? std::optional<Choice>(choices[*index]) : std::nullopt;
 }
 
+// How long a request waited for its adapter to be loaded anywhere.
+void Dispatcher::NoteStall(const ModelRequest& request, bool missing,
+                           Millis now) {
+  ModelRequest::Stall& stall = request.stall;
+  if (missing || stall.ended) {
+    stall.begun = stall.begun || missing;
+    return;
+  }
+  stall.ended = true;
+  Millis length = stall.begun ? now - request.facts().admitted : Millis();
+  context_.metrics->Observe("load_stall_seconds", length.seconds());
+  if (stall.begun) {
+    context_.metrics->Add("load_stalls_total", "");
+  }
+}
+
 bool Dispatcher::Begin(const RequestPtr& request, const Choice& choice,
                        Millis now) {
   const ModelRequestFacts& facts = request->facts();
@@ -434,6 +466,9 @@
                             const std::vector<ZoneId>& led,
                             const Catalog& catalog) const {
   std::vector<std::string> zones;
+  if (baseline_) {
+    return context_.zone;
+  }
   for (const ZoneId& zone : led) {
     bool has_pool =
         std::any_of(catalog.upstreams().begin(), catalog.upstreams().end(),
--- a/libs/node/src/leader_service.cc
+++ b/libs/node/src/leader_service.cc
@@ -8,6 +8,7 @@
 #include "base/json.h"
 #include "base/log.h"
 #include "config/catalog.h"
+#include "config/settings.h"
 #include "membership/pause_detector.h"
 #include "node/fleet_service.h"
 #include "node/metrics.h"
@@ -64,9 +65,10 @@
 }
 
 LeaderOptions OptionsFor(const Catalog& catalog, const ZoneId& zone,
-                         Millis longest_request) {
+                         const schema::Settings& settings) {
   LeaderOptions options;
-  options.longest_request = longest_request;
+  options.longest_request = Millis(settings.deadlines().request_ms());
+  options.plain_lru = settings.policy() == kBaselinePolicy;
   const FleetEntry& fleet = catalog.fleet();
   size_t zones = std::max<size_t>(fleet.zones.size(), 1);
   options.loads_per_s = fleet.loads_per_s / static_cast<double>(zones);
@@ -208,11 +210,10 @@
   if (leaving_) {
     return;
   }
-  Millis longest(context_.settings->deadlines().request_ms());
   std::shared_ptr<const Catalog> catalog = context_.catalog();
   leader_ = std::make_unique<ZoneLeader>(
       context_.zone, epoch, context_.boot,
-      OptionsFor(*catalog, context_.zone, longest), resigned, begun);
+      OptionsFor(*catalog, context_.zone, *context_.settings), resigned, begun);
   next_poll_ = Millis();
   sent_sequence_ = 0;
   context_.metrics->Set("leader_epoch", "", static_cast<double>(epoch));
@@ -258,12 +259,11 @@
                          !upstreams_->IsDown(it.id, now)});
     }
   }
-  Millis longest(context_.settings->deadlines().request_ms());
   std::lock_guard lock(lock_);
   if (leader_ == nullptr) {
     return;
   }
-  leader_->SetOptions(OptionsFor(*catalog, context_.zone, longest));
+  leader_->SetOptions(OptionsFor(*catalog, context_.zone, *context_.settings));
   leader_->SetEngines(engines);
   if (known) {
     leader_->SetMembers(registered, now);
--- a/libs/node/src/limit_service.cc
+++ b/libs/node/src/limit_service.cc
@@ -5,10 +5,12 @@
 
 #include "base/hash.h"
 #include "config/catalog.h"
+#include "config/settings.h"
 #include "membership/pause_detector.h"
 #include "node/fleet_service.h"
 #include "node/metrics.h"
 #include "schema/peer.pb.h"
+#include "schema/settings.pb.h"
 #include "transport/store_client.h"
 
 namespace bilberrypitch {
@@ -242,6 +244,7 @@
   Millis age = now - Millis(transfer.receiver_ms());
   size_t givers = std::max<size_t>(fleet_->LivePeers(now).size(), 1);
   bool usable = fleet_->Confirmed(now) && fleet_->Trusted();
+  bool baseline = context_.settings->policy() == kBaselinePolicy;
   {
     std::lock_guard lock(lock_);
     // The last word of an instance whose registration is gone is not taken.
@@ -258,7 +261,7 @@
     account->second.OnTotals(
         from, {it.moved_total(), it.returned_total(), it.gave_back_total(), 0},
         age, now);
-    if (it.wanted() > 0 && usable) {
+    if (it.wanted() > 0 && usable && !baseline) {
       double part = it.wanted() / static_cast<double>(givers);
       double spare = account->second.Spare(now);
       account->second.Move(from, std::min(spare, std::max(part, kLeastMove)),
--- a/libs/residency/include/residency/zone_leader.h
+++ b/libs/residency/include/residency/zone_leader.h
@@ -70,6 +70,9 @@
   Millis load_backoff_most{15 * 1000};
   size_t loads_in_flight = 2;
   double loads_per_s = 1;
+  // For comparison in experiments: the least recently used one goes, wanted
+  // or not.
+  bool plain_lru = false;
 };
 
 struct LeaderCounters {
--- a/libs/residency/src/zone_leader.cc
+++ b/libs/residency/src/zone_leader.cc
@@ -410,13 +410,14 @@
         load.state == State::kOffered && engine != engines_.end() &&
         engine->second.spec.pool == pool && !engine->second.spec.leaving &&
         engine->second.spec.reachable && !Holds(load.upstream, demand.ref) &&
-        now - load.since >= options_.minimum_residency;
+        (options_.plain_lru || now - load.since >= options_.minimum_residency);
     if (!candidate) {
       continue;
     }
     Millis idle = now - load.last_used;
     const DemandTotal& own = DemandOf(load.ref);
-    bool is_idle = own.waiting == 0 && idle >= options_.idle_before_eviction;
+    bool is_idle = options_.plain_lru ||
+                   (own.waiting == 0 && idle >= options_.idle_before_eviction);
     bool starving = demand.oldest_wait >= options_.starvation &&
                     own.oldest_wait < demand.oldest_wait;
     if (!is_idle && !starving) {
--- a/tools/bilberrypitch_lab/deployment.h
+++ b/tools/bilberrypitch_lab/deployment.h
@@ -44,6 +44,7 @@
   int drain_ms = 15000;
   int threads = 2;
   int queue_length = 2000;
+  std::string policy = "standard";
 };
 
 // Not thread-safe, but for Ask and Call.
--- a/tools/bilberrypitch_lab/main.cc
+++ b/tools/bilberrypitch_lab/main.cc
@@ -5,10 +5,12 @@
 
 #include <boost/program_options.hpp>
 #include <cstdio>
+#include <filesystem>
 #include <functional>
 #include <map>
 
 #include "engine.h"
+#include "experiment.h"
 #include "plain_service.h"
 #include "platform_list.h"
 #include "platform_store.h"
@@ -108,12 +110,54 @@
   return WaitForStop(signals);
 }
 
+// The product stands beside this program's folder in the build tree unless
+// --product names it.
+ProgramPaths PathsOf(const std::string& product) {
+  std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe");
+  std::filesystem::path build = self.parent_path().parent_path().parent_path();
+  std::string beside = (build / "apps/bilberrypitch/bilberrypitch").string();
+  return {product.empty() ? beside : product, self.string()};
+}
+
+int RunExperimentFile(int argc, char** argv, const sigset_t& signals) {
+  (void)signals;
+  std::string file;
+  std::string out = "report";
+  std::string product;
+  po::options_description options("run");
+  auto add = options.add_options();
+  add("experiment", po::value(&file)->required(), "experiment file");
+  add("out", po::value(&out), "where the report goes, without ending");
+  add("product", po::value(&product), "the program to measure");
+  po::positional_options_description positions;
+  positions.add("experiment", 1);
+  po::variables_map values;
+  po::store(po::command_line_parser(argc, argv)
+                .options(options)
+                .positional(positions)
+                .run(),
+            values);
+  po::notify(values);
+  return RunExperiment(PathsOf(product), file, out);
+}
+
+int RunAdded(int argc, char** argv, const sigset_t& signals) {
+  (void)signals;
+  std::string out = "added";
+  po::options_description options("added");
+  options.add_options()("out", po::value(&out), "where the report goes");
+  Parse(argc, argv, options);
+  return MeasureAdded(PathsOf(""), out);
+}
+
 using Command = std::function<int(int, char**, const sigset_t&)>;
 
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands = {
-      {"engine", RunEngine}, {"service", RunService}, {"store", RunStore},
-      {"list", RunList},     {"relay", RunRelay},
+      {"engine", RunEngine}, {"service", RunService},
+      {"store", RunStore},   {"list", RunList},
+      {"relay", RunRelay},   {"run", RunExperimentFile},
+      {"added", RunAdded},
   };
   return commands;
 }
--- a/tools/bilberrypitch_lab/test/request_test.cc
+++ b/tools/bilberrypitch_lab/test/request_test.cc
@@ -24,6 +24,8 @@
   SmallDeployment it(options);
 
   SECTION("the answer is lost: unknown, never not run, and not repeated") {
+    // A kept connection must not be used: libcurl would send it again.
+    REQUIRE(it.Book("entry-1", "before", "").status == 200);
     it.SetRelay("booking", "lose_answers");
     CallOutcome outcome = it.Book("entry-1", "lost", "");
     REQUIRE(SmallDeployment::ErrorKindIn(outcome) == "outcome_unknown");
