Count an upstream's load by what is in flight, not by what was begun

Cause: the time that the layer adds was 244 ms at p99 and about 0 at p50. All requests begun since an upstream's last report counted against it, also those that had ended, so short requests filled it up between two reports (250 ms). Ruled out: tokens (the workspace's rate was far away), the slow start after a failure (none), the ticker (10 ms).

--- a/libs/dispatch/include/dispatch/upstream_choice.h
+++ b/libs/dispatch/include/dispatch/upstream_choice.h
@@ -12,7 +12,7 @@
 struct UpstreamLoad {
   UpstreamId upstream;
   double reported = 0;     // Running and waiting, as the upstream last said.
-  uint32_t own_since = 0;  // Begun here after that report was taken.
+  uint32_t own_since = 0;  // In flight from here beyond what that counted.
   uint32_t own_in_flight = 0;
   uint32_t batch_slots = 1;
   uint32_t allowed = 0;  // Most in flight from here; 0: none now.
--- a/libs/node/include/node/upstream_table.h
+++ b/libs/node/include/node/upstream_table.h
@@ -33,6 +33,9 @@
   UpstreamLoad LoadOf(const UpstreamEntry& upstream, Millis now) const;
   void Begin(const UpstreamId& upstream);
   void End(const UpstreamId& upstream);
+  // A poll of the upstream's load is sent, and its answer came.
+  void OnPollSent(const UpstreamId& upstream);
+  void OnReport(const UpstreamId& upstream, double running);
   void OnResult(const UpstreamId& upstream, CallResult result, Millis now);
   // The outcome of a call that carried no request.
   void OnProbe(const UpstreamId& upstream, CallResult result, Millis now);
@@ -44,9 +47,9 @@
   struct State {
     UpstreamHealth health;
     double reported = 0;
-    uint32_t begun_since = 0;   // Since the report's poll was sent.
-    uint32_t begun_before = 0;  // Of those, before the poll in progress.
     uint32_t in_flight = 0;
+    uint32_t in_flight_at_poll = 0;    // When the last poll was sent.
+    uint32_t in_flight_at_report = 0;  // When that of the report was sent.
     bool polling = false;
   };
   struct Shard {
--- a/libs/node/src/upstream_table.cc
+++ b/libs/node/src/upstream_table.cc
@@ -63,6 +63,21 @@
   }
 }
 
+void UpstreamTable::OnPollSent(const UpstreamId& upstream) {
+  Shard& shard = ShardOf(upstream);
+  std::lock_guard lock(shard.lock);
+  State& state = shard.states[upstream];
+  state.in_flight_at_poll = state.in_flight;
+}
+
+void UpstreamTable::OnReport(const UpstreamId& upstream, double running) {
+  Shard& shard = ShardOf(upstream);
+  std::lock_guard lock(shard.lock);
+  State& state = shard.states[upstream];
+  state.reported = running;
+  state.in_flight_at_report = state.in_flight_at_poll;
+}
+
 void UpstreamTable::Poll(const UpstreamEntry& upstream) {
   {
     Shard& shard = ShardOf(upstream.id);
@@ -72,23 +87,21 @@
       return;
     }
     state.polling = true;
-    state.begun_before = state.begun_since;
   }
+  OnPollSent(upstream.id);
   HttpCall call;
   call.address = upstream.address;
   call.target = "/metrics";
   call.deadlines = {kPollDeadline, kPollDeadline, kPollDeadline, kPollDeadline};
   call.on_done = [this, id = upstream.id](CallOutcome outcome) {
     OnProbe(id, outcome.result, BootTimeNow());
-    Shard& shard = ShardOf(id);
-    std::lock_guard lock(shard.lock);
-    State& state = shard.states[id];
-    state.polling = false;
     if (outcome.result == CallResult::kComplete && outcome.status == 200) {
-      state.reported =
-          MetricIn(outcome.body, kRunning) + MetricIn(outcome.body, kWaiting);
-      state.begun_since -= std::min(state.begun_since, state.begun_before);
+      OnReport(id, MetricIn(outcome.body, kRunning) +
+                       MetricIn(outcome.body, kWaiting));
     }
+    Shard& shard = ShardOf(id);
+    std::lock_guard lock(shard.lock);
+    shard.states[id].polling = false;
   };
   context_.http->Start(std::move(call));
 }
@@ -115,7 +128,10 @@
     auto it = shard.states.find(upstream.id);
     if (it != shard.states.end()) {
       load.reported = it->second.reported;
-      load.own_since = it->second.begun_since;
+      // What this instance has there now beyond what the report counted.
+      const State& state = it->second;
+      load.own_since = state.in_flight -
+                       std::min(state.in_flight, state.in_flight_at_report);
       load.own_in_flight = it->second.in_flight;
       load.allowed = it->second.health.Allowed(most, now);
     }
@@ -131,7 +147,6 @@
   std::lock_guard lock(shard.lock);
   State& state = shard.states[upstream];
   ++state.in_flight;
-  ++state.begun_since;
 }
 
 void UpstreamTable::End(const UpstreamId& upstream) {
