Replay traces through the decision libraries

Cause: the users want proof by replay of traces against stated outcomes. Not done: serve does not record traces of its own yet.

--- a/apps/bilberrypitch/main.cc
+++ b/apps/bilberrypitch/main.cc
@@ -12,6 +12,7 @@
 #include "config/settings.h"
 #include "node/node.h"
 #include "operator_commands.h"
+#include "replay/replay.h"
 #include "schema/document.pb.h"
 #include "schema/settings.pb.h"
 
@@ -30,6 +31,7 @@
     "  serve --settings FILE              run an entry instance\n"
     "  check --settings FILE | --document FILE\n"
     "                                     check a file; exit code 2 on errors\n"
+    "  replay TRACE...                    compare traces with their outcomes\n"
     "  status                             state of an instance\n"
     "  document get | put --file FILE     read or replace the document\n"
     "  key issue WORKSPACE | withdraw ID | list\n"
@@ -128,6 +130,25 @@
   }
 }
 
+int Replay(const std::vector<std::string>& files) {
+  bool same = !files.empty();
+  for (const std::string& file : files) {
+    std::string text;
+    if (!ReadFile(file, &text)) {
+      return kWrongUse;
+    }
+    ReplayResult result = ReplayTrace(text);
+    bool differs = !result.differences.empty();
+    fmt::print("{}: {} steps, {}\n", file, result.steps,
+               differs ? "differs" : "as stated");
+    for (const std::string& it : result.differences) {
+      fmt::print("  {}\n", it);
+    }
+    same = same && !differs;
+  }
+  return same ? kDone : kFailed;
+}
+
 int Main(int argc, char** argv) {
   std::vector<std::string> words(argv + 1, argv + argc);
   std::string command = words.empty() ? "" : words[0];
@@ -143,6 +164,10 @@
     words.erase(words.begin());
     return command == "serve" ? Serve(words) : Check(words);
   }
+  if (command == "replay") {
+    words.erase(words.begin());
+    return Replay(words);
+  }
   if (command.empty() || command[0] == '-') {
     fmt::print(stderr, "{}", kHelp);
     return kWrongUse;
