--- a/tools/bilberrypitch_lab/main.cc
+++ b/tools/bilberrypitch_lab/main.cc
@@ -11,9 +11,11 @@
 
 #include "engine.h"
 #include "experiment.h"
+#include "idle_cost.h"
 #include "plain_service.h"
 #include "platform_list.h"
 #include "platform_store.h"
+#include "rate_comparison.h"
 #include "relay.h"
 #include "slopes.h"
 
@@ -39,6 +41,8 @@
   return 0;
 }
 
+using Command = std::function<int(int, char**, const sigset_t&)>;
+
 po::variables_map Parse(int argc, char** argv,
                         const po::options_description& options) {
   po::variables_map values;
@@ -142,32 +146,36 @@
   return RunExperiment(PathsOf(product), file, out);
 }
 
-int RunAdded(int argc, char** argv, const sigset_t& signals) {
-  (void)signals;
-  std::string out = "added";
-  po::options_description options("added");
-  options.add_options()("out", po::value(&out), "where the report goes");
-  Parse(argc, argv, options);
-  return MeasureAdded(PathsOf(""), out);
-}
-
-int RunSlopes(int argc, char** argv, const sigset_t& signals) {
-  (void)signals;
-  std::string out = "slopes";
-  po::options_description options("slopes");
-  options.add_options()("out", po::value(&out), "where the report goes");
-  Parse(argc, argv, options);
-  return MeasureSlopes(out);
+// A command that measures something and has no option but where to report.
+Command Measurement(const char* name,
+                    const std::function<int(const std::string&)>& measure) {
+  return [name, measure](int argc, char** argv, const sigset_t&) {
+    std::string out = name;
+    po::options_description options(name);
+    options.add_options()("out", po::value(&out), "where the report goes");
+    Parse(argc, argv, options);
+    return measure(out);
+  };
 }
 
-using Command = std::function<int(int, char**, const sigset_t&)>;
-
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands = {
-      {"engine", RunEngine}, {"service", RunService},
-      {"store", RunStore},   {"list", RunList},
-      {"relay", RunRelay},   {"run", RunExperimentFile},
-      {"added", RunAdded},   {"slopes", RunSlopes},
+      {"engine", RunEngine},
+      {"service", RunService},
+      {"store", RunStore},
+      {"list", RunList},
+      {"relay", RunRelay},
+      {"run", RunExperimentFile},
+      {"slopes", Measurement("slopes", MeasureSlopes)},
+      {"rates", Measurement("rates", CompareRates)},
+      {"idle", Measurement("idle",
+                           [](const std::string& out) {
+                             return MeasureIdle(PathsOf(""), out);
+                           })},
+      {"added", Measurement("added",
+                            [](const std::string& out) {
+                              return MeasureAdded(PathsOf(""), out);
+                            })},
   };
   return commands;
 }
