Give a cold adapter the one of its two homes where fewer loads wait

Cause: each zone has a fixed part of the weight store's rate (0.67 loads/s of two), so a cold adapter waits behind a zone's queue while another zone's part is idle. Ruled out: moving permits between zones (a protocol of its own for what two candidates give), any zone (copies in several zones). Change: leaders state how many loads wait; a waiting adapter's home is the first of two zones by rendezvous, or the second when two fewer wait there, and stays while it waits.

--- a/libs/node/include/node/dispatcher.h
+++ b/libs/node/include/node/dispatcher.h
@@ -25,6 +25,7 @@
 class FleetService;
 class LimitService;
 class ResidencyService;
+struct LedZone;
 class UpstreamTable;
 
 namespace schema {
@@ -99,7 +100,7 @@
   void SendDemand(Millis now);
   void SendQuarantine(Millis now);
   ZoneId HomeZone(const AdapterVersionRef& ref, const PoolId& pool,
-                  const std::vector<ZoneId>& led, const Catalog& catalog) const;
+                  const std::vector<LedZone>& led, const Catalog& catalog);
   QueuedRequest ToQueued(const ModelRequest& request, Millis now) const;
 
   const NodeContext context_;
@@ -116,6 +117,8 @@
   Quarantine quarantine_;
   RetryBudget retries_;
   bool closed_ = false;
+  // Homes of the adapters that wait; used by the ticking thread only.
+  std::map<AdapterVersionRef, ZoneId> homes_;
   Millis next_demand_;
   Millis next_quarantine_;
   bool quarantine_news_ = false;
--- a/libs/node/include/node/residency_service.h
+++ b/libs/node/include/node/residency_service.h
@@ -20,6 +20,12 @@
 class Envelope;
 }
 
+// A zone that has a leader.
+struct LedZone {
+  ZoneId id;
+  uint32_t queued_loads = 0;
+};
+
 // Thread-safe.
 class ResidencyService {
  public:
@@ -43,8 +49,8 @@
 
   // Where to tell a zone's leader of demand; empty when none is known.
   std::string LeaderAddress(const ZoneId& zone, Millis now) const;
-  // Zones whose leader spoke lately.
-  std::vector<ZoneId> LedZones(Millis now) const;
+  // Zones whose leader spoke lately, and how many loads wait there.
+  std::vector<LedZone> LedZones(Millis now) const;
   // The epochs in the store were read; tables may be applied.
   bool ready() const;
 
@@ -57,6 +63,7 @@
   struct LeaderSeen {
     BootId boot;
     Millis at;
+    uint32_t queued_loads = 0;
   };
 
   Shard& ShardOf(const ZoneId& zone);
--- a/libs/node/src/dispatcher.cc
+++ b/libs/node/src/dispatcher.cc
@@ -477,26 +477,46 @@
   if (send) SendQuarantine(now);
 }
 
+// The home of a cold adapter is one of its first two zones by rendezvous
+// hashing: the one where fewer loads wait. An adapter that waits keeps the home
+// that it was given.
 ZoneId Dispatcher::HomeZone(const AdapterVersionRef& ref, const PoolId& pool,
-                            const std::vector<ZoneId>& led,
-                            const Catalog& catalog) const {
-  std::vector<std::string> zones;
+                            const std::vector<LedZone>& led,
+                            const Catalog& catalog) {
   if (baseline_) {
     return context_.zone;
   }
-  for (const ZoneId& zone : led) {
+  std::vector<std::string> zones;
+  std::map<ZoneId, uint32_t> queued;
+  for (const LedZone& zone : led) {
     bool has_pool =
         std::any_of(catalog.upstreams().begin(), catalog.upstreams().end(),
                     [&](const UpstreamEntry& it) {
-                      return it.zone == zone && it.pool == pool &&
+                      return it.zone == zone.id && it.pool == pool &&
                              !upstreams_->IsLeaving(it);
                     });
-    if (has_pool) zones.push_back(zone.str());
+    if (has_pool) {
+      zones.push_back(zone.id.str());
+      queued[zone.id] = zone.queued_loads;
+    }
   }
   if (zones.empty()) {
     return context_.zone;
   }
-  return ZoneId(zones[PickByRendezvous(ref.adapter.str(), zones)]);
+  auto kept = homes_.find(ref);
+  if (kept != homes_.end() && queued.count(kept->second) != 0) {
+    return kept->second;
+  }
+  size_t place = PickByRendezvous(ref.adapter.str(), zones);
+  ZoneId first(zones[place]);
+  ZoneId home = first;
+  zones.erase(zones.begin() + static_cast<long>(place));
+  if (!zones.empty()) {
+    ZoneId second(zones[PickByRendezvous(ref.adapter.str(), zones)]);
+    home = queued[second] + 1 < queued[first] ? second : first;
+  }
+  homes_[ref] = home;
+  return home;
 }
 
 void Dispatcher::SendDemand(Millis now) {
@@ -512,15 +532,17 @@
     arrivals.swap(arrivals_);
   }
   std::shared_ptr<const Catalog> catalog = context_.catalog();
-  std::vector<ZoneId> led = residency_->LedZones(now);
+  std::vector<LedZone> led = residency_->LedZones(now);
   if (catalog == nullptr || led.empty()) {
     return;
   }
   std::map<ZoneId, schema::Demand> demands;
+  std::set<AdapterVersionRef> waiting;
   std::map<WorkspaceId, double> waiting_cost;
   for (const auto& shard : shards_) {
     std::lock_guard lock(shard->lock);
     for (const WaitingForAdapter& it : shard->queue.Waiting()) {
+      waiting.insert(it.ref);
       ZoneId home = HomeZone(it.ref, it.pool, led, *catalog);
       std::set<ZoneId> zones = {home};
       if (now - it.oldest >= kOwnZoneAfter) zones.insert(context_.zone);
@@ -541,6 +563,8 @@
       waiting_cost[it.workspace] += it.cost_tokens;
     }
   }
+  std::erase_if(homes_,
+                [&](const auto& it) { return waiting.count(it.first) == 0; });
   for (const auto& [workspace, cost] : waiting_cost) {
     double lacking = cost - limits_->Tokens(workspace, now);
     limits_->SetWanted(workspace, std::max(0.0, lacking));
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -250,8 +250,8 @@
                        {"generation", it.generation}});
     }
     json::array zones;
-    for (const ZoneId& it : residency_.LedZones(now)) {
-      zones.push_back(json::value(it.str()));
+    for (const LedZone& it : residency_.LedZones(now)) {
+      zones.push_back(json::value(it.id.str()));
     }
     LeaderCounters leader = leader_.counters();
     json::object status{{"instance", settings_.instance()},
--- a/libs/node/src/residency_service.cc
+++ b/libs/node/src/residency_service.cc
@@ -121,7 +121,7 @@
   }
   {
     std::lock_guard lock(lock_);
-    leaders_[zone] = {leader, now};
+    leaders_[zone] = {leader, now, table.queued_loads()};
   }
   if (verdict == TableVerdict::kApplied) {
     Report(zone, leader);
@@ -197,12 +197,12 @@
   return fleet_->AddressOf(boot);
 }
 
-std::vector<ZoneId> ResidencyService::LedZones(Millis now) const {
+std::vector<LedZone> ResidencyService::LedZones(Millis now) const {
   std::lock_guard lock(lock_);
-  std::vector<ZoneId> zones;
+  std::vector<LedZone> zones;
   for (const auto& [zone, leader] : leaders_) {
     if (now - leader.at <= kLeaderTimeout) {
-      zones.push_back(zone);
+      zones.push_back({zone, leader.queued_loads});
     }
   }
   return zones;
--- a/libs/residency/include/residency/zone_leader.h
+++ b/libs/residency/include/residency/zone_leader.h
@@ -211,6 +211,7 @@
   DemandTable demand_;
   std::vector<DemandTotal> totals_;  // As of the last tick; longest wait first.
   std::map<AdapterVersionRef, DemandTotal> totals_by_ref_;
+  uint32_t queued_loads_ = 0;  // As of the last tick.
   std::map<AdapterVersionRef, Backoff> backoffs_;
   LeaderCounters counters_;
 };
--- a/libs/residency/src/zone_leader.cc
+++ b/libs/residency/src/zone_leader.cc
@@ -457,6 +457,8 @@
     totals_by_ref_[it.ref] = it;
   }
   std::map<PoolId, size_t> queued;  // Loads that wait for a slot.
+  queued_loads_ = 0;
+  bool may_load = true;
   for (const DemandTotal& demand : totals_) {
     if (demand.waiting == 0) {
       continue;
@@ -474,6 +476,10 @@
     if (Replicas(demand.ref) >= WantedReplicas(demand, batch)) {
       continue;
     }
+    ++queued_loads_;
+    if (!may_load) {
+      continue;  // Only counted.
+    }
     const Engine* engine = ChooseEngine(pool, demand.ref, now);
     if (engine == nullptr) {
       // One slot is being freed for each load that waits, no more than can
@@ -486,9 +492,11 @@
       ++queued[pool];
       continue;
     }
-    if (!MayLoad(now)) {
-      return;
+    may_load = MayLoad(now);
+    if (!may_load) {
+      continue;
     }
+    --queued_loads_;
     load_tokens_ -= 1;
     IncarnationId name = MakeName(demand.ref, epoch_, next_name_++);
     Load load;
@@ -530,6 +538,7 @@
   table.set_epoch(epoch_);
   table.set_sequence(sequence_);
   table.set_collecting(collecting_);
+  table.set_queued_loads(queued_loads_);
   for (const auto& [name, load] : loads_) {
     schema::Incarnation* it = nullptr;
     if (load.state == State::kOffered) {
