Split the dispatcher, read the head only when it changed

Found on the way, and mended: a request held for a crash probe, or queued while its key was withdrawn, could be sent after that (the key is looked at again once it counts as running); after a pause the store or a peer counted as confirming while the newer document had not come yet.

--- a/libs/dispatch/src/fair_queue.cc
+++ b/libs/dispatch/src/fair_queue.cc
@@ -196,6 +196,7 @@
     }
   }
   std::vector<WaitingForAdapter> list;
+  list.reserve(all.size());
   for (const auto& [ref, it] : all) {
     list.push_back(it);
   }
--- a/libs/node/include/node/config_service.h
+++ b/libs/node/include/node/config_service.h
@@ -42,6 +42,7 @@
   Millis store_confirmed() const { return Millis(store_confirmed_.load()); }
 
  private:
+  void CheckHead(Millis now);
   void ReadHead(Millis now);
   void ReadMissing();
   void Verdict(HeadVerdict verdict, const char* source);
@@ -54,6 +55,8 @@
   std::shared_ptr<const Catalog> catalog_;
   std::atomic<int64_t> next_read_ms_ = 0;
   std::atomic<int64_t> store_confirmed_ = -1;
+  // Of the head that was read last and needs no second look.
+  std::atomic<int64_t> head_revision_ = 0;
   std::atomic<bool> reading_ = false;
   std::atomic<bool> watching_ = false;
   std::atomic<int64_t> next_watch_ms_ = 0;
--- a/libs/node/include/node/dispatcher.h
+++ b/libs/node/include/node/dispatcher.h
@@ -15,8 +15,9 @@
 
 #include "config/catalog.h"
 #include "dispatch/fair_queue.h"
-#include "dispatch/quarantine.h"
 #include "dispatch/retry_policy.h"
+#include "node/crash_watch.h"
+#include "node/demand_sender.h"
 #include "node/model_request.h"
 #include "node/node_context.h"
 
@@ -25,7 +26,6 @@
 class FleetService;
 class LimitService;
 class ResidencyService;
-struct LedZone;
 class UpstreamTable;
 
 namespace schema {
@@ -43,7 +43,7 @@
   void Tick(Millis now);
   // Something changed that may let waiting requests start.
   void PumpAll(Millis now);
-  void OnQuarantine(const schema::Envelope& envelope, Millis now);
+  CrashWatch& crashes() { return crashes_; }
   // Ends the requests that came with keys no longer in force.
   void OnDocument(const Catalog& catalog);
   // Refuses what comes from now on.
@@ -70,12 +70,6 @@
     std::map<RequestId, RequestPtr> requests;  // Those that wait.
     uint64_t draw = 1;
   };
-  // What was running at an upstream whose connection broke, until a probe
-  // tells whether it crashed.
-  struct Episode {
-    std::vector<Fingerprint> present;
-    std::vector<std::pair<RequestPtr, AttemptEnd>> broken;
-  };
 
   Shard& ShardOf(const PoolId& pool);
   void Pump(Shard* shard, Millis now);
@@ -84,23 +78,20 @@
                                const Catalog& catalog, Millis now);
   void NoteStall(const ModelRequest& request, bool missing, Millis now);
   bool Begin(const RequestPtr& request, const Choice& choice, Millis now);
+  void Undo(const RequestPtr& request, const Choice& choice, Millis now);
   void Send(const RequestPtr& request, const Choice& choice, Millis now);
   void OnAttemptEnd(const RequestPtr& request, const Choice& choice,
                     const AttemptEnd& end);
   void EndResidency(const ModelRequestFacts& facts,
                     const ResidencyCandidate& candidate, CallResult result,
                     Millis now);
-  void OnBroken(const RequestPtr& request, const Choice& choice,
-                const AttemptEnd& end);
-  void OnProbe(const UpstreamId& upstream, CallResult result);
   void RetryOrFail(const RequestPtr& request, const AttemptEnd& end);
   void Requeue(const RequestPtr& request, Millis now);
   void Refuse(const RequestPtr& request, ErrorKind kind, const char* detail);
   void ExpireWaiting(Millis now);
-  void SendDemand(Millis now);
-  void SendQuarantine(Millis now);
-  ZoneId HomeZone(const AdapterVersionRef& ref, const PoolId& pool,
-                  const std::vector<LedZone>& led, const Catalog& catalog);
+  void UpdateWanted(Millis now);
+  std::vector<WaitingForAdapter> Waiting() const;
+  std::vector<Fingerprint> RunningAt(const UpstreamId& upstream) const;
   QueuedRequest ToQueued(const ModelRequest& request, Millis now) const;
 
   const NodeContext context_;
@@ -109,19 +100,13 @@
   UpstreamTable* const upstreams_;
   LimitService* const limits_;
   const bool baseline_;  // For comparison in experiments.
+  DemandSender demand_;
+  CrashWatch crashes_;
   std::vector<std::unique_ptr<Shard>> shards_;
   mutable std::mutex lock_;  // Guards all below; taken after a shard's lock.
   std::map<RequestId, Running> running_;
-  std::map<UpstreamId, Episode> episodes_;
-  std::map<AdapterVersionRef, double> arrivals_;  // Since the last demand.
-  Quarantine quarantine_;
   RetryBudget retries_;
   bool closed_ = false;
-  // Homes of the adapters that wait; used by the ticking thread only.
-  std::map<AdapterVersionRef, ZoneId> homes_;
-  Millis next_demand_;
-  Millis next_quarantine_;
-  bool quarantine_news_ = false;
 };
 
 }  // namespace bilberrypitch
--- a/libs/node/include/node/fleet_service.h
+++ b/libs/node/include/node/fleet_service.h
@@ -80,6 +80,7 @@
   bool registrations_read_ = false;
   LeavingUpstreams leaving_upstreams_;
   bool leaving_ = false;
+  uint64_t generation_ = 0;  // Of the document in force, as of the last tick.
   Millis paused_at_{-1};
   Millis confirmed_at_{-1};  // By store or peer.
   Millis next_heartbeat_;
--- a/libs/node/src/config_service.cc
+++ b/libs/node/src/config_service.cc
@@ -45,7 +45,7 @@
     Millis period =
         watches || generation() == 0 ? kReadPeriod : kReadPeriodWithoutWatch;
     next_read_ms_ = now.count() + period.count() + spread;
-    ReadHead(now);
+    CheckHead(now);
   }
   if (watches && now.count() >= next_watch_ms_ && !watching_.exchange(true)) {
     StartWatch();
@@ -61,14 +61,31 @@
       });
 }
 
+// The head is large in a large fleet: it is read only when it was changed.
+void ConfigService::CheckHead(Millis now) {
+  context_.store->ReadRevision(kHeadKey, [this, now](StoreReadResult result) {
+    bool changed = result.status == StoreStatus::kOk &&
+                   !result.entries.empty() &&
+                   result.entries[0].mod_revision != head_revision_;
+    if (changed) {
+      ReadHead(now);
+      return;
+    }
+    if (result.status == StoreStatus::kOk) {
+      store_confirmed_ = now.count();
+    }
+    reading_ = false;
+  });
+}
+
 void ConfigService::ReadHead(Millis now) {
   context_.store->Read(kHeadKey, [this, now](StoreReadResult result) {
     reading_ = false;
     if (result.status != StoreStatus::kOk) {
       return;
     }
-    store_confirmed_ = now.count();
     if (result.entries.empty()) {
+      store_confirmed_ = now.count();
       return;
     }
     HeadVerdict verdict;
@@ -78,7 +95,10 @@
     }
     Verdict(verdict, "store");
     if (verdict == HeadVerdict::kNeedsChunks) {
-      ReadMissing();
+      ReadMissing();  // Looked at again until the chunks have come.
+    } else {
+      store_confirmed_ = now.count();
+      head_revision_ = result.entries[0].mod_revision;
     }
   });
 }
--- a/libs/node/src/dispatcher.cc
+++ b/libs/node/src/dispatcher.cc
@@ -20,11 +20,8 @@
 namespace bilberrypitch {
 namespace {
 
-constexpr Millis kDemandPeriod{100};
-constexpr Millis kQuarantinePeriod{1000};
-constexpr Millis kProbeDeadline{1000};
-// Waiting so long for the home zone makes the own zone load too.
-constexpr Millis kOwnZoneAfter{5000};
+constexpr char kQuarantinedText[] =
+    "This request crashed upstreams and is quarantined.";
 // In this time an engine notices that a connection was closed.
 constexpr Millis kCloseSeen{2000};
 
@@ -48,7 +45,11 @@
       upstreams_(upstreams),
       limits_(limits),
       baseline_(context.settings->policy() == kBaselinePolicy),
-      quarantine_(context.instance) {
+      demand_(context, residency, upstreams),
+      crashes_(context, fleet, upstreams,
+               [this](const RequestPtr& request, const AttemptEnd& end) {
+                 RetryOrFail(request, end);
+               }) {
   for (size_t i = 0; i < kShards; ++i) {
     shards_.push_back(std::make_unique<Shard>(
         context.settings->sizes().queue_length(),
@@ -99,15 +100,14 @@
       Refuse(request, ErrorKind::kStopping, "This instance is stopping.");
       return;
     }
-    if (quarantine_.Judge(facts.fingerprint, now) ==
-        QuarantineVerdict::kQuarantined) {
-      Refuse(request, ErrorKind::kQuarantined,
-             "This request crashed upstreams and is quarantined.");
-      return;
-    }
     retries_.OnFirstAttempt();
-    arrivals_[facts.adapter.ref] += 1;
   }
+  if (crashes_.Judge(facts.fingerprint, now) ==
+      QuarantineVerdict::kQuarantined) {
+    Refuse(request, ErrorKind::kQuarantined, kQuarantinedText);
+    return;
+  }
+  demand_.OnArrival(facts.adapter.ref);
   Shard& shard = ShardOf(facts.adapter.pool);
   RequestPtr shed;
   {
@@ -191,7 +191,15 @@
     }
     shard->requests.erase(popped->id);
   }
-  Send(request, choices[request->facts().id], now);
+  const Choice& choice = choices[request->facts().id];
+  // Looked at after it counts as running: a document that withdraws the key
+  // later finds it there.
+  if (!context_.catalog()->KeyInForce(request->facts().key_id)) {
+    Undo(request, choice, now);
+    Refuse(request, ErrorKind::kKeyWithdrawn, "The key was withdrawn.");
+    return true;
+  }
+  Send(request, choice, now);
   return true;
 }
 
@@ -199,11 +207,7 @@
     const ModelRequest& request, uint64_t draw, const Catalog& catalog,
     Millis now) {
   const ModelRequestFacts& facts = request.facts();
-  QuarantineVerdict verdict;
-  {
-    std::lock_guard lock(lock_);
-    verdict = quarantine_.Judge(facts.fingerprint, now);
-  }
+  QuarantineVerdict verdict = crashes_.Judge(facts.fingerprint, now);
   if (verdict == QuarantineVerdict::kBusy) {
     return std::nullopt;
   }
@@ -216,9 +220,9 @@
     if (upstream == nullptr) {
       continue;
     }
-    if (verdict == QuarantineVerdict::kAlone) {
-      std::lock_guard lock(lock_);
-      if (!quarantine_.MayRunAlone(it.upstream)) continue;
+    if (verdict == QuarantineVerdict::kAlone &&
+        !crashes_.MayRunAlone(it.upstream)) {
+      continue;
     }
     loads.push_back(upstreams_->LoadOf(*upstream, now));
     choices.push_back({it, *upstream});
@@ -259,12 +263,24 @@
   }
   upstreams_->Begin(choice.upstream.id);
   ++request->attempts;
+  crashes_.OnBegin(facts.fingerprint, choice.upstream.id);
   std::lock_guard lock(lock_);
-  quarantine_.OnBegin(facts.fingerprint, choice.upstream.id);
   running_[facts.id] = {request, choice};
   return true;
 }
 
+// Takes back a Begin after which nothing was sent.
+void Dispatcher::Undo(const RequestPtr& request, const Choice& choice,
+                      Millis now) {
+  const ModelRequestFacts& facts = request->facts();
+  residency_->End(choice.candidate);
+  limits_->Refund(facts.workspace, facts.cost(), now);
+  upstreams_->End(choice.upstream.id);
+  crashes_.OnEnd(facts.fingerprint, choice.upstream.id, false);
+  std::lock_guard lock(lock_);
+  running_.erase(facts.id);
+}
+
 void Dispatcher::Send(const RequestPtr& request, const Choice& choice,
                       Millis now) {
   const ModelRequestFacts& facts = request->facts();
@@ -293,7 +309,8 @@
   bool broke =
       !end.answered && !end.caller_gone && end.result == CallResult::kBroken;
   if (broke) {
-    OnBroken(request, choice, end);  // Takes the picture of what runs there.
+    crashes_.OnBroken(choice.upstream.id, choice.upstream.address,
+                      RunningAt(choice.upstream.id), request, end);
   }
   upstreams_->End(choice.upstream.id);
   EndResidency(facts, choice.candidate, end.result, now);
@@ -305,11 +322,10 @@
   if (end.not_loaded) {
     residency_->Withdraw(choice.candidate);
   }
+  crashes_.OnEnd(facts.fingerprint, choice.upstream.id, end.answered);
   {
     std::lock_guard lock(lock_);
-    quarantine_.OnEnd(facts.fingerprint, choice.upstream.id);
     running_.erase(facts.id);
-    if (end.answered) quarantine_.OnSuccess(facts.fingerprint);
   }
   if (end.answered) {
     context_.metrics->Add("answered_total", "");
@@ -338,60 +354,6 @@
   }
 }
 
-void Dispatcher::OnBroken(const RequestPtr& request, const Choice& choice,
-                          const AttemptEnd& end) {
-  bool first = false;
-  {
-    std::lock_guard lock(lock_);
-    auto [it, added] = episodes_.try_emplace(choice.upstream.id);
-    first = added;
-    if (added) {
-      for (const auto& [id, running] : running_) {
-        if (running.choice.upstream.id == choice.upstream.id) {
-          it->second.present.push_back(running.request->facts().fingerprint);
-        }
-      }
-    }
-    it->second.broken.emplace_back(request, end);
-  }
-  if (!first) {
-    return;
-  }
-  HttpCall probe;
-  probe.address = choice.upstream.address;
-  probe.target = "/v1/models";
-  probe.own_connection = true;
-  probe.deadlines = {kProbeDeadline, kProbeDeadline, kProbeDeadline,
-                     kProbeDeadline};
-  probe.on_done = [this, id = choice.upstream.id](CallOutcome outcome) {
-    OnProbe(id, outcome.result);
-  };
-  context_.http->Start(std::move(probe));
-}
-
-void Dispatcher::OnProbe(const UpstreamId& upstream, CallResult result) {
-  Millis now = BootTimeNow();
-  upstreams_->OnProbe(upstream, result, now);
-  Episode episode;
-  {
-    std::lock_guard lock(lock_);
-    auto node = episodes_.extract(upstream);
-    episode = std::move(node.mapped());
-    bool crashed = SurelyNotSent(result) || episode.broken.size() > 1;
-    if (crashed) {
-      quarantine_.OnCrash(episode.present, now);
-      quarantine_news_ = true;
-      context_.metrics->Add("upstream_crashes_total", "");
-      LogWarning("dispatch", "Upstream {} crashed with {} requests.",
-                 upstream.str(), episode.present.size());
-    }
-  }
-  SendQuarantine(now);
-  for (const auto& [request, end] : episode.broken) {
-    RetryOrFail(request, end);
-  }
-}
-
 void Dispatcher::RetryOrFail(const RequestPtr& request, const AttemptEnd& end) {
   Millis now = BootTimeNow();
   const ModelRequestFacts& facts = request->facts();
@@ -402,12 +364,11 @@
   attempt.ran_before = request->ran_before;
   attempt.attempts = request->attempts;
   attempt.remaining = facts.deadline - now;
-  bool quarantined = false;
+  bool quarantined =
+      crashes_.Judge(facts.fingerprint, now) == QuarantineVerdict::kQuarantined;
   RetryDecision decision;
   {
     std::lock_guard lock(lock_);
-    quarantined = quarantine_.Judge(facts.fingerprint, now) ==
-                  QuarantineVerdict::kQuarantined;
     decision = DecideRetry(attempt, &retries_);
   }
   if (end.failure != AttemptFailure::kNotSent &&
@@ -415,8 +376,7 @@
     request->ran_before = true;
   }
   if (quarantined) {
-    Refuse(request, ErrorKind::kQuarantined,
-           "This request crashed upstreams and is quarantined.");
+    Refuse(request, ErrorKind::kQuarantined, kQuarantinedText);
     return;
   }
   if (!decision.retry) {
@@ -468,154 +428,50 @@
 void Dispatcher::Tick(Millis now) {
   ExpireWaiting(now);
   PumpAll(now);
-  SendDemand(now);
-  bool send = false;
-  {
-    std::lock_guard lock(lock_);
-    send = now >= next_quarantine_;
+  crashes_.Tick(now);
+  if (demand_.Due(now)) {
+    UpdateWanted(now);
+    demand_.Send(Waiting(), now);
   }
-  if (send) SendQuarantine(now);
 }
 
-// The home of a cold adapter is one of its first two zones by rendezvous
-// hashing: the one where fewer loads wait. An adapter that waits keeps the home
-// that it was given.
-ZoneId Dispatcher::HomeZone(const AdapterVersionRef& ref, const PoolId& pool,
-                            const std::vector<LedZone>& led,
-                            const Catalog& catalog) {
-  if (baseline_) {
-    return context_.zone;
-  }
-  std::vector<std::string> zones;
-  std::map<ZoneId, uint32_t> queued;
-  for (const LedZone& zone : led) {
-    bool has_pool =
-        std::any_of(catalog.upstreams().begin(), catalog.upstreams().end(),
-                    [&](const UpstreamEntry& it) {
-                      return it.zone == zone.id && it.pool == pool &&
-                             !upstreams_->IsLeaving(it);
-                    });
-    if (has_pool) {
-      zones.push_back(zone.id.str());
-      queued[zone.id] = zone.queued_loads;
+// What waits for each adapter version, over all pools.
+std::vector<WaitingForAdapter> Dispatcher::Waiting() const {
+  std::vector<WaitingForAdapter> all;
+  for (const auto& shard : shards_) {
+    std::lock_guard lock(shard->lock);
+    for (WaitingForAdapter& it : shard->queue.Waiting()) {
+      all.push_back(std::move(it));
     }
   }
-  if (zones.empty()) {
-    return context_.zone;
-  }
-  auto kept = homes_.find(ref);
-  if (kept != homes_.end() && queued.count(kept->second) != 0) {
-    return kept->second;
-  }
-  size_t place = PickByRendezvous(ref.adapter.str(), zones);
-  ZoneId first(zones[place]);
-  ZoneId home = first;
-  zones.erase(zones.begin() + static_cast<long>(place));
-  if (!zones.empty()) {
-    ZoneId second(zones[PickByRendezvous(ref.adapter.str(), zones)]);
-    home = queued[second] + 1 < queued[first] ? second : first;
-  }
-  homes_[ref] = home;
-  return home;
+  return all;
 }
 
-void Dispatcher::SendDemand(Millis now) {
-  std::map<AdapterVersionRef, double> arrivals;
-  double seconds = 0;
-  {
-    std::lock_guard lock(lock_);
-    if (now < next_demand_) {
-      return;
-    }
-    seconds = (now - next_demand_ + kDemandPeriod).seconds();
-    next_demand_ = now + kDemandPeriod;
-    arrivals.swap(arrivals_);
-  }
-  std::shared_ptr<const Catalog> catalog = context_.catalog();
-  std::vector<LedZone> led = residency_->LedZones(now);
-  if (catalog == nullptr || led.empty()) {
-    return;
-  }
-  std::map<ZoneId, schema::Demand> demands;
-  std::set<AdapterVersionRef> waiting;
+// Tells the limits what waiting requests lack, so that peers move tokens here.
+void Dispatcher::UpdateWanted(Millis now) {
   std::map<WorkspaceId, double> waiting_cost;
   for (const auto& shard : shards_) {
     std::lock_guard lock(shard->lock);
-    for (const WaitingForAdapter& it : shard->queue.Waiting()) {
-      waiting.insert(it.ref);
-      ZoneId home = HomeZone(it.ref, it.pool, led, *catalog);
-      std::set<ZoneId> zones = {home};
-      if (now - it.oldest >= kOwnZoneAfter) zones.insert(context_.zone);
-      for (const ZoneId& zone : zones) {
-        schema::DemandEntry* entry = demands[zone].add_entries();
-        entry->set_adapter(it.ref.adapter.str());
-        entry->set_version(it.ref.version);
-        entry->set_waiting(it.count);
-        entry->set_oldest_wait_ms(
-            static_cast<uint32_t>((now - it.oldest).count()));
-        auto arrived = arrivals.find(it.ref);
-        if (arrived != arrivals.end()) {
-          entry->set_requests_per_s(arrived->second / seconds);
-        }
-      }
-    }
     for (const WaitingForWorkspace& it : shard->queue.WaitingByWorkspace()) {
       waiting_cost[it.workspace] += it.cost_tokens;
     }
   }
-  std::erase_if(homes_,
-                [&](const auto& it) { return waiting.count(it.first) == 0; });
   for (const auto& [workspace, cost] : waiting_cost) {
     double lacking = cost - limits_->Tokens(workspace, now);
     limits_->SetWanted(workspace, std::max(0.0, lacking));
   }
-  for (auto& [zone, demand] : demands) {
-    std::string address = residency_->LeaderAddress(zone, now);
-    if (address.empty()) {
-      continue;
-    }
-    demand.set_zone(zone.str());
-    schema::Envelope envelope;
-    *envelope.mutable_demand() = std::move(demand);
-    context_.send(address, std::move(envelope));
-  }
 }
 
-void Dispatcher::SendQuarantine(Millis now) {
-  std::vector<QuarantineRecord> records;
-  {
-    std::lock_guard lock(lock_);
-    bool due = quarantine_news_ || now >= next_quarantine_;
-    if (!due) {
-      return;
-    }
-    quarantine_news_ = false;
-    next_quarantine_ = now + kQuarantinePeriod;
-    records = quarantine_.Records(now);
-  }
-  if (records.empty()) {
-    return;
-  }
-  schema::Envelope envelope;
-  for (const QuarantineRecord& it : records) {
-    schema::QuarantineEntry* entry =
-        envelope.mutable_quarantine()->add_entries();
-    entry->set_fingerprint(it.fingerprint.str());
-    entry->set_crashes(it.crashes);
-    entry->set_remaining_ms(static_cast<uint32_t>((it.expires - now).count()));
-  }
-  for (const Member& it : fleet_->LivePeers(now)) {
-    context_.send(it.peer_address, envelope);
-  }
-}
-
-void Dispatcher::OnQuarantine(const schema::Envelope& envelope, Millis now) {
+std::vector<Fingerprint> Dispatcher::RunningAt(
+    const UpstreamId& upstream) const {
   std::lock_guard lock(lock_);
-  for (const schema::QuarantineEntry& it : envelope.quarantine().entries()) {
-    quarantine_.OnGossip({Fingerprint(it.fingerprint()),
-                          InstanceId(envelope.from()), it.crashes(),
-                          now + Millis(it.remaining_ms())});
+  std::vector<Fingerprint> running;
+  for (const auto& [id, it] : running_) {
+    if (it.choice.upstream.id == upstream) {
+      running.push_back(it.request->facts().fingerprint);
+    }
   }
+  return running;
 }
 
 void Dispatcher::OnDocument(const Catalog& catalog) {
@@ -670,11 +526,7 @@
 
 size_t Dispatcher::in_flight() const {
   std::lock_guard lock(lock_);
-  size_t n = running_.size();
-  for (const auto& [id, episode] : episodes_) {
-    n += episode.broken.size();
-  }
-  return n;
+  return running_.size() + crashes_.held();
 }
 
 }  // namespace bilberrypitch
--- a/libs/node/src/fleet_service.cc
+++ b/libs/node/src/fleet_service.cc
@@ -106,6 +106,7 @@
                  "the store or a peer confirms.");
       context_.metrics->Add("pauses_total", "");
     }
+    generation_ = generation;
     confirmed_at_ = std::max(confirmed_at_, store_confirmed);
     members_.SetSelf(SelfFacts(generation, store_reachable));
     send = now >= next_heartbeat_;
@@ -178,7 +179,10 @@
   newest = std::max(newest, Millis(it.sent_ms()));
   if (it.vouched_boot() == context_.boot.str()) {
     keeper_.OnVouch(facts.boot, Millis(it.vouched_sent_ms()));
-    confirmed_at_ = std::max(confirmed_at_, Millis(it.vouched_sent_ms()));
+    // A peer with a newer document confirms nothing until that has come.
+    if (it.generation() <= generation_) {
+      confirmed_at_ = std::max(confirmed_at_, Millis(it.vouched_sent_ms()));
+    }
   }
   std::vector<SeenMark> marks;
   for (const schema::SeenMark& mark : it.marks_seen()) {
--- a/libs/node/src/model_request.cc
+++ b/libs/node/src/model_request.cc
@@ -3,6 +3,7 @@
 
 #include <atomic>
 
+#include "node/attempt_failure.h"
 #include "transport/http_server.h"
 
 namespace bilberrypitch {
@@ -37,22 +38,6 @@
   return true;
 }
 
-AttemptFailure FailureOf(CallResult result) {
-  switch (result) {
-    case CallResult::kRefused:
-    case CallResult::kConnectTimeout:
-      return AttemptFailure::kNotSent;
-    case CallResult::kSilent:
-      return AttemptFailure::kSilent;
-    case CallResult::kTooLong:
-      return AttemptFailure::kTooLong;
-    case CallResult::kTooLarge:
-      return AttemptFailure::kTooLarge;
-    default:
-      return AttemptFailure::kBroken;
-  }
-}
-
 double CompletionTokens(const json::object& body) {
   const json::value* usage = body.if_contains("usage");
   if (usage == nullptr || !usage->is_object()) {
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -307,7 +307,7 @@
         config_.OnChunkReply(address, envelope.chunk_reply());
         break;
       case schema::Envelope::kQuarantine:
-        dispatcher_.OnQuarantine(envelope, now);
+        dispatcher_.crashes().OnGossip(envelope, now);
         break;
       case schema::Envelope::BODY_NOT_SET:
         break;
--- a/libs/node/src/service_api.cc
+++ b/libs/node/src/service_api.cc
@@ -9,6 +9,7 @@
 #include "dispatch/claim.h"
 #include "dispatch/upstream_choice.h"
 #include "membership/pause_detector.h"
+#include "node/attempt_failure.h"
 #include "node/limit_service.h"
 #include "node/metrics.h"
 #include "node/upstream_table.h"
@@ -39,22 +40,6 @@
   return true;
 }
 
-AttemptFailure FailureOf(CallResult result) {
-  switch (result) {
-    case CallResult::kRefused:
-    case CallResult::kConnectTimeout:
-      return AttemptFailure::kNotSent;
-    case CallResult::kSilent:
-      return AttemptFailure::kSilent;
-    case CallResult::kTooLong:
-      return AttemptFailure::kTooLong;
-    case CallResult::kTooLarge:
-      return AttemptFailure::kTooLarge;
-    default:
-      return AttemptFailure::kBroken;
-  }
-}
-
 }  // namespace
 
 ServiceApi::ServiceApi(const NodeContext& context, UpstreamTable* upstreams,
--- a/libs/transport/include/transport/store_client.h
+++ b/libs/transport/include/transport/store_client.h
@@ -69,6 +69,8 @@
   // All entries whose key begins with `prefix`, or the one entry `key`.
   virtual void ReadPrefix(const std::string& prefix, ReadDone done) = 0;
   virtual void Read(const std::string& key, ReadDone done) = 0;
+  // As Read, without the value: whether and when the entry was changed.
+  virtual void ReadRevision(const std::string& key, ReadDone done) = 0;
   virtual void Commit(const StoreTransaction& transaction, WriteDone done) = 0;
   virtual void GrantLease(Millis time_to_live, LeaseDone done) = 0;
   // Calls `changed` for each change of `key` until the connection ends, then
--- a/libs/transport/src/store_client.cc
+++ b/libs/transport/src/store_client.cc
@@ -98,6 +98,13 @@
     SendRange(request, std::move(done));
   }
 
+  void ReadRevision(const std::string& key, ReadDone done) override {
+    wire::RangeRequest request;
+    request.set_key(key);
+    request.set_keys_only(true);
+    SendRange(request, std::move(done));
+  }
+
   void Commit(const StoreTransaction& transaction, WriteDone done) override {
     ++writes_;
     HttpCall call = MakeCall("/v3/kv/txn", ToWire(transaction));
--- a/tools/bilberrypitch_lab/platform_store.cc
+++ b/tools/bilberrypitch_lab/platform_store.cc
@@ -165,7 +165,7 @@
   auto add = [&](const std::string& key, const Entry& entry) {
     wire::KeyValue* it = response->add_kvs();
     it->set_key(key);
-    it->set_value(entry.value);
+    if (!request.keys_only()) it->set_value(entry.value);
     it->set_create_revision(entry.create_revision);
     it->set_mod_revision(entry.mod_revision);
     it->set_lease(entry.lease);
