--- a/libs/node/include/node/residency_service.h
+++ b/libs/node/include/node/residency_service.h
@@ -29,8 +29,7 @@
 // Thread-safe.
 class ResidencyService {
  public:
-  ResidencyService(const NodeContext& context, FleetService* fleet,
-                   std::function<void()> on_change);
+  ResidencyService(const NodeContext& context, FleetService* fleet);
 
   void Tick(Millis now);
   void OnTable(const schema::Envelope& envelope, Millis now);
@@ -74,7 +73,6 @@
 
   const NodeContext context_;
   FleetService* const fleet_;
-  const std::function<void()> on_change_;
   std::array<Shard, kShards> shards_;
   mutable std::mutex lock_;  // Guards all below.
   std::map<ZoneId, LeaderSeen> leaders_;
--- a/libs/node/src/model_api.cc
+++ b/libs/node/src/model_api.cc
@@ -156,8 +156,9 @@
 
 HttpResponse ModelApi::ListModels(const Caller& caller) const {
   json::array data;
-  for (std::string& name : context_.catalog()->AdaptersFor(caller.workspace)) {
-    data.push_back({{"id", std::move(name)},
+  for (const std::string& name :
+       context_.catalog()->AdaptersFor(caller.workspace)) {
+    data.push_back({{"id", name},
                     {"object", "model"},
                     {"owned_by", caller.workspace.str()}});
   }
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -34,7 +34,7 @@
 namespace bilberrypitch {
 namespace {
 
-constexpr std::chrono::milliseconds kTick{10};
+constexpr std::chrono::milliseconds kTick{20};
 constexpr std::chrono::milliseconds kDrainPoll{20};
 constexpr size_t kBootBytes = 6;
 constexpr size_t kWatchersInZone = 2;
@@ -90,7 +90,7 @@
         fleet_(context_),
         upstreams_(context_),
         limits_(context_, &fleet_),
-        residency_(context_, &fleet_, [this] { wake_ = true; }),
+        residency_(context_, &fleet_),
         dispatcher_(context_, &fleet_, &residency_, &upstreams_, &limits_),
         leader_(context_, &fleet_, &upstreams_),
         config_(context_,
@@ -317,7 +317,6 @@
   const schema::Settings settings_;
   Metrics metrics_;
   std::atomic<uint64_t> sequence_ = 0;
-  std::atomic<bool> wake_ = false;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> draining_ = false;
   Millis next_gauges_;
--- a/libs/node/src/residency_service.cc
+++ b/libs/node/src/residency_service.cc
@@ -18,9 +18,8 @@
 }  // namespace
 
 ResidencyService::ResidencyService(const NodeContext& context,
-                                   FleetService* fleet,
-                                   std::function<void()> on_change)
-    : context_(context), fleet_(fleet), on_change_(std::move(on_change)) {}
+                                   FleetService* fleet)
+    : context_(context), fleet_(fleet) {}
 
 ResidencyService::Shard& ResidencyService::ShardOf(const ZoneId& zone) {
   return shards_[StableHash(zone.str()) % kShards];
@@ -125,7 +124,6 @@
   }
   if (verdict == TableVerdict::kApplied) {
     Report(zone, leader);
-    on_change_();
   }
 }
 
--- a/tools/bilberrypitch_lab/slopes.cc
+++ b/tools/bilberrypitch_lab/slopes.cc
@@ -138,6 +138,7 @@
     Millis now(1000);
     ZoneLeader leader(ZoneId("a"), 1, BootId("m"), options, true, now);
     std::vector<EngineSpec> specs;
+    specs.reserve(static_cast<size_t>(engines));
     for (int i = 0; i < engines; ++i) {
       specs.push_back({UpstreamId(fmt::format("engine-{}", i)), PoolId("p"),
                        kSlots, 8, false, true});
@@ -150,6 +151,7 @@
     auto pool_of = [](const AdapterVersionRef&) { return PoolId("p"); };
     int adapters = engines * kSlots;
     std::vector<DemandReport> demand;
+    demand.reserve(static_cast<size_t>(adapters));
     for (int i = 0; i < adapters; ++i) {
       demand.push_back(
           {{AdapterId(fmt::format("club-coach-{:06}", i)), 1}, 1, {}, 0});
--- a/tools/bilberrypitch_lab/test/fleet_test.cc
+++ b/tools/bilberrypitch_lab/test/fleet_test.cc
@@ -64,6 +64,7 @@
   it.SetFaults("store", {{"out", true}});
   // These wait in its socket and are the first that it sees.
   std::vector<std::future<CallOutcome>> all;
+  all.reserve(10);
   for (int i = 0; i < 10; ++i) {
     all.push_back(std::async(std::launch::async, [&] {
       return it.Ask("entry-2", it.key(), "coach1", 1);
@@ -167,6 +168,7 @@
   std::atomic<bool> stop = false;
   auto begun = std::chrono::steady_clock::now();
   std::vector<std::thread> callers;
+  callers.reserve(12);
   std::atomic<int> answered = 0;
   for (int i = 0; i < 12; ++i) {
     callers.emplace_back([&, i] {
--- a/tools/bilberrypitch_lab/test/request_test.cc
+++ b/tools/bilberrypitch_lab/test/request_test.cc
@@ -206,6 +206,7 @@
   // Whole requests on the kept connections: each is answered by a retry.
   auto begun = std::chrono::steady_clock::now();
   std::vector<std::future<CallOutcome>> all;
+  all.reserve(6);
   for (int i = 0; i < 6; ++i) {
     all.push_back(std::async(std::launch::async, [&] {
       return it.Ask("entry-1", it.key(), "coach1", 3);
