--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -34,7 +34,7 @@
 namespace bilberrypitch {
 namespace {
 
-constexpr std::chrono::milliseconds kTick{20};
+constexpr std::chrono::milliseconds kTick{10};
 constexpr std::chrono::milliseconds kDrainPoll{20};
 constexpr size_t kBootBytes = 6;
 constexpr size_t kWatchersInZone = 2;
--- a/libs/transport/src/peer_mesh.cc
+++ b/libs/transport/src/peer_mesh.cc
@@ -23,7 +23,7 @@
 constexpr int64_t kLargestMessageBytes = 4 << 20;
 constexpr size_t kOutboxMessages = 4096;
 constexpr size_t kLargestPeerCount = 1024;
-constexpr std::chrono::milliseconds kPollPeriod{10};
+constexpr std::chrono::milliseconds kPollPeriod{5};
 
 }  // namespace
 
