Drive libcurl and RESTinio from one event loop

Cause: an instance on the users' platform has an eighth to half of a core and each wake-up is charged; the client polled every 50 ms on threads of its own. HttpServer runs on a loop or on its own threads, tells of ended connections and can break off a stream so that it does not look complete.

--- a/libs/transport/include/transport/http_message.h
+++ b/libs/transport/include/transport/http_message.h
@@ -1,6 +1,7 @@
 // Requests and answers of HTTP as the program passes them around.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,10 +32,12 @@
   std::string query;  // Without the question mark.
   HttpHeaders headers;
   std::string body;
+  uint64_t connection = 0;  // The same number for all requests on it.
 };
 
 struct HttpResponse {
   int status = 200;
+  bool close_connection = false;  // After this answer.
   HttpHeaders headers;
   std::string body;
 };
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -1,4 +1,5 @@
-// An HTTP server on a pool of threads (RESTinio, hidden in the source).
+// An HTTP server on a pool of threads or on an event loop (RESTinio, hidden in
+// the source).
 #pragma once
 
 #include <cstdint>
@@ -12,14 +13,22 @@
 
 namespace bilberrypitch {
 
+class EventLoop;
+
 struct HttpServerOptions {
   std::string bind_ip;
   uint16_t port = 0;
   size_t threads = 2;
+  // When set, the server runs on this loop and starts no threads; the handler
+  // and `on_closed` are called there. The loop outlives the server.
+  EventLoop* loop = nullptr;
+  // Called with the number of a connection that has ended, whoever closed it.
+  std::function<void(uint64_t connection)> on_closed;
   size_t max_body_bytes = 1 << 20;
   size_t max_header_bytes = 16 << 10;
   Millis handle_limit{3600 * 1000};  // Longest time until an answer ends.
   Millis write_limit{10 * 1000};     // Longest time for one write to a caller.
+  Millis idle_limit{60 * 1000};      // Longest time between two requests.
 };
 
 // Runs from construction to Stop. Requests over the sizes are answered with
@@ -31,7 +40,7 @@
   // Throws std::exception when the port can't be bound.
   HttpServer(HttpServerOptions options, Handler handler);
   ~HttpServer();
-  // Closes all connections. Idempotent.
+  // Closes all connections. Idempotent. On a loop: call it on its thread.
   void Stop();
 
  private:
--- /dev/null
+++ b/libs/transport/include/transport/loop_client.h
@@ -0,0 +1,34 @@
+// Calls over HTTP on an event loop (libcurl, hidden in the source).
+#pragma once
+
+#include <memory>
+
+#include "transport/http_call.h"
+
+namespace bilberrypitch {
+
+class EventLoop;
+
+// Used on the loop's thread only. Connections are kept and used again.
+class LoopClient {
+ public:
+  explicit LoopClient(EventLoop* loop);
+  // Cancels what is open; `on_done` of each is called.
+  ~LoopClient();
+
+  // Never calls back before it returns. `id` is not in use; ids are either all
+  // the caller's or all the client's.
+  void Start(CallId id, HttpCall call);
+  CallId Start(HttpCall call);
+  // Calls `on_done` with kCancelled and closes the connection; without effect
+  // on a call that has ended.
+  void Cancel(CallId id);
+  // Connections made since the start.
+  uint64_t connections_made() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bilberrypitch
--- a/libs/transport/include/transport/responder.h
+++ b/libs/transport/include/transport/responder.h
@@ -22,6 +22,9 @@
   virtual void WriteChunk(std::string data,
                           std::function<void(bool)> written) = 0;
   virtual void EndStream() = 0;
+  // Ends the connection without the end of the answer, so that the caller sees
+  // that the answer is not whole.
+  virtual void AbortStream() = 0;
 };
 
 }  // namespace bilberrypitch
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -7,9 +7,12 @@
 #include <atomic>
 #include <mutex>
 #include <restinio/all.hpp>
+#include <thread>
+#include <vector>
 
 #include "base/error.h"
 #include "base/json.h"
+#include "transport/event_loop.h"
 
 namespace bilberrypitch {
 
@@ -65,19 +68,67 @@
 // given; far over it the connection is closed.
 constexpr size_t kReadBeyondLimit = 16;
 constexpr size_t kLargestField = 64 << 10;
-constexpr Millis kReadLimit{30 * 1000};
+// Above 1, so that the end of a connection is seen while a request is handled.
+constexpr size_t kPipelined = 4;
+
+// Tells when connections end.
+class ConnectionListener {
+ public:
+  explicit ConnectionListener(std::function<void(uint64_t)> on_closed)
+      : on_closed_(std::move(on_closed)) {}
+
+  void state_changed(const restinio::connection_state::notice_t& it) noexcept {
+    if (on_closed_ && restinio::holds_alternative<
+                          restinio::connection_state::closed_t>(it.cause())) {
+      on_closed_(it.connection_id());
+    }
+  }
+
+ private:
+  const std::function<void(uint64_t)> on_closed_;
+};
 
 struct Traits : restinio::default_traits_t {
   using request_handler_t = std::function<restinio::request_handling_status_t(
       restinio::request_handle_t)>;
+  using connection_state_listener_t = ConnectionListener;
 };
 
 using Server = restinio::http_server_t<Traits>;
 
+std::string ReasonOf(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return status < 400 ? "OK" : "Error";
+  }
+}
+
 restinio::http_status_line_t StatusLine(int status) {
   return restinio::http_status_line_t{
       restinio::http_status_code_t{static_cast<uint16_t>(status)},
-      status < 400 ? "OK" : "Error"};
+      ReasonOf(status)};
 }
 
 class RestinioResponder : public Responder {
@@ -91,7 +142,7 @@
                   NotRun::kUnknown};
       Send(ErrorResponse(error, ""));
     } else if (stream_) {
-      EndStream();
+      AbortStream();
     }
   }
 
@@ -104,6 +155,9 @@
     for (const HttpHeader& it : response.headers.all()) {
       builder.append_header(it.name, it.value);
     }
+    if (response.close_connection) {
+      builder.connection_close();
+    }
     builder.set_body(std::move(response.body));
     builder.done();
     request_.reset();
@@ -114,12 +168,17 @@
     if (request_ == nullptr) {
       return;
     }
+    // The framing is written here and not by RESTinio, whose builder could
+    // end the answer only as a complete one. The connection closes after it:
+    // that is how a broken answer ends visibly.
     stream_ = std::make_unique<Stream>(
-        request_->create_response<restinio::chunked_output_t>(
+        request_->create_response<restinio::user_controlled_output_t>(
             StatusLine(status)));
     for (const HttpHeader& it : headers.all()) {
       stream_->append_header(it.name, it.value);
     }
+    stream_->append_header("Transfer-Encoding", "chunked");
+    stream_->connection_close();
     stream_->flush();
     request_.reset();
   }
@@ -127,10 +186,10 @@
   void WriteChunk(std::string data,
                   std::function<void(bool)> written) override {
     std::lock_guard lock(lock_);
-    if (!stream_) {
+    if (!stream_ || data.empty()) {
       return;
     }
-    stream_->append_chunk(std::move(data));
+    stream_->append_body(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
     if (!written) {
       stream_->flush();
       return;
@@ -142,6 +201,15 @@
   }
 
   void EndStream() override {
+    std::lock_guard lock(lock_);
+    if (stream_) {
+      stream_->append_body("0\r\n\r\n");
+      stream_->done();
+      stream_.reset();
+    }
+  }
+
+  void AbortStream() override {
     std::lock_guard lock(lock_);
     if (stream_) {
       stream_->done();
@@ -150,7 +218,8 @@
   }
 
  private:
-  using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
+  using Stream =
+      restinio::response_builder_t<restinio::user_controlled_output_t>;
 
   std::mutex lock_;
   restinio::request_handle_t request_;  // Null once an answer has begun.
@@ -167,6 +236,7 @@
     request.headers.Add(std::string(field.name()), std::string(field.value()));
   });
   request.body = from->body();
+  request.connection = from->connection_id();
   return request;
 }
 
@@ -176,7 +246,43 @@
  public:
   Impl(HttpServerOptions options, Handler handler)
       : options_(std::move(options)), handler_(std::move(handler)) {
-    restinio::server_settings_t<Traits> settings;
+    auto& context = options_.loop != nullptr ? options_.loop->context()
+                                             : own_loop_.context();
+    server_ = std::make_unique<Server>(
+        restinio::external_io_context(context),
+        [this](restinio::server_settings_t<Traits>& it) { Configure(it); });
+    server_->open_sync();
+    size_t threads = options_.loop != nullptr ? 0 : options_.threads;
+    for (size_t i = 0; i < threads; ++i) {
+      threads_.emplace_back([this] { own_loop_.Run(); });
+    }
+  }
+
+  ~Impl() { Stop(); }
+
+  void Stop() {
+    if (stopped_.exchange(true)) {
+      return;
+    }
+    if (options_.loop != nullptr) {
+      server_->close_sync();
+      return;
+    }
+    own_loop_.Post([this] {
+      server_->close_sync();
+      own_loop_.Stop();
+    });
+    for (std::thread& it : threads_) {
+      it.join();
+    }
+  }
+
+ private:
+  static std::chrono::milliseconds Duration(Millis it) {
+    return std::chrono::milliseconds(it.count());
+  }
+
+  void Configure(restinio::server_settings_t<Traits>& settings) {
     settings.address(options_.bind_ip)
         .port(options_.port)
         .incoming_http_msg_limits(
@@ -184,12 +290,10 @@
                 .max_url_size(kLargestField)
                 .max_field_value_size(kLargestField)
                 .max_body_size(options_.max_body_bytes * kReadBeyondLimit))
-        .read_next_http_message_timelimit(
-            std::chrono::milliseconds(kReadLimit.count()))
-        .write_http_response_timelimit(
-            std::chrono::milliseconds(options_.write_limit.count()))
-        .handle_request_timeout(
-            std::chrono::milliseconds(options_.handle_limit.count()))
+        .max_pipelined_requests(kPipelined)
+        .read_next_http_message_timelimit(Duration(options_.idle_limit))
+        .write_http_response_timelimit(Duration(options_.write_limit))
+        .handle_request_timeout(Duration(options_.handle_limit))
         .socket_options_setter([](auto& it) {
           it.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
         })
@@ -197,24 +301,13 @@
           it.set_option(
               restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
         })
+        .connection_state_listener(
+            std::make_shared<ConnectionListener>(options_.on_closed))
         .request_handler([this](restinio::request_handle_t request) {
           return Handle(std::move(request));
         });
-    server_ = restinio::run_async<Traits>(
-        restinio::own_io_context(), std::move(settings), options_.threads);
   }
 
-  ~Impl() { Stop(); }
-
-  void Stop() {
-    if (stopped_.exchange(true)) {
-      return;
-    }
-    server_->stop();
-    server_->wait();
-  }
-
- private:
   restinio::request_handling_status_t Handle(restinio::request_handle_t from) {
     HttpRequest request = Convert(from);
     auto responder = std::make_shared<RestinioResponder>(std::move(from));
@@ -239,7 +332,9 @@
   const HttpServerOptions options_;
   const Handler handler_;
   std::atomic<bool> stopped_ = false;
-  restinio::running_server_handle_t<Traits> server_;
+  EventLoop own_loop_;  // Idle when the options name another loop.
+  std::unique_ptr<Server> server_;
+  std::vector<std::thread> threads_;
 };
 
 HttpServer::HttpServer(HttpServerOptions options, Handler handler)
