--- a/apps/bilberrypitch/main.cc
+++ b/apps/bilberrypitch/main.cc
@@ -12,6 +12,7 @@
 #include "config/settings.h"
 #include "node/node.h"
 #include "operator_commands.h"
+#include "platform_serve.h"
 #include "replay/replay.h"
 #include "schema/document.pb.h"
 #include "schema/settings.pb.h"
@@ -28,8 +29,9 @@
 
 constexpr char kHelp[] =
     "usage: bilberrypitch COMMAND [OPTIONS]\n"
-    "  serve --settings FILE              run an entry instance\n"
-    "  check --settings FILE | --document FILE\n"
+    "  serve [--boot FILE]                run an instance on the platform\n"
+    "  serve --settings FILE              run an instance of its own\n"
+    "  check --boot FILE | --settings FILE | --document FILE\n"
     "                                     check a file; exit code 2 on errors\n"
     "  replay TRACE...                    compare traces with their outcomes\n"
     "  status                             state of an instance\n"
@@ -58,13 +60,15 @@
 }
 
 struct FileOptions {
+  std::string boot;
   std::string settings;
   std::string document;
 };
 
 bool ParseFileOptions(const std::vector<std::string>& words, FileOptions* it) {
   po::options_description options("options");
-  options.add_options()("settings", po::value(&it->settings), "settings file")(
+  options.add_options()("boot", po::value(&it->boot), "platform's file")(
+      "settings", po::value(&it->settings), "settings file")(
       "document", po::value(&it->document), "document file");
   po::variables_map values;
   try {
@@ -79,12 +83,20 @@
 
 int Check(const std::vector<std::string>& words) {
   FileOptions files;
-  if (!ParseFileOptions(words, &files) ||
-      files.settings.empty() == files.document.empty()) {
-    fmt::print(stderr,
-               "bilberrypitch: check takes --settings or --document.\n");
+  int given = 0;
+  if (ParseFileOptions(words, &files)) {
+    given = static_cast<int>(!files.boot.empty()) +
+            static_cast<int>(!files.settings.empty()) +
+            static_cast<int>(!files.document.empty());
+  }
+  if (given != 1) {
+    fmt::print(stderr, "bilberrypitch: check takes one file of --boot, "
+               "--settings and --document.\n");
     return kWrongUse;
   }
+  if (!files.boot.empty()) {
+    return CheckBootFile(files.boot);
+  }
   std::string text;
   const std::string& path =
       files.settings.empty() ? files.document : files.settings;
@@ -101,10 +113,12 @@
 int Serve(const std::vector<std::string>& words) {
   FileOptions files;
   std::string text;
-  if (!ParseFileOptions(words, &files) || files.settings.empty()) {
-    fmt::print(stderr, "bilberrypitch: serve takes --settings FILE.\n");
+  if (!ParseFileOptions(words, &files)) {
     return kWrongUse;
   }
+  if (files.settings.empty()) {
+    return ServeOnPlatform(BootFilePath(files.boot));
+  }
   schema::Settings settings;
   if (!ReadFile(files.settings, &text) ||
       PrintErrors(files.settings, ReadSettings(text, &settings)) != kDone) {
--- /dev/null
+++ b/libs/gateway/include/gateway/gateway.h
@@ -0,0 +1,45 @@
+// One entry instance: its listeners, what it knows of the cluster, and the
+// requests that it serves.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "serving/instance_settings.h"
+#include "serving/store_record.h"
+
+namespace bilberrypitch {
+
+class ClusterStore;
+class EdgeCodec;
+class EngineApi;
+class EventLoop;
+class LoopClient;
+
+// What the instance needs of its surroundings. All outlive it.
+struct GatewayPorts {
+  EventLoop* loop = nullptr;
+  LoopClient* client = nullptr;  // For requests to upstreams.
+  ClusterStore* store = nullptr;
+  EngineApi* engines = nullptr;
+  const EdgeCodec* codec = nullptr;
+  DecodeStoreRecord decode_record;
+};
+
+// On the loop's thread only.
+class Gateway {
+ public:
+  // Binds its listeners; throws std::exception when that fails.
+  Gateway(const InstanceSettings& settings, GatewayPorts ports);
+  ~Gateway();
+
+  // Turns unready, ends what is open and calls `done`, at the latest before
+  // the platform would kill the process.
+  void Stop(std::function<void()> done);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/gateway/include/gateway/own_records.h
@@ -0,0 +1,24 @@
+// The program's own keys in the platform's store.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "serving/ownership.h"
+#include "serving/store_item.h"
+
+namespace bilberrypitch {
+
+std::string MemberKey(const MachineId& machine);
+std::string OwnerKey(const UpstreamId& engine);
+std::string EncodeMember(const Member& member);
+std::string EncodeOwner(const Member& owner);
+
+// The machine or engine that a key is about; empty: another kind of key.
+MachineId MemberOfKey(const std::string& key);
+UpstreamId EngineOfKey(const std::string& key);
+// None when the value can't be read.
+std::optional<Member> DecodeMember(const StoreItem& item);
+std::optional<OwnerRecord> DecodeOwner(const StoreItem& item);
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/gateway/include/gateway/request_run.h
@@ -0,0 +1,134 @@
+// One request from its arrival to the end of its answer.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "serving/attempt_policy.h"
+#include "serving/event_splitter.h"
+#include "serving/request.h"
+#include "serving/upstream_chooser.h"
+#include "transport/http_call.h"
+#include "transport/timer.h"
+
+namespace bilberrypitch {
+
+class ActiveConfig;
+class EdgeCodec;
+class EventLoop;
+class LoopClient;
+class Responder;
+struct Route;
+struct ServingState;
+struct Workspace;
+
+// What a request asks of the rest of the instance.
+struct RequestHooks {
+  // An adapter is wanted on an engine: tell its owner.
+  std::function<void(const UpstreamId&, const ModelRef&, int64_t version)>
+      want_adapter;
+  std::function<void(const UpstreamId&, const ModelRef&)> adapter_missing;
+  // A request on an adapter began or ended.
+  std::function<void(const UpstreamId&, const ModelRef&, int change)>
+      adapter_use;
+  // A connection broke under the request: its upstream may have crashed.
+  std::function<void(uint64_t fingerprint, const UpstreamId&,
+                     int64_t started_ms)>
+      broken;
+  // No connection could be made to the upstream.
+  std::function<void(const UpstreamId&)> unreachable;
+  std::function<void(uint64_t connection)> ended;
+};
+
+struct RequestDeps {
+  EventLoop* loop = nullptr;
+  LoopClient* client = nullptr;
+  const EdgeCodec* codec = nullptr;
+  ServingState* state = nullptr;
+  RequestHooks hooks;
+};
+
+// On the loop's thread only. Keeps itself alive until it has ended.
+class RequestRun : public std::enable_shared_from_this<RequestRun> {
+ public:
+  RequestRun(const RequestDeps* deps, ServingRequest request,
+             std::shared_ptr<Responder> responder, uint64_t connection);
+
+  void Begin();
+  // The caller's connection has ended.
+  void OnCallerLeft();
+  // An adapter that this request waits for is on an engine.
+  void OnAdapterReady(const UpstreamId& engine, const ModelRef& target);
+  bool finished() const { return finished_; }
+
+ private:
+  bool Admit();
+  bool AdmitCaller();
+  void AdmitRate();
+  bool StillAllowed();
+  void Dispatch();
+  void WaitForAdapter(const Choice& choice);
+  void Send(UpstreamState* upstream);
+  HttpCall NewCall(const UpstreamState& upstream) const;
+  bool OnHead(int status, const HttpHeaders& headers);
+  void OnBytes(std::string_view bytes);
+  void OnDone(CallOutcome outcome);
+  AttemptEnd EndOf(const CallOutcome& outcome) const;
+  void OnWholeAnswer(const CallOutcome& outcome, bool failed);
+  void Conclude(AttemptEnd end, CallOutcome* outcome);
+  void CloseAttempt(bool failed);
+  void OnTimeUp();
+  void Refuse(ErrorKind kind, std::string detail, Millis retry_after);
+  void Fail(const Error& error);
+  void Answer(HttpResponse response);
+  void Finish(const char* outcome, int status);
+  Millis TimeLeft() const;
+  bool IsStream() const;
+  int64_t PromptTokens() const;
+
+  const RequestDeps* const deps_;
+  ServingState* const state_;
+  const ServingRequest request_;
+  std::shared_ptr<Responder> responder_;
+  const uint64_t connection_;
+  const Millis arrived_;
+
+  std::shared_ptr<const ActiveConfig> config_;  // Routed under this one.
+  const Route* route_ = nullptr;                // In `config_`.
+  const Workspace* workspace_ = nullptr;        // In `config_`; null: no key.
+  ServiceId service_;
+  uint64_t fingerprint_ = 0;
+  double rate_cost_ = 0;
+  bool rate_taken_ = false;
+  Millis deadline_;
+  Timer deadline_timer_;
+  Timer wait_timer_;
+
+  UpstreamId waiting_engine_;  // While the adapter is awaited there.
+  Millis waiting_since_;
+  uint32_t asked_ = 0;         // Times that the adapter was asked for.
+
+  // The attempt under way.
+  CallId call_ = 0;  // 0: none.
+  UpstreamId upstream_;
+  int64_t upstream_started_ms_ = 0;
+  Millis sent_at_;
+  bool first_event_seen_ = false;
+  bool attempt_streams_ = false;
+  AnswerFacts facts_;
+
+  std::vector<UpstreamId> tried_;
+  uint32_t sends_ = 0;
+  uint32_t upstreams_run_ = 0;
+  uint32_t misses_ = 0;  // Engines that did not hold the adapter.
+  bool may_have_run_ = false;
+  bool answer_begun_ = false;
+  EventSplitter events_;
+  bool finished_ = false;
+};
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -0,0 +1,60 @@
+// What all requests of this instance share.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "serving/active_config.h"
+#include "serving/crash_ledger.h"
+#include "serving/freshness.h"
+#include "serving/instance_settings.h"
+#include "serving/rate_share.h"
+#include "serving/residency_view.h"
+#include "serving/retry_allowance.h"
+#include "serving/upstream_book.h"
+
+namespace bilberrypitch {
+
+// Counted since the start; served with the metrics.
+struct RequestCounters {
+  uint64_t received = 0;
+  uint64_t answered = 0;        // With an upstream's answer.
+  uint64_t refused = 0;         // Not run.
+  uint64_t failed = 0;          // May have run.
+  uint64_t caller_left = 0;
+  uint64_t rate_limited = 0;
+  uint64_t repeats = 0;         // Sends after the first.
+  uint64_t adapter_waits = 0;   // Requests that waited for an adapter.
+  uint64_t adapter_misses = 0;  // Engines that said an adapter isn't there.
+};
+
+// On the loop's thread only.
+struct ServingState {
+  explicit ServingState(const InstanceSettings& s, UpstreamBook::Hooks hooks)
+      : settings(s),
+        freshness(s.bounds.strict_withdrawal ? s.bounds.withdraw : Millis(0)),
+        upstreams(std::move(hooks)) {}
+
+  RetryAllowance& RetriesOf(const ServiceId& service) {
+    RetryBound bound{settings.bounds.retry_ratio, settings.bounds.retry_slack,
+                     settings.bounds.retry_window};
+    return retries.try_emplace(service, bound).first->second;
+  }
+
+  const InstanceSettings settings;
+  std::shared_ptr<const ActiveConfig> config;  // Null: none known yet.
+  Freshness freshness;
+  UpstreamBook upstreams;
+  ResidencyView residency;
+  std::map<ModelRef, int64_t> named_versions;
+  std::map<WorkspaceId, RateShare> rates;
+  std::map<ServiceId, RetryAllowance> retries;
+  CrashLedger crashes;
+  size_t instances = 1;   // Live ones, this one included.
+  bool stopping = false;  // Answers end their connections.
+  RequestCounters counters;
+};
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/gateway/src/gateway.cc
@@ -0,0 +1,984 @@
+// Wires listeners, store, peers, orders and requests of one instance.
+#include "gateway/gateway.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "gateway/crash_suspicions.h"
+#include "gateway/lease_keeper.h"
+#include "gateway/order_service.h"
+#include "gateway/own_records.h"
+#include "gateway/peer_link.h"
+#include "gateway/request_run.h"
+#include "gateway/serving_state.h"
+#include "gateway/store_sync.h"
+#include "schema/cluster.pb.h"
+#include "serving/cluster_store.h"
+#include "serving/edge_codec.h"
+#include "transport/address.h"
+#include "transport/event_loop.h"
+#include "transport/http_server.h"
+#include "transport/loop_client.h"
+
+namespace bilberrypitch {
+namespace {
+
+// Long enough that owners go on through a short outage of the store, short
+// enough that a dead owner's engines get another one.
+constexpr Millis kLeaseTime{6000};
+// The demand is told this often while few instances are there,
+constexpr Millis kDemandPeriod{500};
+// and each instance beyond these makes it rarer.
+constexpr size_t kDemandInstances = 10;
+constexpr Millis kUsePeriod{100};
+// Knowledge of this age is refreshed from peers.
+constexpr Millis kAskPeersAge{2400};
+constexpr Millis kAskPeersPeriod{350};
+constexpr size_t kPeersAsked = 3;
+constexpr Millis kStateFetchPeriod{900};
+constexpr Millis kStateFetchDeadline{600};
+// The balancer takes an instance out after two misses, one a second.
+constexpr Millis kNoticedByBalancer{2600};
+// Before the platform's kill.
+constexpr Millis kStopMargin{700};
+constexpr Millis kStopCheck{50};
+constexpr char kStatePath[] = "/state";
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr double kMarginUsed = 0.7;  // Of what a rate's bound allows beyond.
+constexpr double kRateWindowSeconds = 8;
+
+ModelRef RefOf(const schema::ModelName& it) {
+  return ModelRef{ModelId(it.model()), AdapterId(it.adapter())};
+}
+
+void SetName(schema::ModelName* to, const ModelRef& from) {
+  to->set_model(from.model.str());
+  to->set_adapter(from.adapter.str());
+}
+
+}  // namespace
+
+class Gateway::Impl {
+ public:
+  Impl(const InstanceSettings& settings, GatewayPorts ports)
+      : ports_(std::move(ports)),
+        loop_(ports_.loop),
+        self_{settings.machine, BootId(RandomHex(8)), settings.zone,
+              settings.peer_address},
+        state_(settings, BookHooks()),
+        ownership_(self_, settings.bounds.order_turn, EventLoop::Now()),
+        lease_(loop_, ports_.store,
+               std::max(kLeaseTime, settings.shortest_lease), LeaseHooks()),
+        sync_(loop_, ports_.store, SyncHooks()),
+        peers_(loop_, self_,
+               [this](const MachineId& from, const schema::PeerItem& item) {
+                 OnPeerItem(from, item);
+               }),
+        orders_(loop_, self_.machine, &ownership_, &lease_, &state_.upstreams,
+                ports_.engines, OrderHooks()),
+        suspicions_([this](uint64_t fingerprint, const CrashId& crash) {
+          OnCrash(fingerprint, crash, true);
+        }),
+        claim_timer_(loop_),
+        expire_timer_(loop_),
+        demand_timer_(loop_),
+        use_timer_(loop_),
+        fresh_timer_(loop_),
+        stop_timer_(loop_) {
+    SetRequestDeps();
+    Listen();
+    sync_.Start();
+    lease_.Start();
+    TellDemand();
+    WatchFreshness();
+    LogInfo("gateway", "Started machine={} zone={} boot={}.",
+            self_.machine.str(), self_.zone.str(), self_.boot.str());
+  }
+
+  ~Impl() {
+    callers_->Stop();
+    ready_->Stop();
+    peer_server_->Stop();
+  }
+
+  void Stop(std::function<void()> done) {
+    if (state_.stopping) {
+      return;
+    }
+    state_.stopping = true;
+    stop_begun_ = EventLoop::Now();
+    stop_done_ = std::move(done);
+    LogInfo("gateway", "Stopping with {} open requests.", active_.size());
+    CheckStop();
+  }
+
+ private:
+  // ---- Construction.
+
+  UpstreamBook::Hooks BookHooks() {
+    UpstreamBook::Hooks hooks;
+    hooks.on_started = [this](const UpstreamState& it) { OnStarted(it); };
+    hooks.on_left = [this](const UpstreamId& it) { OnLeft(it); };
+    return hooks;
+  }
+
+  LeaseKeeper::Hooks LeaseHooks() {
+    LeaseKeeper::Hooks hooks;
+    hooks.on_granted = [this](int64_t) { Register(); };
+    hooks.on_lost = [] {};
+    return hooks;
+  }
+
+  StoreSync::Hooks SyncHooks() {
+    StoreSync::Hooks hooks;
+    hooks.on_item = [this](const StoreItem& item, bool settling) {
+      OnItem(item, settling);
+    };
+    hooks.on_listed = [this](const std::vector<StoreItem>& all,
+                             bool settling) { OnListed(all, settling); };
+    hooks.on_confirmed = [this](Millis at) {
+      state_.freshness.OnConfirmed(at);
+    };
+    hooks.on_lost = [] {};
+    hooks.on_regained = [] {};
+    return hooks;
+  }
+
+  OrderService::Hooks OrderHooks() {
+    OrderService::Hooks hooks;
+    hooks.tell = [this](const MachineId& machine, const UpstreamId& engine,
+                        const ModelRef& target, int64_t version, bool present) {
+      TellAdapter(machine, engine, target, version, present);
+    };
+    hooks.spec_of = [this](const UpstreamId& engine) { return SpecOf(engine); };
+    hooks.named_version = [this](const ModelRef& target) {
+      auto it = state_.named_versions.find(target);
+      return it == state_.named_versions.end() ? int64_t{0} : it->second;
+    };
+    return hooks;
+  }
+
+  void SetRequestDeps() {
+    deps_.loop = loop_;
+    deps_.client = ports_.client;
+    deps_.codec = ports_.codec;
+    deps_.state = &state_;
+    deps_.hooks.want_adapter = [this](const UpstreamId& engine,
+                                      const ModelRef& target, int64_t version) {
+      WantAdapter(engine, target, version);
+    };
+    deps_.hooks.adapter_missing = [this](const UpstreamId& engine,
+                                         const ModelRef& target) {
+      TellMissing(engine, target);
+    };
+    deps_.hooks.adapter_use = [this](const UpstreamId& engine,
+                                     const ModelRef& target, int change) {
+      CountUse(engine, target, change);
+    };
+    deps_.hooks.broken = [this](uint64_t fingerprint, const UpstreamId& id,
+                                int64_t started_ms) {
+      suspicions_.OnBroken(fingerprint, {id, started_ms}, EventLoop::Now());
+    };
+    deps_.hooks.unreachable = [this](const UpstreamId& id) {
+      suspicions_.OnDown(id, EventLoop::Now());
+    };
+    deps_.hooks.ended = [this](uint64_t connection) { OnEnded(connection); };
+  }
+
+  HttpServerOptions OptionsFor(const std::string& address) const {
+    std::optional<Address> parsed = ParseAddress(address);
+    HttpServerOptions options;
+    options.bind_ip = parsed->ip;
+    options.port = parsed->port;
+    options.loop = loop_;
+    return options;
+  }
+
+  void Listen() {
+    HttpServerOptions options = OptionsFor(state_.settings.caller_address);
+    options.max_body_bytes = CallerLimits().body_bytes;
+    options.max_header_bytes = CallerLimits().header_bytes;
+    options.on_closed = [this](uint64_t connection) {
+      OnCallerClosed(connection);
+    };
+    callers_ = std::make_unique<HttpServer>(
+        options,
+        [this](HttpRequest request, std::shared_ptr<Responder> responder) {
+          OnRequest(std::move(request), std::move(responder));
+        });
+    ready_ = std::make_unique<HttpServer>(
+        OptionsFor(state_.settings.ready_address),
+        [this](HttpRequest request, std::shared_ptr<Responder> responder) {
+          responder->Send(OnReadyRequest(request));
+        });
+    peer_server_ = std::make_unique<HttpServer>(
+        OptionsFor(state_.settings.peer_address),
+        [this](HttpRequest request, std::shared_ptr<Responder> responder) {
+          responder->Send(OnPeerRequest(request));
+        });
+  }
+
+  // ---- Requests.
+
+  void OnRequest(HttpRequest request, std::shared_ptr<Responder> responder) {
+    uint64_t connection = request.connection;
+    Error error;
+    std::optional<ServingRequest> decoded =
+        ports_.codec->DecodeRequest(std::move(request), &error);
+    if (!decoded) {
+      HttpResponse response =
+          ports_.codec->EncodeError(error, RequestId(), Millis(0));
+      response.close_connection = state_.stopping;
+      responder->Send(std::move(response));
+      return;
+    }
+    auto run = std::make_shared<RequestRun>(&deps_, std::move(*decoded),
+                                            std::move(responder), connection);
+    active_.emplace(connection, run);
+    run->Begin();
+  }
+
+  void OnEnded(uint64_t connection) {
+    // Called from within the run: it goes after this turn of the loop.
+    loop_->Post([this, connection] {
+      auto [from, to] = active_.equal_range(connection);
+      for (auto it = from; it != to;) {
+        it = it->second->finished() ? active_.erase(it) : std::next(it);
+      }
+    });
+  }
+
+  void OnCallerClosed(uint64_t connection) {
+    loop_->Post([this, connection] {
+      std::vector<std::shared_ptr<RequestRun>> left;
+      auto [from, to] = active_.equal_range(connection);
+      for (auto it = from; it != to; ++it) {
+        left.push_back(it->second);
+      }
+      for (const auto& run : left) {
+        run->OnCallerLeft();
+      }
+    });
+  }
+
+  // ---- What the store says.
+
+  void OnItem(const StoreItem& item, bool settling) {
+    StoreRecord record = ports_.decode_record(item);
+    Millis now = EventLoop::Now();
+    if (auto* config = std::get_if<ConfigRecord>(&record)) {
+      known_[item.key] = item;
+      OnConfig(std::move(config->config), item.revision);
+    } else if (auto* upstream = std::get_if<UpstreamRecord>(&record)) {
+      Remember(item);
+      OnUpstream(*upstream, now, settling);
+    } else if (auto* version = std::get_if<AdapterVersionRecord>(&record)) {
+      Remember(item);
+      OnVersion(*version);
+    } else if (auto* bad = std::get_if<UnreadableRecord>(&record)) {
+      LogWarning("store", "Skipped a record that can't be read: {}.",
+                 bad->reason);
+    } else {
+      OnOwnItem(item, now);
+    }
+    ScheduleClaims();
+  }
+
+  void Remember(const StoreItem& item) {
+    if (item.deleted) {
+      known_.erase(item.key);
+    } else {
+      known_[item.key] = item;
+    }
+  }
+
+  void OnConfig(ServingConfig config, int64_t revision) {
+    if (state_.config != nullptr && config.version <= state_.config->version()) {
+      // An older one never comes into force again.
+      config_revision_ = std::max(config_revision_, revision);
+      return;
+    }
+    config_revision_ = std::max(config_revision_, revision);
+    LogInfo("config", "Version {} in force, revision={}, routes={}.",
+            config.version, revision, config.routes.size());
+    state_.config = std::make_shared<const ActiveConfig>(std::move(config));
+    ApplyRates();
+    for (const UpstreamId& engine : ownership_.Engines()) {
+      orders_.OnOwnership(engine);
+    }
+    for (const auto& [id, it] : state_.upstreams.all()) {
+      NoteEngine(*it);
+    }
+  }
+
+  void ApplyRates() {
+    Millis now = EventLoop::Now();
+    const ClusterBounds& bounds = state_.settings.bounds;
+    for (const Workspace& it : state_.config->config().workspaces) {
+      RateShare& rate = state_.rates[it.id];
+      double window = it.rate_per_s * kRateWindowSeconds + it.burst;
+      double margin =
+          it.counts_tokens
+              ? kMarginUsed * (bounds.rate_over * window + bounds.rate_slack)
+              : 0;
+      rate.SetLimit({it.rate_per_s, it.burst}, margin, now);
+      rate.SetInstances(state_.instances, now);
+    }
+  }
+
+  const EngineSpec* SpecOf(const UpstreamId& engine) {
+    UpstreamState* it = state_.upstreams.Find(engine);
+    if (it == nullptr || state_.config == nullptr) {
+      return nullptr;
+    }
+    const Service* service = state_.config->FindService(it->entry.service);
+    return service != nullptr && service->engine ? &*service->engine : nullptr;
+  }
+
+  // Engines of services with models have an owner; plain services don't.
+  void NoteEngine(const UpstreamState& it) {
+    if (!it.gone && SpecOf(it.entry.id) != nullptr) {
+      ownership_.OnEngine(it.entry.id, it.entry.zone, EventLoop::Now());
+    }
+  }
+
+  void OnUpstream(const UpstreamRecord& record, Millis now, bool settling) {
+    state_.upstreams.OnRecord(record, now, settling);
+    UpstreamState* it = state_.upstreams.Find(record.id);
+    if (it != nullptr && record.entry) {
+      NoteEngine(*it);
+      state_.residency.SetBaseModels(record.id, record.entry->models);
+    }
+    ScheduleExpiry();
+  }
+
+  void OnStarted(const UpstreamState& it) {
+    LogInfo("upstream", "Started id={} service={} address={} zone={}.",
+            it.entry.id.str(), it.entry.service.str(), it.entry.address,
+            it.entry.zone.str());
+    suspicions_.OnDown(it.entry.id, EventLoop::Now());
+    state_.residency.OnEngineReset(it.entry.id);
+    orders_.OnEngineStarted(it.entry.id);
+  }
+
+  void OnLeft(const UpstreamId& id) {
+    UpstreamState* it = state_.upstreams.Find(id);
+    bool drains = it != nullptr && it->entry.draining && !it->gone;
+    LogInfo("upstream", "Leaves id={} draining={}.", id.str(), drains);
+    if (!drains) {
+      suspicions_.OnDown(id, EventLoop::Now());
+      ownership_.OnEngineGone(id);
+    }
+    orders_.OnEngineLeft(id);
+    state_.residency.OnEngineReset(id);
+  }
+
+  void OnVersion(const AdapterVersionRecord& record) {
+    int64_t& named = state_.named_versions[record.adapter];
+    if (record.version <= named) {
+      return;
+    }
+    named = record.version;
+    LogInfo("version", "Adapter {} is to be used in version {}.",
+            ToString(record.adapter), record.version);
+    orders_.OnVersion(record.adapter, record.version);
+  }
+
+  void OnOwnItem(const StoreItem& item, Millis now) {
+    MachineId machine = MemberOfKey(item.key);
+    if (!machine.empty()) {
+      OnMemberItem(machine, item);
+      return;
+    }
+    UpstreamId engine = EngineOfKey(item.key);
+    if (engine.empty()) {
+      return;
+    }
+    std::optional<OwnerRecord> owner;
+    if (!item.deleted) {
+      owner = DecodeOwner(item);
+    }
+    if (owner) {
+      ownership_.OnOwner(engine, *owner, now);
+    } else {
+      ownership_.OnOwnerGone(engine, now);
+    }
+    orders_.OnOwnership(engine);
+  }
+
+  void OnMemberItem(const MachineId& machine, const StoreItem& item) {
+    std::optional<Member> member;
+    if (!item.deleted) {
+      member = DecodeMember(item);
+    }
+    if (machine == self_.machine) {
+      bool own = member && member->boot == self_.boot;
+      if (!own && lease_.lease() != 0) {
+        Register();  // The key of an earlier process, or it was removed.
+      }
+      return;
+    }
+    if (member) {
+      bool fresh = peers_.peers().count(machine) == 0;
+      ownership_.OnMember(*member);
+      peers_.SetMember(*member);
+      if (fresh) {
+        LogInfo("peer", "Joined machine={} zone={}.", machine.str(),
+                member->zone.str());
+      }
+    } else {
+      LogInfo("peer", "Left machine={}.", machine.str());
+      ownership_.OnMemberGone(machine);
+      peers_.RemoveMember(machine);
+      orders_.OnMachineGone(machine);
+      for (auto& [id, rate] : state_.rates) {
+        rate.OnPeerGone(machine);
+      }
+    }
+    state_.instances = peers_.peers().size() + 1;
+    for (auto& [id, rate] : state_.rates) {
+      rate.SetInstances(state_.instances, EventLoop::Now());
+    }
+  }
+
+  void OnListed(const std::vector<StoreItem>& all, bool settling) {
+    std::set<std::string> keys;
+    for (const StoreItem& it : all) {
+      keys.insert(it.key);
+    }
+    std::vector<UpstreamId> upstreams;
+    for (const auto& [id, it] : state_.upstreams.all()) {
+      bool listed = std::any_of(known_.begin(), known_.end(), [&](auto& item) {
+        return keys.count(item.first) > 0 && IsEntryOf(item.second, id);
+      });
+      if (listed) {
+        upstreams.push_back(id);
+      }
+    }
+    Millis now = EventLoop::Now();
+    state_.upstreams.OnListed(upstreams, now, settling);
+    std::erase_if(known_, [&](const auto& item) {
+      return keys.count(item.first) == 0 &&
+             std::holds_alternative<UpstreamRecord>(
+                 ports_.decode_record(item.second));
+    });
+    RemoveUnlistedOwn(keys, now);
+    ownership_.OnSynced(now);
+    ScheduleExpiry();
+    ScheduleClaims();
+  }
+
+  bool IsEntryOf(const StoreItem& item, const UpstreamId& id) const {
+    StoreRecord record = ports_.decode_record(item);
+    auto* upstream = std::get_if<UpstreamRecord>(&record);
+    return upstream != nullptr && upstream->id == id;
+  }
+
+  void RemoveUnlistedOwn(const std::set<std::string>& keys, Millis now) {
+    std::vector<MachineId> machines;
+    for (const auto& [machine, member] : peers_.peers()) {
+      if (keys.count(MemberKey(machine)) == 0) {
+        machines.push_back(machine);
+      }
+    }
+    for (const MachineId& machine : machines) {
+      StoreItem gone;
+      gone.key = MemberKey(machine);
+      gone.deleted = true;
+      OnMemberItem(machine, gone);
+    }
+    for (const UpstreamId& engine : ownership_.Engines()) {
+      if (keys.count(OwnerKey(engine)) == 0) {
+        ownership_.OnOwnerGone(engine, now);
+        orders_.OnOwnership(engine);
+      }
+    }
+  }
+
+  // ---- Lease, membership and ownership.
+
+  void Register() {
+    StoreCommit commit;
+    commit.writes.push_back(
+        {MemberKey(self_.machine), EncodeMember(self_), lease_.lease()});
+    ports_.store->Commit(std::move(commit), [this](const StoreCommitted& it) {
+      if (it.outcome != StoreOutcome::kOk) {
+        LogWarning("peer", "Registration was not acknowledged, outcome={}.",
+                   static_cast<int>(it.outcome));
+        // Its key is awaited by the watch; ask again if it does not come.
+        register_timer_ = std::make_unique<Timer>(loop_);
+        register_timer_->Start(kAskPeersPeriod, [this] {
+          if (lease_.lease() != 0) {
+            Register();
+          }
+        });
+      }
+    });
+  }
+
+  void ScheduleClaims() {
+    if (lease_.lease() == 0 || state_.stopping) {
+      claim_timer_.Start(kAskPeersPeriod, [this] { ScheduleClaims(); });
+      return;
+    }
+    Millis now = EventLoop::Now();
+    for (const Claim& it : ownership_.Claims(now)) {
+      WriteClaim(it);
+    }
+    Millis due = ownership_.NextDue(now);
+    if (due != Millis(0)) {
+      claim_timer_.Start(std::max(Millis(1), due - now),
+                         [this] { ScheduleClaims(); });
+    }
+  }
+
+  void WriteClaim(const Claim& claim) {
+    StoreCommit commit;
+    std::string key = OwnerKey(claim.engine);
+    commit.conditions.push_back({key, claim.revision});
+    commit.writes.push_back({key, EncodeOwner(self_), lease_.lease()});
+    ports_.store->Commit(
+        std::move(commit), [this, claim](const StoreCommitted& it) {
+          if (it.outcome != StoreOutcome::kOk) {
+            return;  // The watch tells how it stands; it is tried again.
+          }
+          ownership_.OnOwner(claim.engine,
+                             {self_.machine, self_.boot, it.revision},
+                             EventLoop::Now());
+          orders_.OnOwnership(claim.engine);
+          ScheduleClaims();
+        });
+  }
+
+  void ScheduleExpiry() {
+    Millis now = EventLoop::Now();
+    Millis due = state_.upstreams.Expire(now);
+    if (due != Millis(0)) {
+      expire_timer_.Start(std::max(Millis(1), due - now),
+                          [this] { ScheduleExpiry(); });
+    }
+  }
+
+  // ---- Adapters.
+
+  void WantAdapter(const UpstreamId& engine, const ModelRef& target,
+                   int64_t version) {
+    const OwnerRecord* owner = ownership_.OwnerOf(engine);
+    if (owner == nullptr) {
+      return;
+    }
+    if (owner->machine == self_.machine) {
+      orders_.OnWant(self_.machine, engine, target, version);
+      return;
+    }
+    schema::PeerItem item;
+    item.mutable_want()->set_engine(engine.str());
+    SetName(item.mutable_want()->mutable_target(), target);
+    item.mutable_want()->set_minimum_version(version);
+    peers_.Send(owner->machine, std::move(item));
+  }
+
+  void TellAdapter(const MachineId& machine, const UpstreamId& engine,
+                   const ModelRef& target, int64_t version, bool present) {
+    if (machine == self_.machine) {
+      OnAdapterState(engine, target, version, present);
+      return;
+    }
+    schema::PeerItem item;
+    item.mutable_state()->set_engine(engine.str());
+    SetName(item.mutable_state()->mutable_target(), target);
+    item.mutable_state()->set_version(version);
+    item.mutable_state()->set_present(present);
+    peers_.Send(machine, std::move(item));
+  }
+
+  void OnAdapterState(const UpstreamId& engine, const ModelRef& target,
+                      int64_t version, bool present) {
+    if (!present) {
+      state_.residency.OnGone(engine, target);
+      return;
+    }
+    state_.residency.OnReady(engine, target, version);
+    std::vector<std::shared_ptr<RequestRun>> runs;
+    for (const auto& [connection, run] : active_) {
+      runs.push_back(run);
+    }
+    for (const auto& run : runs) {
+      run->OnAdapterReady(engine, target);
+    }
+  }
+
+  void TellMissing(const UpstreamId& engine, const ModelRef& target) {
+    const OwnerRecord* owner = ownership_.OwnerOf(engine);
+    if (owner == nullptr) {
+      return;
+    }
+    if (owner->machine == self_.machine) {
+      orders_.OnMissing(engine, target);
+      return;
+    }
+    schema::PeerItem item;
+    item.mutable_missing()->set_engine(engine.str());
+    SetName(item.mutable_missing()->mutable_target(), target);
+    peers_.Send(owner->machine, std::move(item));
+  }
+
+  void CountUse(const UpstreamId& engine, const ModelRef& target, int change) {
+    auto key = std::make_pair(engine, target);
+    int count = uses_[key] += change;
+    const OwnerRecord* owner = ownership_.OwnerOf(engine);
+    if (owner != nullptr && owner->machine == self_.machine) {
+      orders_.OnUse(self_.machine, engine, target,
+                    static_cast<uint32_t>(std::max(0, count)));
+    } else {
+      changed_uses_.insert(key);
+      if (!use_timer_.pending()) {
+        use_timer_.Start(kUsePeriod, [this] { TellUses(); });
+      }
+    }
+    if (count <= 0) {
+      uses_.erase(key);
+    }
+  }
+
+  void TellUses() {
+    for (const auto& key : changed_uses_) {
+      const OwnerRecord* owner = ownership_.OwnerOf(key.first);
+      if (owner == nullptr) {
+        continue;
+      }
+      auto it = uses_.find(key);
+      int count = it == uses_.end() ? 0 : it->second;
+      schema::PeerItem item;
+      item.mutable_use()->set_engine(key.first.str());
+      SetName(item.mutable_use()->mutable_target(), key.second);
+      item.mutable_use()->set_running(
+          static_cast<uint32_t>(std::max(0, count)));
+      peers_.Send(owner->machine, std::move(item));
+    }
+    changed_uses_.clear();
+  }
+
+  // ---- Peers.
+
+  void OnPeerItem(const MachineId& from, const schema::PeerItem& item) {
+    Millis now = EventLoop::Now();
+    switch (item.body_case()) {
+      case schema::PeerItem::kWant:
+        orders_.OnWant(from, UpstreamId(item.want().engine()),
+                       RefOf(item.want().target()),
+                       item.want().minimum_version());
+        break;
+      case schema::PeerItem::kState:
+        OnAdapterState(UpstreamId(item.state().engine()),
+                       RefOf(item.state().target()), item.state().version(),
+                       item.state().present());
+        break;
+      case schema::PeerItem::kUse:
+        orders_.OnUse(from, UpstreamId(item.use().engine()),
+                      RefOf(item.use().target()), item.use().running());
+        break;
+      case schema::PeerItem::kMissing:
+        orders_.OnMissing(UpstreamId(item.missing().engine()),
+                          RefOf(item.missing().target()));
+        break;
+      case schema::PeerItem::kDemand: {
+        auto it = state_.rates.find(WorkspaceId(item.demand().workspace()));
+        if (it != state_.rates.end()) {
+          it->second.OnPeerDemand(from, item.demand().tokens_per_s(), now);
+        }
+        break;
+      }
+      case schema::PeerItem::kCrash:
+        OnCrash(item.crash().fingerprint(),
+                {UpstreamId(item.crash().upstream()),
+                 item.crash().started_ms()},
+                false);
+        break;
+      case schema::PeerItem::kQuestion:
+        AnswerFreshness(from, item.question().nonce());
+        break;
+      case schema::PeerItem::kAnswer:
+        OnFreshnessAnswer(from, item.answer());
+        break;
+      case schema::PeerItem::BODY_NOT_SET:
+        LogWarning("peer", "An item from {} has no known body.", from.str());
+        break;
+    }
+  }
+
+  void TellAll(const schema::PeerItem& item) {
+    for (const auto& [machine, member] : peers_.peers()) {
+      peers_.Send(machine, item);
+    }
+  }
+
+  void OnCrash(uint64_t fingerprint, const CrashId& crash, bool tell) {
+    state_.crashes.OnCrash(fingerprint, crash, EventLoop::Now());
+    LogInfo("crash", "Request fingerprint={:016x} ran when upstream={} ended.",
+            fingerprint, crash.upstream.str());
+    if (!tell) {
+      return;
+    }
+    schema::PeerItem item;
+    item.mutable_crash()->set_fingerprint(fingerprint);
+    item.mutable_crash()->set_upstream(crash.upstream.str());
+    item.mutable_crash()->set_started_ms(crash.started_ms);
+    TellAll(item);
+  }
+
+  void TellDemand() {
+    Millis now = EventLoop::Now();
+    constexpr double kLeastDemand = 1;
+    for (const auto& [id, rate] : state_.rates) {
+      double demand = rate.Demand(now);
+      bool told = demand_told_.count(id) > 0;
+      if (demand < kLeastDemand && !told) {
+        continue;
+      }
+      if (demand < kLeastDemand) {
+        demand = 0;
+        demand_told_.erase(id);
+      } else {
+        demand_told_.insert(id);
+      }
+      schema::PeerItem item;
+      item.mutable_demand()->set_workspace(id.str());
+      item.mutable_demand()->set_tokens_per_s(static_cast<float>(demand));
+      TellAll(item);
+    }
+    int64_t times = static_cast<int64_t>(
+        std::max<size_t>(1, state_.instances / kDemandInstances));
+    demand_timer_.Start(kDemandPeriod * times, [this] { TellDemand(); });
+  }
+
+  // ---- Freshness from peers.
+
+  void WatchFreshness() {
+    Millis now = EventLoop::Now();
+    Millis age = state_.freshness.Age(now);
+    if (!state_.freshness.ever_confirmed() || age > kAskPeersAge) {
+      AskPeers(now);
+      fresh_timer_.Start(kAskPeersPeriod, [this] { WatchFreshness(); });
+      return;
+    }
+    fresh_timer_.Start(std::max(kAskPeersPeriod, kAskPeersAge - age),
+                       [this] { WatchFreshness(); });
+  }
+
+  void AskPeers(Millis now) {
+    ++question_;
+    question_sent_ = now;
+    schema::PeerItem item;
+    item.mutable_question()->set_nonce(question_);
+    size_t n = peers_.peers().size();
+    size_t skip = n == 0 ? 0 : (question_ * kPeersAsked) % n;
+    size_t i = 0;
+    for (const auto& [machine, member] : peers_.peers()) {
+      if ((i++ + n - skip) % n < kPeersAsked) {
+        peers_.Send(machine, item);
+      }
+    }
+  }
+
+  void AnswerFreshness(const MachineId& to, uint64_t nonce) {
+    if (!state_.freshness.ever_confirmed() || state_.config == nullptr) {
+      return;
+    }
+    schema::PeerItem item;
+    auto* answer = item.mutable_answer();
+    answer->set_nonce(nonce);
+    answer->set_age_ms(state_.freshness.Age(EventLoop::Now()).count());
+    answer->set_config_revision(config_revision_);
+    answer->set_store_revision(sync_.revision());
+    peers_.Send(to, std::move(item));
+  }
+
+  void OnFreshnessAnswer(const MachineId& from,
+                         const schema::FreshnessAnswer& answer) {
+    if (answer.nonce() != question_) {
+      return;  // To an earlier question: its age can't be told.
+    }
+    Millis now = EventLoop::Now();
+    if (answer.config_revision() == config_revision_ &&
+        state_.config != nullptr) {
+      state_.freshness.OnConfirmed(question_sent_ - Millis(answer.age_ms()));
+    }
+    bool newer = answer.config_revision() > config_revision_ ||
+                 answer.store_revision() > std::max(sync_.revision(),
+                                                    peer_revision_);
+    if (newer && now >= next_fetch_) {
+      next_fetch_ = now + kStateFetchPeriod;
+      FetchState(from);
+    }
+  }
+
+  void FetchState(const MachineId& from) {
+    auto it = peers_.peers().find(from);
+    if (it == peers_.peers().end()) {
+      return;
+    }
+    HttpCall call;
+    call.address = it->second.address;
+    call.target = kStatePath;
+    call.deadlines.connect = kStateFetchDeadline;
+    call.deadlines.first_byte = kStateFetchDeadline;
+    call.deadlines.whole = kStateFetchDeadline * 2;
+    call.on_done = [this, sent = EventLoop::Now()](const CallOutcome& outcome) {
+      schema::KnownState known;
+      bool ok = outcome.result == CallResult::kComplete &&
+                outcome.status == kOk && known.ParseFromString(outcome.body);
+      if (ok) {
+        OnPeerState(known, sent);
+      }
+    };
+    ports_.client->Start(std::move(call));
+  }
+
+  void OnPeerState(const schema::KnownState& known, Millis sent) {
+    if (!sync_.away() && sync_.ever_synced()) {
+      return;  // The store's own word has come meanwhile.
+    }
+    LogInfo("peer", "Took the state up to revision={} from a peer.",
+            known.store_revision());
+    for (const schema::KnownItem& it : known.items()) {
+      StoreItem item;
+      item.key = it.key();
+      item.value = it.value();
+      item.revision = it.revision();
+      auto held = known_.find(item.key);
+      if (held == known_.end() || held->second.revision < item.revision) {
+        OnItem(item, true);
+      }
+    }
+    peer_revision_ = std::max(peer_revision_, known.store_revision());
+    if (known.config_revision() == config_revision_) {
+      state_.freshness.OnConfirmed(sent - Millis(known.age_ms()));
+    }
+  }
+
+  HttpResponse OnPeerRequest(const HttpRequest& request) {
+    HttpResponse response;
+    if (request.path != kStatePath || state_.config == nullptr) {
+      response.status = kUnavailable;
+      return response;
+    }
+    schema::KnownState known;
+    for (const auto& [key, item] : known_) {
+      schema::KnownItem* it = known.add_items();
+      it->set_key(item.key);
+      it->set_value(item.value);
+      it->set_revision(item.revision);
+    }
+    known.set_store_revision(std::max(sync_.revision(), peer_revision_));
+    known.set_config_revision(config_revision_);
+    known.set_age_ms(state_.freshness.Age(EventLoop::Now()).count());
+    response.body = known.SerializeAsString();
+    return response;
+  }
+
+  // ---- Readiness, metrics and stop.
+
+  bool Ready() const {
+    return !state_.stopping && state_.config != nullptr &&
+           state_.freshness.MayServe(EventLoop::Now());
+  }
+
+  HttpResponse OnReadyRequest(const HttpRequest& request) {
+    HttpResponse response;
+    if (request.path == "/metrics") {
+      response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+      response.body = Metrics();
+      return response;
+    }
+    response.status = Ready() ? kOk : kUnavailable;
+    return response;
+  }
+
+  std::string Metrics() const {
+    const RequestCounters& it = state_.counters;
+    std::string text;
+    auto add = [&text](const char* name, uint64_t value) {
+      text += fmt::format("bilberrypitch_{} {}\n", name, value);
+    };
+    add("requests_received_total", it.received);
+    add("requests_answered_total", it.answered);
+    add("requests_refused_total", it.refused);
+    add("requests_failed_total", it.failed);
+    add("requests_caller_left_total", it.caller_left);
+    add("requests_rate_limited_total", it.rate_limited);
+    add("request_repeats_total", it.repeats);
+    add("adapter_waits_total", it.adapter_waits);
+    add("adapter_misses_total", it.adapter_misses);
+    add("orders_total", orders_.orders());
+    add("reports_total", orders_.reports());
+    add("upstream_connections_total", ports_.client->connections_made());
+    add("requests_open", active_.size());
+    add("log_lines_dropped_total", DroppedLogLines());
+    return text;
+  }
+
+  void CheckStop() {
+    Millis spent = EventLoop::Now() - stop_begun_;
+    Millis grace = state_.settings.bounds.stop - kStopMargin;
+    bool noticed = spent >= kNoticedByBalancer;
+    if ((noticed && active_.empty()) || spent >= grace) {
+      LogInfo("gateway", "Stopped after {} ms with {} open requests.",
+              spent.count(), active_.size());
+      stop_done_();
+      return;
+    }
+    stop_timer_.Start(kStopCheck, [this] { CheckStop(); });
+  }
+
+  const GatewayPorts ports_;
+  EventLoop* const loop_;
+  const Member self_;
+  ServingState state_;
+  Ownership ownership_;
+  LeaseKeeper lease_;
+  StoreSync sync_;
+  PeerLink peers_;
+  OrderService orders_;
+  CrashSuspicions suspicions_;
+  RequestDeps deps_;
+  // By connection; one may carry several requests.
+  std::unordered_multimap<uint64_t, std::shared_ptr<RequestRun>> active_;
+  // What others wrote into the store, for peers that can't reach it.
+  std::map<std::string, StoreItem> known_;
+  int64_t config_revision_ = 0;  // Newest revision of the configuration seen.
+  int64_t peer_revision_ = 0;    // Up to which a peer's state was taken.
+  uint64_t question_ = 0;        // Nonce of the last question to peers.
+  Millis question_sent_;
+  Millis next_fetch_;
+  std::map<std::pair<UpstreamId, ModelRef>, int> uses_;
+  std::set<std::pair<UpstreamId, ModelRef>> changed_uses_;
+  std::set<WorkspaceId> demand_told_;
+  Timer claim_timer_;
+  Timer expire_timer_;
+  Timer demand_timer_;
+  Timer use_timer_;
+  Timer fresh_timer_;
+  Timer stop_timer_;
+  std::unique_ptr<Timer> register_timer_;
+  Millis stop_begun_;
+  std::function<void()> stop_done_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<HttpServer> ready_;
+  std::unique_ptr<HttpServer> peer_server_;
+};
+
+Gateway::Gateway(const InstanceSettings& settings, GatewayPorts ports)
+    : impl_(std::make_unique<Impl>(settings, std::move(ports))) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::Stop(std::function<void()> done) { impl_->Stop(std::move(done)); }
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/gateway/src/own_records.cc
@@ -0,0 +1,68 @@
+// Keys and values of members and owners.
+#include "gateway/own_records.h"
+
+#include "schema/cluster.pb.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr std::string_view kMembers = "bilberrypitch/members/";
+constexpr std::string_view kOwners = "bilberrypitch/owners/";
+
+std::string After(const std::string& key, std::string_view prefix) {
+  return key.starts_with(prefix) ? key.substr(prefix.size()) : "";
+}
+
+}  // namespace
+
+std::string MemberKey(const MachineId& machine) {
+  return std::string(kMembers) + machine.str();
+}
+
+std::string OwnerKey(const UpstreamId& engine) {
+  return std::string(kOwners) + engine.str();
+}
+
+std::string EncodeMember(const Member& member) {
+  schema::MemberRecord record;
+  record.set_machine(member.machine.str());
+  record.set_boot(member.boot.str());
+  record.set_zone(member.zone.str());
+  record.set_address(member.address);
+  return record.SerializeAsString();
+}
+
+std::string EncodeOwner(const Member& owner) {
+  schema::OwnerValue value;
+  value.set_machine(owner.machine.str());
+  value.set_boot(owner.boot.str());
+  return value.SerializeAsString();
+}
+
+MachineId MemberOfKey(const std::string& key) {
+  return MachineId(After(key, kMembers));
+}
+
+UpstreamId EngineOfKey(const std::string& key) {
+  return UpstreamId(After(key, kOwners));
+}
+
+std::optional<Member> DecodeMember(const StoreItem& item) {
+  schema::MemberRecord record;
+  if (!record.ParseFromString(item.value) || record.machine().empty()) {
+    return std::nullopt;
+  }
+  return Member{MachineId(record.machine()), BootId(record.boot()),
+                ZoneId(record.zone()), record.address()};
+}
+
+std::optional<OwnerRecord> DecodeOwner(const StoreItem& item) {
+  schema::OwnerValue value;
+  if (!value.ParseFromString(item.value) || value.machine().empty()) {
+    return std::nullopt;
+  }
+  return OwnerRecord{MachineId(value.machine()), BootId(value.boot()),
+                     item.revision};
+}
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/gateway/src/peer_link.cc
@@ -0,0 +1,85 @@
+// Datagrams between instances.
+#include "gateway/peer_link.h"
+
+#include "base/log.h"
+#include "schema/cluster.pb.h"
+#include "transport/datagram_socket.h"
+#include "transport/event_loop.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr int kMostItems = 40;  // In one datagram.
+
+}  // namespace
+
+PeerLink::PeerLink(EventLoop* loop, const Member& self, Receiver receiver)
+    : loop_(loop),
+      self_(self),
+      receiver_(std::move(receiver)),
+      socket_(std::make_unique<DatagramSocket>(
+          loop, self.address, [this](std::string_view bytes,
+                                     const std::string&) {
+            OnDatagram(bytes);
+          })) {}
+
+PeerLink::~PeerLink() = default;
+
+void PeerLink::SetMember(const Member& member) {
+  if (member.machine != self_.machine) {
+    peers_[member.machine] = member;
+  }
+}
+
+void PeerLink::RemoveMember(const MachineId& machine) {
+  peers_.erase(machine);
+  queued_.erase(machine);
+}
+
+void PeerLink::Send(const MachineId& to, schema::PeerItem item) {
+  if (peers_.count(to) == 0) {
+    return;
+  }
+  schema::PeerDatagram& datagram = queued_[to];
+  *datagram.add_items() = std::move(item);
+  if (datagram.items_size() >= kMostItems) {
+    Flush();
+    return;
+  }
+  if (!flush_posted_) {
+    flush_posted_ = true;
+    loop_->Post([this] { Flush(); });
+  }
+}
+
+void PeerLink::Flush() {
+  flush_posted_ = false;
+  for (auto& [machine, datagram] : queued_) {
+    auto it = peers_.find(machine);
+    if (it == peers_.end()) {
+      continue;
+    }
+    datagram.set_machine(self_.machine.str());
+    datagram.set_boot(self_.boot.str());
+    socket_->Send(it->second.address, datagram.SerializeAsString());
+  }
+  queued_.clear();
+}
+
+void PeerLink::OnDatagram(std::string_view bytes) {
+  schema::PeerDatagram datagram;
+  if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    LogWarning("peer", "A datagram of {} bytes can't be read.", bytes.size());
+    return;
+  }
+  MachineId from(datagram.machine());
+  auto it = peers_.find(from);
+  if (it == peers_.end() || it->second.boot.str() != datagram.boot()) {
+    return;  // Of a process that has ended, or not yet known.
+  }
+  for (const schema::PeerItem& item : datagram.items()) {
+    receiver_(from, item);
+  }
+}
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/gateway/src/store_sync.cc
@@ -0,0 +1,137 @@
+// Reading and watching the store.
+#include "gateway/store_sync.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "serving/cluster_store.h"
+#include "transport/event_loop.h"
+
+namespace bilberrypitch {
+namespace {
+
+// How long one watch waits at the store. It also bounds the age of what is
+// known while nothing changes.
+constexpr Millis kWatchWait{1200};
+constexpr Millis kFirstRetry{100};
+constexpr Millis kLongestRetry{600};
+// After the store has come back entries may be missing for about this long.
+constexpr Millis kSettleTime{2500};
+constexpr int kFailuresToAway = 1;
+
+}  // namespace
+
+StoreSync::StoreSync(EventLoop* loop, ClusterStore* store, Hooks hooks)
+    : loop_(loop), store_(store), hooks_(std::move(hooks)), retry_(loop) {}
+
+void StoreSync::Start() { ReadAll(); }
+
+bool StoreSync::Settling(Millis now) const {
+  return away_ || (back_at_ != Millis(0) && now - back_at_ < kSettleTime);
+}
+
+void StoreSync::ReadAll() {
+  reading_ = true;
+  read_.clear();
+  read_from_ = 0;
+  read_sent_ = EventLoop::Now();
+  ReadNext("");
+}
+
+void StoreSync::ReadNext(const std::string& after_key) {
+  Millis sent = EventLoop::Now();
+  store_->ReadPage("", after_key, [this, sent](StorePage page) {
+    OnPage(std::move(page), sent);
+  });
+}
+
+void StoreSync::OnPage(StorePage page, Millis sent) {
+  if (page.outcome != StoreOutcome::kOk) {
+    OnFailure("reading");
+    return;
+  }
+  OnAnswer(EventLoop::Now());
+  if (read_from_ == 0) {
+    // Pages are no snapshot: what changed since the first is watched.
+    read_from_ = page.revision;
+    read_sent_ = sent;
+  }
+  std::string last = page.items.empty() ? "" : page.items.back().key;
+  std::move(page.items.begin(), page.items.end(), std::back_inserter(read_));
+  if (page.more && !last.empty()) {
+    ReadNext(last);
+    return;
+  }
+  reading_ = false;
+  ever_synced_ = true;
+  revision_ = read_from_;
+  bool settling = Settling(EventLoop::Now());
+  for (const StoreItem& it : read_) {
+    hooks_.on_item(it, settling);
+  }
+  hooks_.on_listed(read_, settling);
+  read_.clear();
+  hooks_.on_confirmed(read_sent_);
+  Watch();
+}
+
+void StoreSync::Watch() {
+  Millis sent = EventLoop::Now();
+  store_->Watch("", revision_, kWatchWait, [this, sent](StoreEvents events) {
+    OnEvents(std::move(events), sent);
+  });
+}
+
+void StoreSync::OnEvents(StoreEvents events, Millis sent) {
+  if (events.outcome == StoreOutcome::kHistoryGone) {
+    LogWarning("store", "The history after revision={} is gone; reading all.",
+               revision_);
+    OnAnswer(EventLoop::Now());
+    ReadAll();
+    return;
+  }
+  if (events.outcome != StoreOutcome::kOk) {
+    OnFailure("watching");
+    return;
+  }
+  Millis now = EventLoop::Now();
+  OnAnswer(now);
+  bool settling = Settling(now);
+  for (const StoreItem& it : events.events) {
+    hooks_.on_item(it, settling);
+  }
+  revision_ = std::max(revision_, events.revision);
+  hooks_.on_confirmed(sent);
+  Watch();
+}
+
+void StoreSync::OnFailure(const char* what) {
+  ++failures_;
+  if (!away_ && failures_ > kFailuresToAway) {
+    away_ = true;
+    away_since_ = EventLoop::Now();
+    LogWarning("store", "Lost while {}, revision={}.", what, revision_);
+    hooks_.on_lost();
+  }
+  Millis wait = std::min(kLongestRetry, kFirstRetry * failures_);
+  retry_.Start(wait, [this] {
+    if (reading_) {
+      ReadAll();
+    } else {
+      Watch();
+    }
+  });
+}
+
+void StoreSync::OnAnswer(Millis now) {
+  failures_ = 0;
+  if (away_) {
+    away_ = false;
+    back_at_ = now;
+    LogInfo("store", "Regained after {} ms, revision={}.",
+            (now - away_since_).count(), revision_);
+    hooks_.on_regained();
+  }
+}
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/include/serving/edge_codec.h
@@ -0,0 +1,31 @@
+// Translates requests and answers between an edge's wire format and the core.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "serving/request.h"
+
+namespace bilberrypitch {
+
+struct Error;
+struct HttpCall;
+
+class EdgeCodec {
+ public:
+  virtual ~EdgeCodec() = default;
+  // None, with `error` set, when the request is malformed.
+  virtual std::optional<ServingRequest> DecodeRequest(HttpRequest request,
+                                                      Error* error) const = 0;
+  // Sets method, target, header fields and body of the call to an upstream.
+  virtual void EncodeCall(const ServingRequest& request,
+                          const UpstreamInstructions& instructions,
+                          HttpCall* call) const = 0;
+  virtual AnswerFacts DecodeAnswer(const ServingRequest& request, int status,
+                                   const HttpHeaders& headers) const = 0;
+  // An answer of the program's own. `retry_after` zero: none is named.
+  virtual HttpResponse EncodeError(const Error& error, const RequestId& request,
+                                   Millis retry_after) const = 0;
+};
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/include/serving/engine_placement.h
@@ -0,0 +1,144 @@
+// The owner's decisions for one engine: which base model and which adapters it
+// holds.
+//
+// A state machine without I/O. Orders go out one at a time, each bound to the
+// engine's count of accepted orders, so that an order whose answer was lost
+// becomes void as soon as another one is accepted. Whatever is not sure is read
+// again from the engine's report.
+//
+// An engine never unloads what runs on it; it waits. So a wrong victim costs
+// time only, and the choice of victims goes by what instances told of use.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "serving/config.h"
+#include "serving/engine_api.h"
+
+namespace bilberrypitch {
+
+// What the owner should do next.
+struct PlacementAction {
+  enum class Kind : uint8_t {
+    kReport,       // Ask the engine for its report.
+    kOrder,        // Give an order.
+    kTellReady,    // Tell `machine` that `target` is there.
+    kTellEvicted,  // Tell `machine` that `target` leaves.
+  };
+  Kind kind = Kind::kReport;
+  OrderVerb verb = OrderVerb::kLoad;
+  ModelRef target;
+  int64_t version = 0;
+  int64_t expected_orders = 0;
+  MachineId machine;
+};
+
+class EnginePlacement {
+ public:
+  struct Limits {
+    uint32_t adapter_slots = 0;
+    double weights_mb = 0;
+    uint32_t loads_at_once = 4;  // Adapters on their way to the engine.
+  };
+
+  EnginePlacement() = default;
+
+  void SetEngine(const EngineSpec& spec);
+  // A machine has requests that need this adapter, of that version at least.
+  void OnWant(const MachineId& machine, const ModelRef& target, int64_t version,
+              Millis now);
+  // How many requests of a machine run on the adapter here.
+  void OnUse(const MachineId& machine, const ModelRef& target, uint32_t running,
+             Millis now);
+  // A machine was told by the engine that the adapter is not there.
+  void OnMissing(const ModelRef& target, Millis now);
+  // A newer version of the adapter is to be used.
+  void OnVersion(const ModelRef& target, int64_t version, Millis now);
+  void OnMachineGone(const MachineId& machine);
+  // The engine started again, or this machine became its owner.
+  void Reset(Millis now);
+
+  void OnReport(bool ok, const EngineReport& report, Millis now);
+  void OnOrder(OrderOutcome outcome, Millis now);
+
+  // Actions to carry out now. An order or report is outstanding until its
+  // On... call. `may_order`: the right to order holds.
+  std::vector<PlacementAction> Next(bool may_order, Millis now);
+  // When Next should be called again; zero: not before the next event.
+  Millis NextDue(Millis now) const;
+
+  bool Holds(const ModelRef& target, int64_t version) const;
+  size_t resident() const { return resident_.size(); }
+  size_t loading() const { return loading_.size(); }
+  bool synced() const { return synced_; }
+
+ private:
+  struct Use {
+    uint32_t running = 0;
+    Millis at;
+  };
+  struct Resident {
+    int64_t version = 0;
+    std::set<MachineId> told;  // Believe that it is here.
+  };
+  struct Loading {
+    int64_t version = 0;
+    Millis due;
+  };
+  struct Wanted {
+    int64_t version = 0;
+    Millis since;
+    std::set<MachineId> machines;
+  };
+  struct Demand {
+    double score = 0;  // Decayed count of wants and uses.
+    Millis at;
+    std::map<MachineId, Use> uses;
+  };
+  struct Outstanding {
+    OrderVerb verb = OrderVerb::kLoad;
+    ModelRef target;
+    int64_t version = 0;
+  };
+
+  void FinishLoads(Millis now);
+  void TellReady(const ModelRef& target, std::vector<PlacementAction>* actions);
+  std::optional<PlacementAction> NextOrder(Millis now);
+  std::optional<PlacementAction> BaseModelOrder(Millis now);
+  std::optional<PlacementAction> AdapterOrder(Millis now);
+  std::optional<ModelRef> Victim(Millis now) const;
+  PlacementAction Order(OrderVerb verb, const ModelRef& target,
+                        int64_t version) const;
+  bool InUse(const ModelRef& target, Millis now) const;
+  double Score(const ModelRef& target, Millis now) const;
+  void Touch(const ModelRef& target, double weight, Millis now);
+  void ApplyUnload(const ModelRef& target);
+  const ModelSpec* SpecOf(const ModelId& model) const;
+  Millis LoadEstimate(const ModelRef& target) const;
+  void RememberHeld(const ModelRef& target);
+
+  EngineSpec spec_;
+  Limits limits_;
+  bool synced_ = false;
+  bool report_outstanding_ = false;
+  Millis report_not_before_;
+  std::optional<Outstanding> order_;
+  Millis order_not_before_;
+  int64_t orders_accepted_ = 0;
+  std::map<ModelId, int64_t> models_;  // Base models that are there.
+  std::optional<ModelId> model_coming_;
+  Millis model_due_;
+  std::map<ModelRef, Resident> resident_;
+  std::map<ModelRef, Loading> loading_;
+  std::map<ModelRef, Wanted> wanted_;
+  std::map<ModelRef, Demand> demand_;
+  // Adapters that the engine held lately, newest last: these load fast.
+  std::vector<ModelRef> held_;
+  std::vector<PlacementAction> pending_tells_;
+};
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/include/serving/upstream_book.h
@@ -0,0 +1,89 @@
+// The upstreams that exist, and what this instance has seen of each.
+//
+// An upstream whose entry is removed while the store has just come back from an
+// outage gets a time to come back: its lease may have run out meanwhile.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "serving/request.h"
+#include "serving/store_record.h"
+#include "serving/upstream_entry.h"
+
+namespace bilberrypitch {
+
+// One upstream. `entry` is the store's word; the rest is this instance's own.
+struct UpstreamState {
+  UpstreamEntry entry;
+  bool gone = false;  // Gets nothing new; kept while requests are open.
+  Millis gone_at;     // Not zero: will be gone then unless its entry returns.
+
+  uint32_t in_flight = 0;       // Requests of this instance.
+  int64_t tokens_unread = 0;    // Prompt tokens of those without an event yet.
+  UpstreamLoadReport load;      // As it last said, over all instances.
+  Millis load_at;
+  uint32_t begun_since_load = 0;
+  double first_event_ms_per_token = 0;  // Smoothed; 0: not seen yet.
+  double latency_ms = 0;                // Smoothed; plain services.
+  double failure_share = 0;             // Smoothed, 0 to 1.
+  uint32_t connect_failures = 0;        // In a row.
+  Millis avoid_until;                   // No connection could be made.
+  int keep_idle_s = 0;                  // It keeps idle connections this long.
+  int64_t slots_limit = 0;
+
+  bool Usable(Millis now) const {
+    return !gone && !entry.draining && (gone_at == Millis(0) || now < gone_at);
+  }
+};
+
+class UpstreamBook {
+ public:
+  struct Hooks {
+    // An upstream is new or has started again: it holds nothing known.
+    std::function<void(const UpstreamState&)> on_started;
+    // It leaves, or is gone: nothing new may go there.
+    std::function<void(const UpstreamId&)> on_left;
+  };
+
+  explicit UpstreamBook(Hooks hooks) : hooks_(std::move(hooks)) {}
+
+  // `settling`: the store was away until shortly before; `now + hold` is when
+  // a missing entry is taken as gone.
+  void OnRecord(const UpstreamRecord& record, Millis now, bool settling);
+  // After a whole list was read: those not in it are missing.
+  void OnListed(const std::vector<UpstreamId>& listed, Millis now,
+                bool settling);
+  // Takes as gone what did not come back in time. Returns when to call again;
+  // zero: not before the next record.
+  Millis Expire(Millis now);
+
+  // Null: not known.
+  UpstreamState* Find(const UpstreamId& id);
+  std::vector<UpstreamState*> UsableOf(const ServiceId& service, Millis now);
+  const std::map<UpstreamId, std::unique_ptr<UpstreamState>>& all() const {
+    return upstreams_;
+  }
+
+  // An attempt begins and ends.
+  void OnBegin(UpstreamState* it, int64_t prompt_tokens);
+  void OnFirstEvent(UpstreamState* it, int64_t prompt_tokens, Millis took);
+  void OnEnd(UpstreamState* it, int64_t unread_tokens);
+  void OnLoad(UpstreamState* it, const UpstreamLoadReport& load, Millis now);
+  void OnConnectFailure(UpstreamState* it, Millis now);
+  // An answer came (`failed`: of the upstream's own failure) or broke off.
+  void OnResult(UpstreamState* it, bool failed, Millis took);
+
+ private:
+  void Remove(UpstreamState* it, Millis now, bool settling);
+  void MarkGone(UpstreamState* it);
+  void Forget();
+
+  const Hooks hooks_;
+  std::map<UpstreamId, std::unique_ptr<UpstreamState>> upstreams_;
+};
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/include/serving/upstream_chooser.h
@@ -0,0 +1,42 @@
+// Where a request goes.
+//
+// Pattern answered: far more adapters than places, a few of them wanted far
+// more than the rest. Each adapter has an order of engines of its own
+// (rendezvous hashing), so that it meets the copies and the cached prompts
+// that it left; it moves on along that order when the engines before are
+// busier by more than a load costs. A request is costed by the time to its
+// first event.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "serving/residency_view.h"
+#include "serving/upstream_book.h"
+
+namespace bilberrypitch {
+
+struct ChoiceFacts {
+  ModelRef model;  // Empty on plain services.
+  int64_t minimum_version = 0;
+  int64_t prompt_tokens = 0;
+  ZoneId zone;  // Of this instance.
+  Millis now;
+  // Upstreams that refused or failed this request already.
+  std::vector<UpstreamId> tried;
+};
+
+struct Choice {
+  UpstreamState* upstream = nullptr;
+  bool resident = true;  // The adapter is believed to be there.
+  double cost_ms = 0;    // Expected time to the first event.
+};
+
+// None when no upstream may take it. An engine without the base model is not
+// chosen, one that failed this request only when no other is left.
+std::optional<Choice> ChooseUpstream(const std::vector<UpstreamState*>& usable,
+                                     const ResidencyView& residency,
+                                     const ChoiceFacts& facts);
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/src/engine_placement.cc
@@ -0,0 +1,451 @@
+// Base models and adapters of one engine.
+#include "serving/engine_placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bilberrypitch {
+namespace {
+
+constexpr Millis kColdLoad{255};
+constexpr Millis kWarmLoad{30};
+constexpr Millis kReportAgain{250};
+constexpr Millis kOrderAgain{60};
+constexpr Millis kModelCheck{400};
+// A machine's word that an adapter is in use holds for this long.
+constexpr Millis kUseLife{4000};
+// A machine that asked will send its requests within this time.
+constexpr Millis kGrace{120};
+constexpr double kDemandSeconds = 8.0;  // Decay of the demand.
+constexpr size_t kHeldRemembered = 30;
+constexpr Millis kWantLife{6000};
+
+}  // namespace
+
+void EnginePlacement::SetEngine(const EngineSpec& spec) {
+  spec_ = spec;
+  limits_.adapter_slots = spec.adapter_slots;
+  limits_.weights_mb = spec.weights_mb;
+}
+
+void EnginePlacement::Reset(Millis now) {
+  synced_ = false;
+  order_.reset();
+  report_outstanding_ = false;
+  report_not_before_ = now;
+  models_.clear();
+  model_coming_.reset();
+  resident_.clear();
+  loading_.clear();
+  held_.clear();
+}
+
+void EnginePlacement::Touch(const ModelRef& target, double weight, Millis now) {
+  Demand& it = demand_[target];
+  it.score = Score(target, now) + weight;
+  it.at = now;
+}
+
+double EnginePlacement::Score(const ModelRef& target, Millis now) const {
+  auto it = demand_.find(target);
+  if (it == demand_.end()) {
+    return 0;
+  }
+  double seconds = std::max(0.0, (now - it->second.at).seconds());
+  return it->second.score * std::exp(-seconds / kDemandSeconds);
+}
+
+bool EnginePlacement::InUse(const ModelRef& target, Millis now) const {
+  auto it = demand_.find(target);
+  if (it == demand_.end()) {
+    return false;
+  }
+  for (const auto& [machine, use] : it->second.uses) {
+    Millis age = now - use.at;
+    if ((use.running > 0 && age < kUseLife) || age < kGrace) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void EnginePlacement::OnWant(const MachineId& machine, const ModelRef& target,
+                             int64_t version, Millis now) {
+  Touch(target, 1, now);
+  Use& use = demand_[target].uses[machine];
+  use.at = now;
+  if (Holds(target, version)) {
+    resident_[target].told.insert(machine);
+    PlacementAction tell;
+    tell.kind = PlacementAction::Kind::kTellReady;
+    tell.target = target;
+    tell.version = resident_[target].version;
+    tell.machine = machine;
+    pending_tells_.push_back(std::move(tell));
+    return;
+  }
+  auto [it, added] = wanted_.try_emplace(target);
+  if (added) {
+    it->second.since = now;
+  }
+  it->second.version = std::max(it->second.version, version);
+  it->second.machines.insert(machine);
+}
+
+void EnginePlacement::OnUse(const MachineId& machine, const ModelRef& target,
+                            uint32_t running, Millis now) {
+  Demand& it = demand_[target];
+  Use& use = it.uses[machine];
+  if (running > use.running) {
+    Touch(target, running - use.running, now);
+  }
+  use.running = running;
+  use.at = running > 0 ? now : now - kGrace;
+}
+
+void EnginePlacement::OnMissing(const ModelRef& target, Millis now) {
+  if (resident_.erase(target) > 0) {
+    synced_ = false;
+    report_not_before_ = std::max(report_not_before_, now);
+  }
+}
+
+void EnginePlacement::OnVersion(const ModelRef& target, int64_t version,
+                                Millis now) {
+  auto it = resident_.find(target);
+  if (it != resident_.end() && it->second.version < version) {
+    auto [wanted, added] = wanted_.try_emplace(target);
+    if (added) {
+      wanted->second.since = now;
+    }
+    wanted->second.version = std::max(wanted->second.version, version);
+    wanted->second.machines.insert(it->second.told.begin(),
+                                   it->second.told.end());
+  }
+}
+
+void EnginePlacement::OnMachineGone(const MachineId& machine) {
+  for (auto& [target, it] : demand_) {
+    it.uses.erase(machine);
+  }
+  for (auto& [target, it] : resident_) {
+    it.told.erase(machine);
+  }
+  for (auto& [target, it] : wanted_) {
+    it.machines.erase(machine);
+  }
+}
+
+bool EnginePlacement::Holds(const ModelRef& target, int64_t version) const {
+  auto it = resident_.find(target);
+  return it != resident_.end() && it->second.version >= version;
+}
+
+void EnginePlacement::OnReport(bool ok, const EngineReport& report,
+                               Millis now) {
+  report_outstanding_ = false;
+  report_not_before_ = now + kReportAgain;
+  if (!ok) {
+    return;
+  }
+  // A report is as of some hundred milliseconds ago: one from before the last
+  // accepted order says nothing.
+  if (synced_ && report.orders_accepted < orders_accepted_) {
+    return;
+  }
+  orders_accepted_ = report.orders_accepted;
+  models_.clear();
+  std::map<ModelRef, Resident> before;
+  before.swap(resident_);
+  for (const LoadedModel& model : report.models) {
+    models_[model.model] = model.version;
+    for (const AdapterCopy& copy : model.adapters) {
+      ModelRef ref{model.model, copy.adapter};
+      Resident& it = resident_[ref];
+      it.version = copy.version;
+      it.told = std::move(before[ref].told);
+      loading_.erase(ref);
+      RememberHeld(ref);
+    }
+  }
+  std::map<ModelRef, Loading> loading;
+  for (const ModelRef& ref : report.loading) {
+    auto it = loading_.find(ref);
+    Loading added = it != loading_.end() ? it->second : Loading{};
+    added.due = std::max(added.due, now + kOrderAgain);
+    loading[ref] = added;
+  }
+  loading_ = std::move(loading);
+  if (!report.busy && model_coming_ && models_.count(*model_coming_) > 0) {
+    model_coming_.reset();
+  }
+  if (model_coming_ && !report.busy && now >= model_due_) {
+    model_coming_.reset();  // It failed; order again.
+  }
+  synced_ = true;
+}
+
+void EnginePlacement::OnOrder(OrderOutcome outcome, Millis now) {
+  if (!order_) {
+    return;
+  }
+  Outstanding order = *order_;
+  order_.reset();
+  bool accepted = outcome == OrderOutcome::kStarted ||
+                  outcome == OrderOutcome::kHolds;
+  if (!accepted) {
+    synced_ = false;
+    order_not_before_ = now + kOrderAgain;
+    report_not_before_ = std::max(report_not_before_, now);
+    return;
+  }
+  if (!order.target.is_adapter()) {
+    ++orders_accepted_;
+    model_coming_ = order.target.model;
+    const ModelSpec* spec = SpecOf(order.target.model);
+    model_due_ = now + (spec != nullptr ? spec->load_time : kModelCheck) +
+                 kModelCheck;
+    synced_ = false;
+    report_not_before_ = now + kModelCheck;
+    return;
+  }
+  if (order.verb == OrderVerb::kUnload) {
+    ++orders_accepted_;
+    ApplyUnload(order.target);
+    return;
+  }
+  if (outcome == OrderOutcome::kHolds) {
+    resident_[order.target].version =
+        std::max(resident_[order.target].version, order.version);
+    loading_.erase(order.target);
+    return;
+  }
+  ++orders_accepted_;
+  loading_[order.target] = {order.version, now + LoadEstimate(order.target)};
+}
+
+void EnginePlacement::ApplyUnload(const ModelRef& target) {
+  auto it = resident_.find(target);
+  if (it == resident_.end()) {
+    return;
+  }
+  for (const MachineId& machine : it->second.told) {
+    PlacementAction tell;
+    tell.kind = PlacementAction::Kind::kTellEvicted;
+    tell.target = target;
+    tell.machine = machine;
+    pending_tells_.push_back(std::move(tell));
+  }
+  RememberHeld(target);
+  resident_.erase(it);
+}
+
+void EnginePlacement::RememberHeld(const ModelRef& target) {
+  std::erase(held_, target);
+  held_.push_back(target);
+  if (held_.size() > kHeldRemembered) {
+    held_.erase(held_.begin());
+  }
+}
+
+Millis EnginePlacement::LoadEstimate(const ModelRef& target) const {
+  bool held = std::find(held_.begin(), held_.end(), target) != held_.end();
+  return held ? kWarmLoad : kColdLoad;
+}
+
+const ModelSpec* EnginePlacement::SpecOf(const ModelId& model) const {
+  for (const ModelSpec& it : spec_.models) {
+    if (it.id == model) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+void EnginePlacement::FinishLoads(Millis now) {
+  for (auto it = loading_.begin(); it != loading_.end();) {
+    if (now < it->second.due) {
+      ++it;
+      continue;
+    }
+    Resident& resident = resident_[it->first];
+    resident.version = std::max(resident.version, it->second.version);
+    RememberHeld(it->first);
+    it = loading_.erase(it);
+  }
+}
+
+void EnginePlacement::TellReady(const ModelRef& target,
+                                std::vector<PlacementAction>* actions) {
+  auto it = wanted_.find(target);
+  if (it == wanted_.end() || !Holds(target, it->second.version)) {
+    return;
+  }
+  Resident& resident = resident_[target];
+  for (const MachineId& machine : it->second.machines) {
+    resident.told.insert(machine);
+    PlacementAction tell;
+    tell.kind = PlacementAction::Kind::kTellReady;
+    tell.target = target;
+    tell.version = resident.version;
+    tell.machine = machine;
+    actions->push_back(std::move(tell));
+  }
+  wanted_.erase(it);
+}
+
+std::vector<PlacementAction> EnginePlacement::Next(bool may_order, Millis now) {
+  std::vector<PlacementAction> actions;
+  FinishLoads(now);
+  std::erase_if(wanted_, [now](const auto& it) {
+    return now - it.second.since > kWantLife;
+  });
+  std::vector<ModelRef> held;
+  for (const auto& [target, it] : wanted_) {
+    held.push_back(target);
+  }
+  for (const ModelRef& target : held) {
+    TellReady(target, &actions);
+  }
+  actions.insert(actions.end(), pending_tells_.begin(), pending_tells_.end());
+  pending_tells_.clear();
+  if (!synced_ && !report_outstanding_ && now >= report_not_before_) {
+    report_outstanding_ = true;
+    PlacementAction report;
+    report.kind = PlacementAction::Kind::kReport;
+    actions.push_back(report);
+    return actions;
+  }
+  if (!may_order || !synced_ || order_ || now < order_not_before_) {
+    return actions;
+  }
+  if (std::optional<PlacementAction> order = NextOrder(now)) {
+    order_ = Outstanding{order->verb, order->target, order->version};
+    actions.push_back(std::move(*order));
+  }
+  return actions;
+}
+
+std::optional<PlacementAction> EnginePlacement::NextOrder(Millis now) {
+  if (std::optional<PlacementAction> order = BaseModelOrder(now)) {
+    return order;
+  }
+  return AdapterOrder(now);
+}
+
+std::optional<PlacementAction> EnginePlacement::BaseModelOrder(Millis now) {
+  if (!models_.empty() || model_coming_ || spec_.models.empty()) {
+    return std::nullopt;
+  }
+  // An empty engine takes the model that is wanted most here.
+  const ModelSpec* best = nullptr;
+  size_t most = 0;
+  for (const ModelSpec& spec : spec_.models) {
+    size_t wanting = 0;
+    for (const auto& [target, it] : wanted_) {
+      wanting += target.model == spec.id ? 1 : 0;
+    }
+    bool fits = spec.weights_mb <= limits_.weights_mb;
+    if (fits && (best == nullptr || wanting > most)) {
+      best = &spec;
+      most = wanting;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  (void)now;
+  return Order(OrderVerb::kLoad, ModelRef{best->id, AdapterId()}, 0);
+}
+
+std::optional<PlacementAction> EnginePlacement::AdapterOrder(Millis now) {
+  const Wanted* oldest = nullptr;
+  const ModelRef* target = nullptr;
+  for (const auto& [ref, it] : wanted_) {
+    bool can_load = models_.count(ref.model) > 0 && loading_.count(ref) == 0;
+    if (can_load && (oldest == nullptr || it.since < oldest->since)) {
+      oldest = &it;
+      target = &ref;
+    }
+  }
+  if (oldest == nullptr || loading_.size() >= limits_.loads_at_once) {
+    return std::nullopt;
+  }
+  bool replaces = resident_.count(*target) > 0;
+  size_t taken = resident_.size();
+  for (const auto& [ref, it] : loading_) {
+    taken += resident_.count(ref) == 0 ? 1 : 0;
+  }
+  const ModelSpec* spec = SpecOf(target->model);
+  double adapters_mb = 0;
+  double base_mb = 0;
+  if (spec != nullptr) {
+    adapters_mb = spec->adapter_mb * static_cast<double>(taken + 1);
+  }
+  for (const auto& [model, version] : models_) {
+    const ModelSpec* held = SpecOf(model);
+    base_mb += held != nullptr ? held->weights_mb : 0;
+  }
+  bool fits = taken < limits_.adapter_slots &&
+              base_mb + adapters_mb <= limits_.weights_mb;
+  if (replaces || fits) {
+    return Order(OrderVerb::kLoad, *target, oldest->version);
+  }
+  if (std::optional<ModelRef> victim = Victim(now)) {
+    return Order(OrderVerb::kUnload, *victim, 0);
+  }
+  return std::nullopt;
+}
+
+std::optional<ModelRef> EnginePlacement::Victim(Millis now) const {
+  std::optional<ModelRef> victim;
+  double lowest = 0;
+  for (const auto& [ref, it] : resident_) {
+    if (wanted_.count(ref) > 0 || loading_.count(ref) > 0 || InUse(ref, now)) {
+      continue;
+    }
+    double score = Score(ref, now);
+    if (!victim || score < lowest) {
+      victim = ref;
+      lowest = score;
+    }
+  }
+  return victim;
+}
+
+PlacementAction EnginePlacement::Order(OrderVerb verb, const ModelRef& target,
+                                       int64_t version) const {
+  PlacementAction action;
+  action.kind = PlacementAction::Kind::kOrder;
+  action.verb = verb;
+  action.target = target;
+  action.version = version;
+  action.expected_orders = orders_accepted_;
+  return action;
+}
+
+Millis EnginePlacement::NextDue(Millis now) const {
+  Millis next;
+  auto consider = [&next, now](Millis at) {
+    Millis due = std::max(at, now + Millis(1));
+    if (next == Millis(0) || due < next) {
+      next = due;
+    }
+  };
+  for (const auto& [ref, it] : loading_) {
+    consider(it.due);
+  }
+  if (!synced_ && !report_outstanding_) {
+    consider(report_not_before_);
+  }
+  if (!wanted_.empty() && !order_ && synced_) {
+    // A victim may have become idle, or an order may be given again.
+    consider(std::max(order_not_before_, now + Millis(25)));
+  }
+  if (model_coming_ && !report_outstanding_) {
+    consider(report_not_before_);
+  }
+  return next;
+}
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/src/residency_view.cc
@@ -0,0 +1,59 @@
+// Beliefs about engines.
+#include "serving/residency_view.h"
+
+#include <algorithm>
+
+namespace bilberrypitch {
+
+void ResidencyView::OnReady(const UpstreamId& engine, const ModelRef& target,
+                            int64_t version) {
+  int64_t& known = engines_[engine].adapters[target];
+  known = std::max(known, version);
+  engines_[engine].models.insert(target.model);
+}
+
+void ResidencyView::OnGone(const UpstreamId& engine, const ModelRef& target) {
+  auto it = engines_.find(engine);
+  if (it == engines_.end()) {
+    return;
+  }
+  if (target.is_adapter()) {
+    it->second.adapters.erase(target);
+  } else {
+    it->second.models.erase(target.model);
+  }
+}
+
+void ResidencyView::SetBaseModels(const UpstreamId& engine,
+                                  const std::vector<LoadedModel>& models) {
+  std::set<ModelId>& held = engines_[engine].models;
+  held.clear();
+  for (const LoadedModel& it : models) {
+    held.insert(it.model);
+  }
+}
+
+void ResidencyView::OnEngineReset(const UpstreamId& engine) {
+  engines_.erase(engine);
+}
+
+bool ResidencyView::Holds(const UpstreamId& engine, const ModelRef& target,
+                          int64_t minimum_version) const {
+  if (!target.is_adapter()) {
+    return HoldsBaseModel(engine, target.model);
+  }
+  auto it = engines_.find(engine);
+  if (it == engines_.end()) {
+    return false;
+  }
+  auto held = it->second.adapters.find(target);
+  return held != it->second.adapters.end() && held->second >= minimum_version;
+}
+
+bool ResidencyView::HoldsBaseModel(const UpstreamId& engine,
+                                   const ModelId& model) const {
+  auto it = engines_.find(engine);
+  return it != engines_.end() && it->second.models.count(model) > 0;
+}
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/src/upstream_chooser.cc
@@ -0,0 +1,109 @@
+// Cost of each upstream for one request.
+#include "serving/upstream_chooser.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace bilberrypitch {
+namespace {
+
+// Before anything was seen of an engine.
+constexpr double kFirstGuessMsPerToken = 0.08;
+constexpr double kFirstGuessLatencyMs = 40;
+// An adapter that is not there.
+constexpr double kLoadMs = 280;
+// For each engine before it in the adapter's order, when it must be loaded.
+constexpr double kFartherMs = 90;
+constexpr double kOtherZoneMs = 6;
+constexpr double kAvoidedMs = 3000;
+constexpr double kTriedMs = 20000;
+// Of what others have in flight there, the part that still reads its prompt.
+constexpr double kOthersReading = 0.12;
+constexpr double kStepMsPerRun = 0.6;
+constexpr double kTypicalPrompt = 1600;
+constexpr double kFailureMs = 2500;  // Times the share of failures.
+
+double PromptCost(const UpstreamState& it, const ChoiceFacts& facts) {
+  double per_token = it.first_event_ms_per_token > 0
+                         ? it.first_event_ms_per_token
+                         : kFirstGuessMsPerToken;
+  double reported = it.load.running + it.load.waiting;
+  double others = std::max(0.0, reported - it.in_flight);
+  double reading = others * kOthersReading + it.load.waiting;
+  double tokens = static_cast<double>(it.tokens_unread + facts.prompt_tokens) +
+                  reading * kTypicalPrompt;
+  double running = std::max<double>(reported, it.in_flight);
+  return per_token * tokens + kStepMsPerRun * running;
+}
+
+double PlainCost(const UpstreamState& it) {
+  double latency = it.latency_ms > 0 ? it.latency_ms : kFirstGuessLatencyMs;
+  double reported = it.load.running + it.load.waiting + it.begun_since_load;
+  double busy = std::max<double>(reported, it.in_flight);
+  double slots = std::max<double>(1, it.entry.slots);
+  double full = std::max(0.0, busy + 1 - slots) / slots;
+  return latency * (1 + full) + busy;
+}
+
+double CommonCost(const UpstreamState& it, const ChoiceFacts& facts) {
+  double cost = kFailureMs * it.failure_share;
+  cost += it.entry.zone == facts.zone ? 0 : kOtherZoneMs;
+  cost += facts.now < it.avoid_until ? kAvoidedMs : 0;
+  bool tried = std::find(facts.tried.begin(), facts.tried.end(),
+                         it.entry.id) != facts.tried.end();
+  return cost + (tried ? kTriedMs : 0);
+}
+
+// Positions of the candidates in the adapter's own order.
+std::vector<size_t> OrderFor(const std::vector<UpstreamState*>& usable,
+                             const std::string& name) {
+  std::vector<std::pair<uint64_t, size_t>> weights;
+  for (size_t i = 0; i < usable.size(); ++i) {
+    weights.emplace_back(StableHash(name, usable[i]->entry.id.str()), i);
+  }
+  std::sort(weights.rbegin(), weights.rend());
+  std::vector<size_t> position(usable.size());
+  for (size_t i = 0; i < weights.size(); ++i) {
+    position[weights[i].second] = i;
+  }
+  return position;
+}
+
+}  // namespace
+
+std::optional<Choice> ChooseUpstream(const std::vector<UpstreamState*>& usable,
+                                     const ResidencyView& residency,
+                                     const ChoiceFacts& facts) {
+  bool plain = facts.model.model.empty();
+  std::vector<size_t> order;
+  if (!plain) {
+    order = OrderFor(usable, ToString(facts.model));
+  }
+  std::optional<Choice> best;
+  for (size_t i = 0; i < usable.size(); ++i) {
+    UpstreamState* it = usable[i];
+    Choice choice;
+    choice.upstream = it;
+    choice.cost_ms = CommonCost(*it, facts);
+    if (plain) {
+      choice.cost_ms += PlainCost(*it);
+    } else {
+      if (!residency.HoldsBaseModel(it->entry.id, facts.model.model)) {
+        continue;
+      }
+      choice.cost_ms += PromptCost(*it, facts);
+      choice.resident =
+          residency.Holds(it->entry.id, facts.model, facts.minimum_version);
+      if (!choice.resident) {
+        choice.cost_ms += kLoadMs + kFartherMs * static_cast<double>(order[i]);
+      }
+    }
+    if (!best || choice.cost_ms < best->cost_ms) {
+      best = choice;
+    }
+  }
+  return best;
+}
+
+}  // namespace bilberrypitch
--- a/libs/transport/include/transport/event_loop.h
+++ b/libs/transport/include/transport/event_loop.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "base/strong.h"
 
@@ -26,13 +27,18 @@
   void Stop();
   // Thread-safe; `work` runs later on the loop's thread.
   void Post(std::function<void()> work);
+  // Calls `handle` with each of these signals until Run returns. Once only.
+  void HandleSignals(const std::vector<int>& signals,
+                     std::function<void(int)> handle);
   // Milliseconds of a clock that also counts while the machine is suspended.
   static Millis Now();
 
   asio::io_context& context() { return *context_; }
 
  private:
+  class Signals;
   std::unique_ptr<asio::io_context> context_;
+  std::unique_ptr<Signals> signals_;  // Null: none are handled.
 };
 
 }  // namespace bilberrypitch
--- a/libs/transport/include/transport/http_message.h
+++ b/libs/transport/include/transport/http_message.h
@@ -28,6 +28,7 @@
 
 struct HttpRequest {
   std::string method;
+  std::string target;  // Path and query as they came.
   std::string path;   // Without the query.
   std::string query;  // Without the question mark.
   HttpHeaders headers;
--- a/libs/transport/src/event_loop.cc
+++ b/libs/transport/src/event_loop.cc
@@ -9,6 +9,26 @@
 
 namespace bilberrypitch {
 
+class EventLoop::Signals {
+ public:
+  Signals(asio::io_context& context, std::function<void(int)> handle)
+      : set_(context), handle_(std::move(handle)) {}
+
+  void Add(int signal) { set_.add(signal); }
+  void Wait() {
+    set_.async_wait([this](const asio::error_code& ec, int signal) {
+      if (!ec) {
+        handle_(signal);
+        Wait();
+      }
+    });
+  }
+
+ private:
+  asio::signal_set set_;
+  const std::function<void(int)> handle_;
+};
+
 EventLoop::EventLoop() : context_(std::make_unique<asio::io_context>()) {}
 
 EventLoop::~EventLoop() = default;
@@ -24,6 +44,15 @@
   asio::post(*context_, std::move(work));
 }
 
+void EventLoop::HandleSignals(const std::vector<int>& signals,
+                              std::function<void(int)> handle) {
+  signals_ = std::make_unique<Signals>(*context_, std::move(handle));
+  for (int it : signals) {
+    signals_->Add(it);
+  }
+  signals_->Wait();
+}
+
 Millis EventLoop::Now() {
   timespec it{};
   clock_gettime(CLOCK_BOOTTIME, &it);
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -230,6 +230,7 @@
   HttpRequest request;
   const auto& header = from->header();
   request.method = header.method().c_str();
+  request.target = header.request_target();
   request.path = std::string(header.path());
   request.query = std::string(header.query());
   header.for_each_field([&](const auto& field) {
