Keep each workspace's rate at one instance, found by a leased duty

Cause: the rate was divided over the instances by told demand. Ruled out: larger parts from the bound's margin alone (a request can cost more than an instance's whole part). Change: RateLedger and RateService; one instance keeps each account as a duty in the store (Ownership now is about duties), the others ask it by datagram; without it each uses an equal part, and the keeper mints only for those heard.

--- /dev/null
+++ b/libs/gateway/include/gateway/rate_service.h
@@ -0,0 +1,62 @@
+// Asks the keeper of a workspace's rate, or gives as the keeper.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "serving/rate_ledger.h"
+#include "transport/timer.h"
+
+namespace bilberrypitch {
+
+class EventLoop;
+class LeaseKeeper;
+class Ownership;
+class PeerLink;
+namespace schema {
+class RateAnswer;
+class RateQuestion;
+}  // namespace schema
+
+// On the loop's thread only.
+class RateService {
+ public:
+  RateService(EventLoop* loop, MachineId self, RateMargin margin,
+              Ownership* ownership, LeaseKeeper* lease, PeerLink* peers);
+  ~RateService();
+
+  void SetWorkspaces(const std::vector<Workspace>& workspaces);
+  void OnMembers();
+  void OnOwnership(const WorkspaceId& workspace);
+  void OnHeard(const MachineId& peer);
+
+  // `done` may be called before the return.
+  void Take(const WorkspaceId& workspace, double cost,
+            std::function<void(RateVerdict)> done);
+  void OnQuestion(const MachineId& from, const schema::RateQuestion& question);
+  void OnAnswer(const schema::RateAnswer& answer);
+
+ private:
+  struct Open;
+
+  void Ask(uint64_t nonce);
+  void OnSilence(uint64_t nonce);
+  bool MayKeep(const WorkspaceId& workspace, Millis now) const;
+  void Heartbeat();
+
+  EventLoop* const loop_;
+  const MachineId self_;
+  Ownership* const ownership_;
+  LeaseKeeper* const lease_;
+  PeerLink* const peers_;
+  RateLedger ledger_;
+  std::vector<WorkspaceId> workspaces_;
+  std::map<uint64_t, std::unique_ptr<Open>> open_;
+  uint64_t last_nonce_ = 0;
+  Timer heartbeat_;
+};
+
+}  // namespace bilberrypitch
--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -10,6 +10,7 @@
 #include "base/error.h"
 #include "serving/attempt_policy.h"
 #include "serving/event_splitter.h"
+#include "serving/rate_ledger.h"
 #include "serving/request.h"
 #include "serving/upstream_chooser.h"
 #include "transport/http_call.h"
@@ -42,6 +43,10 @@
   // No connection could be made to the upstream.
   std::function<void(const UpstreamId&)> unreachable;
   std::function<void(uint64_t connection)> ended;
+  // Takes tokens of a workspace's rate; `done` may come before the return.
+  std::function<void(const WorkspaceId&, double cost,
+                     std::function<void(RateVerdict)> done)>
+      take_rate;
 };
 
 struct RequestDeps {
@@ -69,6 +74,7 @@
   bool Admit();
   bool AdmitCaller();
   void AdmitRate();
+  void OnRate(const RateVerdict& verdict);
   bool StillAllowed();
   void Dispatch();
   void WaitForAdapter(const Choice& choice);
@@ -103,7 +109,6 @@
   ServiceId service_;
   uint64_t fingerprint_ = 0;
   double rate_cost_ = 0;
-  bool rate_taken_ = false;
   Millis deadline_;
   Timer deadline_timer_;
   Timer wait_timer_;
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -10,7 +10,6 @@
 #include "serving/crash_ledger.h"
 #include "serving/freshness.h"
 #include "serving/instance_settings.h"
-#include "serving/rate_share.h"
 #include "serving/residency_view.h"
 #include "serving/retry_allowance.h"
 #include "serving/upstream_book.h"
@@ -49,7 +48,6 @@
   UpstreamBook upstreams;
   ResidencyView residency;
   std::map<ModelRef, int64_t> named_versions;
-  std::map<WorkspaceId, RateShare> rates;
   std::map<ServiceId, RetryAllowance> retries;
   CrashLedger crashes;
   size_t instances = 1;   // Live ones, this one included.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -14,6 +14,7 @@
 #include "gateway/order_service.h"
 #include "gateway/own_records.h"
 #include "gateway/peer_link.h"
+#include "gateway/rate_service.h"
 #include "gateway/request_run.h"
 #include "gateway/serving_state.h"
 #include "gateway/store_sync.h"
@@ -31,10 +32,6 @@
 // Long enough that owners go on through a short outage of the store, short
 // enough that a dead owner's engines get another one.
 constexpr Millis kLeaseTime{6000};
-// The demand is told this often while few instances are there,
-constexpr Millis kDemandPeriod{500};
-// and each instance beyond these makes it rarer.
-constexpr size_t kDemandInstances = 10;
 constexpr Millis kUsePeriod{100};
 // Knowledge of this age is refreshed from peers.
 constexpr Millis kAskPeersAge{2400};
@@ -50,9 +47,6 @@
 constexpr char kStatePath[] = "/state";
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
-constexpr double kMarginUsed = 0.7;  // Of what a rate's bound allows beyond.
-constexpr double kRateWindowSeconds = 8;
-
 ModelRef RefOf(const schema::ModelName& it) {
   return ModelRef{ModelId(it.model()), AdapterId(it.adapter())};
 }
@@ -82,12 +76,13 @@
                }),
         orders_(loop_, self_.machine, &ownership_, &lease_, &state_.upstreams,
                 ports_.engines, OrderHooks()),
+        rates_(loop_, self_.machine, RateMarginOf(settings.bounds),
+               &ownership_, &lease_, &peers_),
         suspicions_([this](uint64_t fingerprint, const CrashId& crash) {
           OnCrash(fingerprint, crash, true);
         }),
         claim_timer_(loop_),
         expire_timer_(loop_),
-        demand_timer_(loop_),
         use_timer_(loop_),
         fresh_timer_(loop_),
         stop_timer_(loop_) {
@@ -95,7 +90,6 @@
     Listen();
     sync_.Start();
     lease_.Start();
-    TellDemand();
     WatchFreshness();
     LogInfo("gateway", "Started machine={} zone={} boot={}.",
             self_.machine.str(), self_.zone.str(), self_.boot.str());
@@ -188,6 +182,10 @@
     deps_.hooks.unreachable = [this](const UpstreamId& id) {
       suspicions_.OnDown(id, EventLoop::Now());
     };
+    deps_.hooks.take_rate = [this](const WorkspaceId& workspace, double cost,
+                                   std::function<void(RateVerdict)> done) {
+      rates_.Take(workspace, cost, std::move(done));
+    };
     deps_.hooks.ended = [this](uint64_t connection) { OnEnded(connection); };
   }
 
@@ -309,8 +307,8 @@
             config.version, revision, config.routes.size());
     state_.config = std::make_shared<const ActiveConfig>(std::move(config));
     ApplyRates();
-    for (const UpstreamId& engine : ownership_.Engines()) {
-      orders_.OnOwnership(engine);
+    for (const DutyId& duty : ownership_.Duties()) {
+      OnDutyOwner(duty);
     }
     for (const auto& [id, it] : state_.upstreams.all()) {
       NoteEngine(*it);
@@ -319,17 +317,17 @@
 
   void ApplyRates() {
     Millis now = EventLoop::Now();
-    const ClusterBounds& bounds = state_.settings.bounds;
+    rates_.SetWorkspaces(state_.config->config().workspaces);
     for (const Workspace& it : state_.config->config().workspaces) {
-      RateShare& rate = state_.rates[it.id];
-      double window = it.rate_per_s * kRateWindowSeconds + it.burst;
-      double margin =
-          it.counts_tokens
-              ? kMarginUsed * (bounds.rate_over * window + bounds.rate_slack)
-              : 0;
-      rate.SetLimit({it.rate_per_s, it.burst}, margin, now);
-      rate.SetInstances(state_.instances, now);
+      if (it.rate_per_s > 0) {
+        ownership_.OnDuty(RateDuty(it.id), ZoneId(), now);
+      }
     }
+    ScheduleClaims();
+  }
+
+  static RateMargin RateMarginOf(const ClusterBounds& bounds) {
+    return {bounds.rate_over, bounds.rate_slack, bounds.rate_window.seconds()};
   }
 
   const EngineSpec* SpecOf(const UpstreamId& engine) {
@@ -344,7 +342,8 @@
   // Engines of services with models have an owner; plain services don't.
   void NoteEngine(const UpstreamState& it) {
     if (!it.gone && SpecOf(it.entry.id) != nullptr) {
-      ownership_.OnEngine(it.entry.id, it.entry.zone, EventLoop::Now());
+      ownership_.OnDuty(EngineDuty(it.entry.id), it.entry.zone,
+                        EventLoop::Now());
     }
   }
 
@@ -373,7 +372,7 @@
     LogInfo("upstream", "Leaves id={} draining={}.", id.str(), drains);
     if (!drains) {
       suspicions_.OnDown(id, EventLoop::Now());
-      ownership_.OnEngineGone(id);
+      ownership_.OnDutyGone(EngineDuty(id));
     }
     orders_.OnEngineLeft(id);
     state_.residency.OnEngineReset(id);
@@ -396,8 +395,8 @@
       OnMemberItem(machine, item);
       return;
     }
-    UpstreamId engine = EngineOfKey(item.key);
-    if (engine.empty()) {
+    DutyId duty = DutyOfKey(item.key);
+    if (duty.empty()) {
       return;
     }
     std::optional<OwnerRecord> owner;
@@ -405,11 +404,20 @@
       owner = DecodeOwner(item);
     }
     if (owner) {
-      ownership_.OnOwner(engine, *owner, now);
+      ownership_.OnOwner(duty, *owner, now);
     } else {
-      ownership_.OnOwnerGone(engine, now);
+      ownership_.OnOwnerGone(duty, now);
+    }
+    OnDutyOwner(duty);
+  }
+
+  void OnDutyOwner(const DutyId& duty) {
+    if (UpstreamId engine = EngineOf(duty); !engine.empty()) {
+      orders_.OnOwnership(engine);
+    }
+    if (WorkspaceId workspace = WorkspaceOf(duty); !workspace.empty()) {
+      rates_.OnOwnership(workspace);
     }
-    orders_.OnOwnership(engine);
   }
 
   void OnMemberItem(const MachineId& machine, const StoreItem& item) {
@@ -437,14 +445,9 @@
       ownership_.OnMemberGone(machine);
       peers_.RemoveMember(machine);
       orders_.OnMachineGone(machine);
-      for (auto& [id, rate] : state_.rates) {
-        rate.OnPeerGone(machine);
-      }
     }
     state_.instances = peers_.peers().size() + 1;
-    for (auto& [id, rate] : state_.rates) {
-      rate.SetInstances(state_.instances, EventLoop::Now());
-    }
+    rates_.OnMembers();
   }
 
   void OnListed(const std::vector<StoreItem>& all, bool settling) {
@@ -493,10 +496,10 @@
       gone.deleted = true;
       OnMemberItem(machine, gone);
     }
-    for (const UpstreamId& engine : ownership_.Engines()) {
-      if (keys.count(OwnerKey(engine)) == 0) {
-        ownership_.OnOwnerGone(engine, now);
-        orders_.OnOwnership(engine);
+    for (const DutyId& duty : ownership_.Duties()) {
+      if (keys.count(OwnerKey(duty)) == 0) {
+        ownership_.OnOwnerGone(duty, now);
+        OnDutyOwner(duty);
       }
     }
   }
@@ -540,7 +543,7 @@
 
   void WriteClaim(const Claim& claim) {
     StoreCommit commit;
-    std::string key = OwnerKey(claim.engine);
+    std::string key = OwnerKey(claim.duty);
     commit.conditions.push_back({key, claim.revision});
     commit.writes.push_back({key, EncodeOwner(self_), lease_.lease()});
     ports_.store->Commit(
@@ -548,10 +551,10 @@
           if (it.outcome != StoreOutcome::kOk) {
             return;  // The watch tells how it stands; it is tried again.
           }
-          ownership_.OnOwner(claim.engine,
+          ownership_.OnOwner(claim.duty,
                              {self_.machine, self_.boot, it.revision},
                              EventLoop::Now());
-          orders_.OnOwnership(claim.engine);
+          OnDutyOwner(claim.duty);
           ScheduleClaims();
         });
   }
@@ -569,7 +572,7 @@
 
   void WantAdapter(const UpstreamId& engine, const ModelRef& target,
                    int64_t version) {
-    const OwnerRecord* owner = ownership_.OwnerOf(engine);
+    const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(engine));
     if (owner == nullptr) {
       return;
     }
@@ -615,7 +618,7 @@
   }
 
   void TellMissing(const UpstreamId& engine, const ModelRef& target) {
-    const OwnerRecord* owner = ownership_.OwnerOf(engine);
+    const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(engine));
     if (owner == nullptr) {
       return;
     }
@@ -632,7 +635,7 @@
   void CountUse(const UpstreamId& engine, const ModelRef& target, int change) {
     auto key = std::make_pair(engine, target);
     int count = uses_[key] += change;
-    const OwnerRecord* owner = ownership_.OwnerOf(engine);
+    const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(engine));
     if (owner != nullptr && owner->machine == self_.machine) {
       orders_.OnUse(self_.machine, engine, target,
                     static_cast<uint32_t>(std::max(0, count)));
@@ -649,7 +652,7 @@
 
   void TellUses() {
     for (const auto& key : changed_uses_) {
-      const OwnerRecord* owner = ownership_.OwnerOf(key.first);
+      const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(key.first));
       if (owner == nullptr) {
         continue;
       }
@@ -668,7 +671,7 @@
   // ---- Peers.
 
   void OnPeerItem(const MachineId& from, const schema::PeerItem& item) {
-    Millis now = EventLoop::Now();
+    rates_.OnHeard(from);
     switch (item.body_case()) {
       case schema::PeerItem::kWant:
         orders_.OnWant(from, UpstreamId(item.want().engine()),
@@ -688,13 +691,14 @@
         orders_.OnMissing(UpstreamId(item.missing().engine()),
                           RefOf(item.missing().target()));
         break;
-      case schema::PeerItem::kDemand: {
-        auto it = state_.rates.find(WorkspaceId(item.demand().workspace()));
-        if (it != state_.rates.end()) {
-          it->second.OnPeerDemand(from, item.demand().tokens_per_s(), now);
-        }
+      case schema::PeerItem::kRateQuestion:
+        rates_.OnQuestion(from, item.rate_question());
         break;
-      }
+      case schema::PeerItem::kRateAnswer:
+        rates_.OnAnswer(item.rate_answer());
+        break;
+      case schema::PeerItem::kAlive:
+        break;  // Hearing the sender was its purpose.
       case schema::PeerItem::kCrash:
         OnCrash(item.crash().fingerprint(),
                 {UpstreamId(item.crash().upstream()),
@@ -733,31 +737,6 @@
     TellAll(item);
   }
 
-  void TellDemand() {
-    Millis now = EventLoop::Now();
-    constexpr double kLeastDemand = 1;
-    for (const auto& [id, rate] : state_.rates) {
-      double demand = rate.Demand(now);
-      bool told = demand_told_.count(id) > 0;
-      if (demand < kLeastDemand && !told) {
-        continue;
-      }
-      if (demand < kLeastDemand) {
-        demand = 0;
-        demand_told_.erase(id);
-      } else {
-        demand_told_.insert(id);
-      }
-      schema::PeerItem item;
-      item.mutable_demand()->set_workspace(id.str());
-      item.mutable_demand()->set_tokens_per_s(static_cast<float>(demand));
-      TellAll(item);
-    }
-    int64_t times = static_cast<int64_t>(
-        std::max<size_t>(1, state_.instances / kDemandInstances));
-    demand_timer_.Start(kDemandPeriod * times, [this] { TellDemand(); });
-  }
-
   // ---- Freshness from peers.
 
   void WatchFreshness() {
@@ -946,6 +925,7 @@
   StoreSync sync_;
   PeerLink peers_;
   OrderService orders_;
+  RateService rates_;
   CrashSuspicions suspicions_;
   RequestDeps deps_;
   // By connection; one may carry several requests.
@@ -959,10 +939,8 @@
   Millis next_fetch_;
   std::map<std::pair<UpstreamId, ModelRef>, int> uses_;
   std::set<std::pair<UpstreamId, ModelRef>> changed_uses_;
-  std::set<WorkspaceId> demand_told_;
   Timer claim_timer_;
   Timer expire_timer_;
-  Timer demand_timer_;
   Timer use_timer_;
   Timer fresh_timer_;
   Timer stop_timer_;
--- a/libs/gateway/src/order_service.cc
+++ b/libs/gateway/src/order_service.cc
@@ -41,7 +41,7 @@
 }
 
 void OrderService::OnOwnership(const UpstreamId& engine) {
-  bool own = ownership_->OwnedBySelf(engine);
+  bool own = ownership_->OwnedBySelf(EngineDuty(engine));
   if (!own) {
     placed_.erase(engine);
     return;
@@ -121,7 +121,7 @@
     it->again = false;
     Millis now = EventLoop::Now();
     bool may_order =
-        ownership_->Fence(it->engine, now) != 0 && lease_->Valid(now);
+        ownership_->Fence(EngineDuty(it->engine), now) != 0 && lease_->Valid(now);
     for (const PlacementAction& action : it->placement.Next(may_order, now)) {
       Do(it, action);
     }
@@ -129,7 +129,7 @@
   it->running = false;
   Millis now = EventLoop::Now();
   Millis due = it->placement.NextDue(now);
-  Millis from = ownership_->MayOrderFrom(it->engine);
+  Millis from = ownership_->MayActFrom(EngineDuty(it->engine));
   if (due != Millis(0) && from > now) {
     due = from;  // Nothing to do before the right begins.
   }
@@ -189,7 +189,7 @@
   order.target = action.target;
   order.version = action.version;
   order.holder = self_.str();
-  order.fence = ownership_->Fence(it->engine, now);
+  order.fence = ownership_->Fence(EngineDuty(it->engine), now);
   order.expected_orders = action.expected_orders;
   ++orders_;
   engines_->Order(order, [this, weak, order](OrderOutcome outcome) {
--- a/libs/gateway/src/own_records.cc
+++ b/libs/gateway/src/own_records.cc
@@ -19,8 +19,8 @@
   return std::string(kMembers) + machine.str();
 }
 
-std::string OwnerKey(const UpstreamId& engine) {
-  return std::string(kOwners) + engine.str();
+std::string OwnerKey(const DutyId& duty) {
+  return std::string(kOwners) + duty.str();
 }
 
 std::string EncodeMember(const Member& member) {
@@ -43,8 +43,8 @@
   return MachineId(After(key, kMembers));
 }
 
-UpstreamId EngineOfKey(const std::string& key) {
-  return UpstreamId(After(key, kOwners));
+DutyId DutyOfKey(const std::string& key) {
+  return DutyId(After(key, kOwners));
 }
 
 std::optional<Member> DecodeMember(const StoreItem& item) {
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -128,30 +128,36 @@
     Dispatch();
     return;
   }
-  Millis now = EventLoop::Now();
-  RateShare& rate = state_->rates[workspace_->id];
-  if (rate_cost_ == 0) {
-    bool tokens = workspace_->counts_tokens && request_.states_tokens;
-    rate_cost_ = tokens ? static_cast<double>(request_.prompt_tokens +
-                                              request_.output_tokens)
-                        : workspace_->plain_cost;
-    rate.OnArrival(rate_cost_, now);
-  }
-  if (rate.TryTake(rate_cost_, now)) {
-    rate_taken_ = true;
+  bool tokens = workspace_->counts_tokens && request_.states_tokens;
+  rate_cost_ = tokens ? static_cast<double>(request_.prompt_tokens +
+                                            request_.output_tokens)
+                      : workspace_->plain_cost;
+  auto self = shared_from_this();
+  deps_->hooks.take_rate(
+      workspace_->id, rate_cost_,
+      [self](const RateVerdict& verdict) { self->OnRate(verdict); });
+}
+
+void RequestRun::OnRate(const RateVerdict& verdict) {
+  if (finished_) {
+    return;
+  }
+  if (verdict.granted) {
     Dispatch();
     return;
   }
-  Millis wait = rate.WaitFor(rate_cost_, now);
+  Millis now = EventLoop::Now();
   Millis bound = std::min(Millis(route_->goal.count() / kRateWaitParts),
                           kLongestRateWait);
-  if (now + wait > arrived_ + bound) {
+  if (now + verdict.wait > arrived_ + bound) {
     ++state_->counters.rate_limited;
-    Refuse(ErrorKind::kRateLimited, "The workspace is beyond its rate.", wait);
+    Refuse(ErrorKind::kRateLimited, "The workspace is beyond its rate.",
+           verdict.wait);
     return;
   }
   auto self = shared_from_this();
-  wait_timer_.Start(wait, [self] { self->AdmitRate(); });
+  wait_timer_.Start(std::max(Millis(1), verdict.wait),
+                    [self] { self->AdmitRate(); });
 }
 
 // A newer configuration may have come while the request waited.
@@ -623,9 +629,6 @@
   finished_ = true;
   deadline_timer_.Cancel();
   wait_timer_.Cancel();
-  if (rate_taken_ && sends_ == 0 && workspace_ != nullptr) {
-    state_->rates[workspace_->id].Return(rate_cost_, EventLoop::Now());
-  }
   LogInfo("request",
           "Ended id={} outcome={} status={} ms={} sends={} model={} "
           "workspace={} route={} asked={} misses={} config={}.",
--- a/libs/serving/include/serving/instance_settings.h
+++ b/libs/serving/include/serving/instance_settings.h
@@ -22,7 +22,8 @@
   double retry_slack = 50;   // and beside, over all instances,
   Millis retry_window{10000};  // in any such window.
   double rate_over = 0.1;      // A workspace may exceed its limit by this part
-  double rate_slack = 0;       // and this many tokens in a window.
+  double rate_slack = 0;       // and this many tokens in a window:
+  Millis rate_window{8000};
   Millis order_turn{3000};  // No two machines order one engine within this.
   bool engines_check_fences = true;
   Millis adapter_version{5000};  // A new version is in use after this.
--- a/libs/serving/include/serving/ownership.h
+++ b/libs/serving/include/serving/ownership.h
@@ -1,10 +1,11 @@
-// Which machine may order each engine.
+// Which machine has which duty: to order an engine, or to keep the account of a
+// workspace's rate.
 //
-// The right is a key in the store that lives with its machine's lease. The
+// A duty is a key in the store that lives with its machine's lease. The
 // revision of the key's last write is the fencing token: it rises with each
-// owner. A new owner waits out the turn of the one before, unless the engine
-// came up under this instance's eyes without an owner, or the owner before was
-// this same machine. No I/O.
+// owner. A new owner waits out the turn of the one before, unless the duty
+// came up under this instance's eyes without an owner, or the owner before was this
+// same machine. No I/O.
 #pragma once
 
 #include <map>
@@ -16,6 +17,14 @@
 
 namespace bilberrypitch {
 
+using DutyId = Id<struct DutyTag>;
+
+DutyId EngineDuty(const UpstreamId& engine);
+DutyId RateDuty(const WorkspaceId& workspace);
+// The engine or workspace of a duty; empty: it is of the other kind.
+UpstreamId EngineOf(const DutyId& duty);
+WorkspaceId WorkspaceOf(const DutyId& duty);
+
 // One process of one machine, as registered in the store.
 struct Member {
   MachineId machine;
@@ -30,10 +39,10 @@
   int64_t revision = 0;  // Of the key: fencing token and condition.
 };
 
-// A write of the owner's key for `engine` under the condition that it stands at
+// A write of the owner's key for `duty` under the condition that it stands at
 // `revision` (0: is not there).
 struct Claim {
-  UpstreamId engine;
+  DutyId duty;
   int64_t revision = 0;
 };
 
@@ -43,10 +52,11 @@
 
   void OnMember(const Member& member);
   void OnMemberGone(const MachineId& machine);
-  void OnEngine(const UpstreamId& engine, const ZoneId& zone, Millis now);
-  void OnEngineGone(const UpstreamId& engine);
-  void OnOwner(const UpstreamId& engine, const OwnerRecord& owner, Millis now);
-  void OnOwnerGone(const UpstreamId& engine, Millis now);
+  // `zone`: whose instances come first; empty: any.
+  void OnDuty(const DutyId& duty, const ZoneId& zone, Millis now);
+  void OnDutyGone(const DutyId& duty);
+  void OnOwner(const DutyId& duty, const OwnerRecord& owner, Millis now);
+  void OnOwnerGone(const DutyId& duty, Millis now);
   // The first whole reading of the store is complete.
   void OnSynced(Millis now);
 
@@ -55,31 +65,31 @@
   // When Claims should be asked again; zero: not before the next event.
   Millis NextDue(Millis now) const;
 
-  // The fencing token while this process may order the engine; 0 else. The
+  // The fencing token while this process may do the duty; 0 else. The
   // caller also checks that its lease still runs.
-  int64_t Fence(const UpstreamId& engine, Millis now) const;
-  bool OwnedBySelf(const UpstreamId& engine) const;
+  int64_t Fence(const DutyId& duty, Millis now) const;
+  bool OwnedBySelf(const DutyId& duty) const;
   // When the right begins that this process holds already; zero: none.
-  Millis MayOrderFrom(const UpstreamId& engine) const;
-  const OwnerRecord* OwnerOf(const UpstreamId& engine) const;
+  Millis MayActFrom(const DutyId& duty) const;
+  const OwnerRecord* OwnerOf(const DutyId& duty) const;
   const Member* FindMember(const MachineId& machine) const;
   const std::map<MachineId, Member>& members() const { return members_; }
-  std::vector<UpstreamId> Engines() const;
+  std::vector<DutyId> Duties() const;
 
  private:
-  struct Engine {
+  struct Duty {
     ZoneId zone;
     bool listed = false;
     std::optional<OwnerRecord> owner;
     Millis unowned_since;
-    // Whether some owner may have ordered lately: its turn is waited out.
+    // Whether some owner may have acted lately: its turn is waited out.
     bool had_owner = true;
     bool last_owner_self = false;  // The last one seen was this machine.
-    Millis order_from;             // Of this process's right.
+    Millis act_from;             // Of this process's right.
     Millis claimed_at;
   };
 
-  size_t RankOf(const UpstreamId& engine, const Engine& it) const;
+  size_t RankOf(const DutyId& duty, const Duty& it) const;
 
   const Member self_;
   const Millis turn_;
@@ -87,7 +97,7 @@
   bool synced_ = false;
   Millis synced_at_;
   std::map<MachineId, Member> members_;  // With this one.
-  std::map<UpstreamId, Engine> engines_;
+  std::map<DutyId, Duty> duties_;
 };
 
 }  // namespace bilberrypitch
--- a/libs/serving/src/ownership.cc
+++ b/libs/serving/src/ownership.cc
@@ -1,4 +1,4 @@
-// Owners of engines.
+// Owners of duties.
 #include "serving/ownership.h"
 
 #include <algorithm>
@@ -9,7 +9,7 @@
 namespace {
 
 // After the first reading of the store, so that the other members of a common
-// start are known before engines are divided.
+// start are known before duties are divided.
 constexpr Millis kSettle{1500};
 // The next in rank claims when those before it did not.
 constexpr Millis kRankStep{900};
@@ -17,8 +17,31 @@
 // Beyond the turn, for clocks and the order's way.
 constexpr Millis kTurnMargin{250};
 
+constexpr std::string_view kEnginePrefix = "engine/";
+constexpr std::string_view kRatePrefix = "rate/";
+
+std::string After(const DutyId& duty, std::string_view prefix) {
+  return duty.str().starts_with(prefix) ? duty.str().substr(prefix.size()) : "";
+}
+
 }  // namespace
 
+DutyId EngineDuty(const UpstreamId& engine) {
+  return DutyId(std::string(kEnginePrefix) + engine.str());
+}
+
+DutyId RateDuty(const WorkspaceId& workspace) {
+  return DutyId(std::string(kRatePrefix) + workspace.str());
+}
+
+UpstreamId EngineOf(const DutyId& duty) {
+  return UpstreamId(After(duty, kEnginePrefix));
+}
+
+WorkspaceId WorkspaceOf(const DutyId& duty) {
+  return WorkspaceId(After(duty, kRatePrefix));
+}
+
 Ownership::Ownership(Member self, Millis turn, Millis now)
     : self_(std::move(self)), turn_(turn), started_(now) {
   members_[self_.machine] = self_;
@@ -36,9 +59,9 @@
   }
 }
 
-void Ownership::OnEngine(const UpstreamId& engine, const ZoneId& zone,
+void Ownership::OnDuty(const DutyId& duty, const ZoneId& zone,
                          Millis now) {
-  Engine& it = engines_[engine];
+  Duty& it = duties_[duty];
   it.zone = zone;
   if (it.listed) {
     return;
@@ -51,29 +74,29 @@
   }
 }
 
-void Ownership::OnEngineGone(const UpstreamId& engine) {
-  engines_.erase(engine);
+void Ownership::OnDutyGone(const DutyId& duty) {
+  duties_.erase(duty);
 }
 
-void Ownership::OnOwner(const UpstreamId& engine, const OwnerRecord& owner,
+void Ownership::OnOwner(const DutyId& duty, const OwnerRecord& owner,
                         Millis now) {
-  Engine& it = engines_[engine];
+  Duty& it = duties_[duty];
   if (it.owner && it.owner->revision >= owner.revision) {
     return;
   }
   bool is_self = owner.machine == self_.machine && owner.boot == self_.boot;
   if (is_self) {
     bool waits = it.had_owner && !it.last_owner_self;
-    it.order_from = waits ? now + turn_ + kTurnMargin : now;
+    it.act_from = waits ? now + turn_ + kTurnMargin : now;
   }
   it.owner = owner;
   it.had_owner = true;
   it.last_owner_self = owner.machine == self_.machine;
 }
 
-void Ownership::OnOwnerGone(const UpstreamId& engine, Millis now) {
-  auto it = engines_.find(engine);
-  if (it != engines_.end() && it->second.owner) {
+void Ownership::OnOwnerGone(const DutyId& duty, Millis now) {
+  auto it = duties_.find(duty);
+  if (it != duties_.end() && it->second.owner) {
     it->second.owner.reset();
     it->second.unowned_since = now;
   }
@@ -86,11 +109,11 @@
   }
 }
 
-size_t Ownership::RankOf(const UpstreamId& engine, const Engine& it) const {
-  auto weight = [&engine, &it](const Member& member) {
+size_t Ownership::RankOf(const DutyId& duty, const Duty& it) const {
+  auto weight = [&duty, &it](const Member& member) {
     bool same_zone = member.zone == it.zone;
     return std::make_pair(same_zone,
-                          StableHash(engine.str(), member.machine.str()));
+                          StableHash(duty.str(), member.machine.str()));
   };
   auto own = weight(self_);
   size_t rank = 0;
@@ -105,7 +128,7 @@
   if (!synced_) {
     return claims;
   }
-  for (auto& [engine, it] : engines_) {
+  for (auto& [duty, it] : duties_) {
     if (!it.listed ||
         (it.claimed_at != Millis(0) && now < it.claimed_at + kClaimAgain)) {
       continue;
@@ -114,15 +137,15 @@
       bool own_machine = it.owner->machine == self_.machine;
       if (own_machine && it.owner->boot != self_.boot) {
         it.claimed_at = now;
-        claims.push_back({engine, it.owner->revision});
+        claims.push_back({duty, it.owner->revision});
       }
       continue;
     }
     Millis from = std::max(it.unowned_since, synced_at_ + kSettle);
-    Millis rank = kRankStep * static_cast<int64_t>(RankOf(engine, it));
+    Millis rank = kRankStep * static_cast<int64_t>(RankOf(duty, it));
     if (now >= from + rank) {
       it.claimed_at = now;
-      claims.push_back({engine, 0});
+      claims.push_back({duty, 0});
     }
   }
   return claims;
@@ -130,7 +153,7 @@
 
 Millis Ownership::NextDue(Millis now) const {
   Millis next;
-  for (const auto& [engine, it] : engines_) {
+  for (const auto& [duty, it] : duties_) {
     if (!synced_ || !it.listed) {
       continue;
     }
@@ -140,14 +163,14 @@
                       it.owner->boot != self_.boot;
       if (old_boot) {
         due = it.claimed_at + kClaimAgain;
-      } else if (OwnedBySelf(engine) && it.order_from > now) {
-        due = it.order_from;
+      } else if (OwnedBySelf(duty) && it.act_from > now) {
+        due = it.act_from;
       } else {
         continue;
       }
     } else {
       due = std::max(it.unowned_since, synced_at_ + kSettle) +
-            kRankStep * static_cast<int64_t>(RankOf(engine, it));
+            kRankStep * static_cast<int64_t>(RankOf(duty, it));
       if (it.claimed_at != Millis(0)) {
         due = std::max(due, it.claimed_at + kClaimAgain);
       }
@@ -160,26 +183,26 @@
   return next;
 }
 
-bool Ownership::OwnedBySelf(const UpstreamId& engine) const {
-  const OwnerRecord* owner = OwnerOf(engine);
+bool Ownership::OwnedBySelf(const DutyId& duty) const {
+  const OwnerRecord* owner = OwnerOf(duty);
   return owner != nullptr && owner->machine == self_.machine &&
          owner->boot == self_.boot;
 }
 
-Millis Ownership::MayOrderFrom(const UpstreamId& engine) const {
-  return OwnedBySelf(engine) ? engines_.at(engine).order_from : Millis(0);
+Millis Ownership::MayActFrom(const DutyId& duty) const {
+  return OwnedBySelf(duty) ? duties_.at(duty).act_from : Millis(0);
 }
 
-int64_t Ownership::Fence(const UpstreamId& engine, Millis now) const {
-  if (!OwnedBySelf(engine) || now < engines_.at(engine).order_from) {
+int64_t Ownership::Fence(const DutyId& duty, Millis now) const {
+  if (!OwnedBySelf(duty) || now < duties_.at(duty).act_from) {
     return 0;
   }
-  return engines_.at(engine).owner->revision;
+  return duties_.at(duty).owner->revision;
 }
 
-const OwnerRecord* Ownership::OwnerOf(const UpstreamId& engine) const {
-  auto it = engines_.find(engine);
-  return it != engines_.end() && it->second.owner ? &*it->second.owner
+const OwnerRecord* Ownership::OwnerOf(const DutyId& duty) const {
+  auto it = duties_.find(duty);
+  return it != duties_.end() && it->second.owner ? &*it->second.owner
                                                   : nullptr;
 }
 
@@ -188,14 +211,14 @@
   return it == members_.end() ? nullptr : &it->second;
 }
 
-std::vector<UpstreamId> Ownership::Engines() const {
-  std::vector<UpstreamId> engines;
-  for (const auto& [engine, it] : engines_) {
+std::vector<DutyId> Ownership::Duties() const {
+  std::vector<DutyId> listed;
+  for (const auto& [duty, it] : duties_) {
     if (it.listed) {
-      engines.push_back(engine);
+      listed.push_back(duty);
     }
   }
-  return engines;
+  return listed;
 }
 
 }  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/src/rate_ledger.cc
@@ -0,0 +1,133 @@
+// Accounts of workspaces.
+#include "serving/rate_ledger.h"
+
+#include <algorithm>
+
+namespace bilberrypitch {
+namespace {
+
+// The keeper gives up an instance earlier than the instance the keeper.
+constexpr Millis kKeeperGivesUp{1100};
+constexpr Millis kInstanceGivesUp{1500};
+constexpr size_t kAnswersKept = 16;
+// Of the margin, for the keeper's burst and for the instances' own parts.
+constexpr double kKeeperPart = 0.25;
+constexpr double kAlonePart = 0.35;
+
+}  // namespace
+
+void RateLedger::SetWorkspaces(const std::vector<Workspace>& workspaces,
+                               Millis now) {
+  for (const Workspace& it : workspaces) {
+    Account& account = accounts_[it.id];
+    account.limited = it.rate_per_s > 0;
+    account.limit = {it.rate_per_s, it.burst};
+    double window = it.rate_per_s * margin_.window_s + it.burst;
+    double slack = it.counts_tokens ? margin_.slack : 0;
+    account.extra = margin_.over * window + slack;
+    Apply(&account, now);
+  }
+}
+
+void RateLedger::SetMembers(const std::vector<MachineId>& members, Millis now) {
+  members_ = members;
+  std::erase_if(heard_, [&](const auto& it) {
+    return std::find(members.begin(), members.end(), it.first) ==
+           members.end();
+  });
+  for (auto& [id, account] : accounts_) {
+    Apply(&account, now);
+  }
+}
+
+void RateLedger::SetKeeper(const WorkspaceId& workspace, bool self_keeps,
+                           Millis now) {
+  Account& account = accounts_[workspace];
+  if (account.kept == self_keeps) {
+    return;
+  }
+  account.kept = self_keeps;
+  account.whole = TokenBucket();
+  Apply(&account, now);
+}
+
+void RateLedger::OnHeard(const MachineId& peer, Millis now) {
+  heard_[peer] = now;
+}
+
+bool RateLedger::Keeps(const WorkspaceId& workspace) const {
+  auto it = accounts_.find(workspace);
+  return it != accounts_.end() && it->second.kept;
+}
+
+bool RateLedger::Hears(const MachineId& keeper, Millis now) const {
+  auto it = heard_.find(keeper);
+  return it != heard_.end() && now - it->second < kInstanceGivesUp;
+}
+
+size_t RateLedger::Heard(Millis now) const {
+  size_t n = 1;  // This instance.
+  for (const auto& [machine, at] : heard_) {
+    n += machine != self_ && now - at < kKeeperGivesUp ? 1 : 0;
+  }
+  return n;
+}
+
+void RateLedger::Apply(Account* account, Millis now) {
+  double members = static_cast<double>(std::max<size_t>(1, members_.size()));
+  double part = std::min(1.0, static_cast<double>(Heard(now)) / members);
+  RateLimit whole = account->limit;
+  whole.rate_per_s *= part;
+  whole.burst = whole.burst * part + kKeeperPart * account->extra;
+  account->whole.SetLimit(whole, now);
+  // While the keeper is heard a short silence is bridged from the margin.
+  double extra = kAlonePart * account->extra / members;
+  RateLimit alone{extra / margin_.window_s, extra};
+  if (account->alone_on) {
+    alone.rate_per_s += account->limit.rate_per_s / members;
+    alone.burst += account->limit.burst / members;
+  }
+  account->alone.SetLimit(alone, now);
+}
+
+RateVerdict RateLedger::TakeAsKeeper(const MachineId& asker, uint64_t nonce,
+                                     const WorkspaceId& workspace, double cost,
+                                     Millis now) {
+  std::vector<Answered>& answered = answered_[asker];
+  for (const Answered& it : answered) {
+    if (it.nonce == nonce && nonce != 0) {
+      return it.verdict;
+    }
+  }
+  Account& account = accounts_[workspace];
+  RateVerdict verdict;
+  if (!account.limited) {
+    verdict.granted = true;
+  } else {
+    Apply(&account, now);
+    verdict.granted = account.whole.TryTake(cost, now);
+    verdict.wait = account.whole.WaitFor(cost, now);
+  }
+  answered.push_back({nonce, verdict});
+  if (answered.size() > kAnswersKept) {
+    answered.erase(answered.begin());
+  }
+  return verdict;
+}
+
+RateVerdict RateLedger::TakeAlone(const WorkspaceId& workspace,
+                                  const MachineId& keeper, double cost,
+                                  Millis now) {
+  Account& account = accounts_[workspace];
+  if (!account.limited) {
+    return {true, Millis(0)};
+  }
+  account.alone_on = !Hears(keeper, now);
+  Apply(&account, now);
+  RateVerdict verdict;
+  verdict.granted = account.alone.TryTake(cost, now);
+  verdict.wait = account.alone.WaitFor(cost, now);
+  return verdict;
+}
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/src/token_bucket.cc
@@ -0,0 +1,65 @@
+// Tokens by time.
+#include "serving/token_bucket.h"
+
+#include <algorithm>
+
+namespace bilberrypitch {
+namespace {
+
+constexpr double kLongestWaitSeconds = 30;
+
+}  // namespace
+
+void TokenBucket::SetLimit(const RateLimit& limit, Millis now) {
+  if (!started_) {
+    started_ = true;
+    refilled_at_ = now;
+  }
+  Refill(now);
+  limit_ = limit;
+  level_ = std::min(level_, limit_.burst);
+}
+
+void TokenBucket::Refill(Millis now) {
+  double seconds = std::max(0.0, (now - refilled_at_).seconds());
+  refilled_at_ = now;
+  level_ = std::min(level_ + limit_.rate_per_s * seconds, limit_.burst);
+}
+
+double TokenBucket::Needed(double cost) const {
+  return std::min(cost, limit_.burst);
+}
+
+bool TokenBucket::TryTake(double cost, Millis now) {
+  Refill(now);
+  if (limit_.burst <= 0 || level_ < Needed(cost)) {
+    return false;
+  }
+  level_ -= cost;
+  return true;
+}
+
+void TokenBucket::Return(double cost, Millis now) {
+  Refill(now);
+  level_ = std::min(level_ + cost, limit_.burst);
+}
+
+Millis TokenBucket::WaitFor(double cost, Millis now) {
+  Refill(now);
+  double missing = Needed(cost) - level_;
+  if (missing <= 0 && limit_.burst > 0) {
+    return Millis(0);
+  }
+  double seconds = limit_.rate_per_s > 0 ? missing / limit_.rate_per_s
+                                         : kLongestWaitSeconds;
+  seconds = std::min(seconds, kLongestWaitSeconds);
+  constexpr double kMsPerSecond = 1000;
+  return Millis(static_cast<int64_t>(seconds * kMsPerSecond) + 1);
+}
+
+double TokenBucket::Level(Millis now) {
+  Refill(now);
+  return level_;
+}
+
+}  // namespace bilberrypitch
