Let owners say that an engine has no free place

An unload that waits for its runs makes the engine refuse all other orders (409), and the report read at once after it is older than the last order, which cost a second conflict. Change: a want ends when nobody asks again; the owner answers that it has no place; after a refused order the report is read only when it can be new.

--- a/libs/gateway/include/gateway/order_service.h
+++ b/libs/gateway/include/gateway/order_service.h
@@ -18,13 +18,20 @@
 class Ownership;
 class UpstreamBook;
 
+enum class AdapterPlace : uint8_t {
+  kReady,    // It is there.
+  kEvicted,  // It leaves.
+  kFull,     // It is not there, and no place is free.
+};
+
 // On the loop's thread only.
 class OrderService {
  public:
   struct Hooks {
-    // Tell a machine that an adapter is on an engine, or leaves it.
+    // Tell a machine how it stands with an adapter on an engine.
     std::function<void(const MachineId& machine, const UpstreamId& engine,
-                       const ModelRef& target, int64_t version, bool present)>
+                       const ModelRef& target, int64_t version,
+                       AdapterPlace place)>
         tell;
     // What the engine is like; null: its service is not configured.
     std::function<const EngineSpec*(const UpstreamId& engine)> spec_of;
--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -68,6 +68,8 @@
   void OnCallerLeft();
   // An adapter that this request waits for is on an engine.
   void OnAdapterReady(const UpstreamId& engine, const ModelRef& target);
+  // The engine has no place for an adapter that this request waits for.
+  void OnEngineFull(const UpstreamId& engine, const ModelRef& target);
   bool finished() const { return finished_; }
 
  private:
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -51,6 +51,30 @@
   return ModelRef{ModelId(it.model()), AdapterId(it.adapter())};
 }
 
+schema::AdapterPlace ToWire(AdapterPlace place) {
+  switch (place) {
+    case AdapterPlace::kReady:
+      return schema::PLACE_READY;
+    case AdapterPlace::kEvicted:
+      return schema::PLACE_EVICTED;
+    case AdapterPlace::kFull:
+      return schema::PLACE_FULL;
+  }
+  return schema::PLACE_UNKNOWN;
+}
+
+// What is not known is treated as gone: it is asked for again.
+AdapterPlace FromWire(schema::AdapterPlace place) {
+  switch (place) {
+    case schema::PLACE_READY:
+      return AdapterPlace::kReady;
+    case schema::PLACE_FULL:
+      return AdapterPlace::kFull;
+    default:
+      return AdapterPlace::kEvicted;
+  }
+}
+
 void SetName(schema::ModelName* to, const ModelRef& from) {
   to->set_model(from.model.str());
   to->set_adapter(from.adapter.str());
@@ -147,8 +171,9 @@
   OrderService::Hooks OrderHooks() {
     OrderService::Hooks hooks;
     hooks.tell = [this](const MachineId& machine, const UpstreamId& engine,
-                        const ModelRef& target, int64_t version, bool present) {
-      TellAdapter(machine, engine, target, version, present);
+                        const ModelRef& target, int64_t version,
+                        AdapterPlace place) {
+      TellAdapter(machine, engine, target, version, place);
     };
     hooks.spec_of = [this](const UpstreamId& engine) { return SpecOf(engine); };
     hooks.named_version = [this](const ModelRef& target) {
@@ -588,32 +613,39 @@
   }
 
   void TellAdapter(const MachineId& machine, const UpstreamId& engine,
-                   const ModelRef& target, int64_t version, bool present) {
+                   const ModelRef& target, int64_t version,
+                   AdapterPlace place) {
     if (machine == self_.machine) {
-      OnAdapterState(engine, target, version, present);
+      OnAdapterState(engine, target, version, place);
       return;
     }
     schema::PeerItem item;
     item.mutable_state()->set_engine(engine.str());
     SetName(item.mutable_state()->mutable_target(), target);
     item.mutable_state()->set_version(version);
-    item.mutable_state()->set_present(present);
+    item.mutable_state()->set_place(ToWire(place));
     peers_.Send(machine, std::move(item));
   }
 
   void OnAdapterState(const UpstreamId& engine, const ModelRef& target,
-                      int64_t version, bool present) {
-    if (!present) {
+                      int64_t version, AdapterPlace place) {
+    if (place == AdapterPlace::kEvicted) {
       state_.residency.OnGone(engine, target);
       return;
     }
-    state_.residency.OnReady(engine, target, version);
+    if (place == AdapterPlace::kReady) {
+      state_.residency.OnReady(engine, target, version);
+    }
     std::vector<std::shared_ptr<RequestRun>> runs;
     for (const auto& [connection, run] : active_) {
       runs.push_back(run);
     }
     for (const auto& run : runs) {
-      run->OnAdapterReady(engine, target);
+      if (place == AdapterPlace::kReady) {
+        run->OnAdapterReady(engine, target);
+      } else {
+        run->OnEngineFull(engine, target);
+      }
     }
   }
 
@@ -681,7 +713,7 @@
       case schema::PeerItem::kState:
         OnAdapterState(UpstreamId(item.state().engine()),
                        RefOf(item.state().target()), item.state().version(),
-                       item.state().present());
+                       FromWire(item.state().place()));
         break;
       case schema::PeerItem::kUse:
         orders_.OnUse(from, UpstreamId(item.use().engine()),
--- a/libs/gateway/src/order_service.cc
+++ b/libs/gateway/src/order_service.cc
@@ -150,10 +150,15 @@
       break;
     case PlacementAction::Kind::kTellReady:
       hooks_.tell(action.machine, it->engine, action.target, action.version,
-                  true);
+                  AdapterPlace::kReady);
       break;
     case PlacementAction::Kind::kTellEvicted:
-      hooks_.tell(action.machine, it->engine, action.target, 0, false);
+      hooks_.tell(action.machine, it->engine, action.target, 0,
+                  AdapterPlace::kEvicted);
+      break;
+    case PlacementAction::Kind::kTellFull:
+      hooks_.tell(action.machine, it->engine, action.target, 0,
+                  AdapterPlace::kFull);
       break;
   }
 }
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -24,7 +24,9 @@
 constexpr Millis kLongestRateWait{600};
 // How often the adapter is asked for, and when another engine is looked at.
 constexpr Millis kAskAgain{150};
-constexpr uint32_t kAsksBeforeOther = 3;
+// After a word that the engine is full another one is asked so soon.
+constexpr Millis kFullPause{15};
+constexpr Millis kFullFor{250};
 constexpr Millis kAfterMiss{40};
 constexpr Millis kNoUpstreamWait{120};
 constexpr Millis kRefusalRetry{400};
@@ -243,15 +245,24 @@
       waiting_engine_, request_.model,
       named != state_->named_versions.end() ? named->second : 0);
   if (finished_ || waiting_engine_.empty() || call_ != 0) {
-    return;  // It was there after all.
+    return;  // The owner, this instance, has answered at once.
   }
   auto self = shared_from_this();
-  wait_timer_.Start(kAskAgain, [self] {
-    if (self->asked_ % kAsksBeforeOther == 0) {
-      self->tried_.push_back(self->waiting_engine_);
-    }
-    self->Dispatch();
-  });
+  wait_timer_.Start(kAskAgain, [self] { self->Dispatch(); });
+}
+
+void RequestRun::OnEngineFull(const UpstreamId& engine,
+                              const ModelRef& target) {
+  if (finished_ || call_ != 0 || engine != waiting_engine_ ||
+      target != request_.model) {
+    return;
+  }
+  if (UpstreamState* upstream = state_->upstreams.Find(engine)) {
+    upstream->full_until = EventLoop::Now() + kFullFor;
+  }
+  waiting_engine_ = UpstreamId();
+  auto self = shared_from_this();
+  wait_timer_.Start(kFullPause, [self] { self->Dispatch(); });
 }
 
 void RequestRun::OnAdapterReady(const UpstreamId& engine,
--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -28,6 +28,7 @@
     kOrder,        // Give an order.
     kTellReady,    // Tell `machine` that `target` is there.
     kTellEvicted,  // Tell `machine` that `target` leaves.
+    kTellFull,     // Tell `machine` that there is no place for `target` now.
   };
   Kind kind = Kind::kReport;
   OrderVerb verb = OrderVerb::kLoad;
@@ -92,6 +93,7 @@
   struct Wanted {
     int64_t version = 0;
     Millis since;
+    Millis asked;  // Last time: who still waits asks again.
     std::set<MachineId> machines;
   };
   struct Demand {
@@ -113,6 +115,9 @@
   std::optional<ModelRef> Victim(Millis now) const;
   PlacementAction Order(OrderVerb verb, const ModelRef& target,
                         int64_t version) const;
+  bool HasPlaceFor(const ModelRef& target, Millis now) const;
+  size_t SlotsTaken() const;
+  bool Fits(const ModelRef& target) const;
   bool InUse(const ModelRef& target, Millis now) const;
   double Score(const ModelRef& target, Millis now) const;
   void Touch(const ModelRef& target, double weight, Millis now);
@@ -127,6 +132,9 @@
   bool report_outstanding_ = false;
   Millis report_not_before_;
   std::optional<Outstanding> order_;
+  // An unload that waits for its runs: the engine takes no other order yet.
+  std::optional<ModelRef> leaving_;
+  Millis leaving_since_;
   Millis order_not_before_;
   int64_t orders_accepted_ = 0;
   std::map<ModelId, int64_t> models_;  // Base models that are there.
--- a/libs/serving/include/serving/upstream_book.h
+++ b/libs/serving/include/serving/upstream_book.h
@@ -33,7 +33,7 @@
   uint32_t connect_failures = 0;        // In a row.
   Millis avoid_until;                   // No connection could be made.
   int keep_idle_s = 0;                  // It keeps idle connections this long.
-  int64_t slots_limit = 0;
+  Millis full_until;  // Its owner said that it has no place for adapters.
 
   bool Usable(Millis now) const {
     return !gone && !entry.draining && (gone_at == Millis(0) || now < gone_at);
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -10,7 +10,10 @@
 constexpr Millis kColdLoad{255};
 constexpr Millis kWarmLoad{30};
 constexpr Millis kReportAgain{250};
+// A report may be older than this; one read sooner shows what was before.
+constexpr Millis kReportLag{300};
 constexpr Millis kOrderAgain{60};
+constexpr Millis kLongestLeaving{3000};
 constexpr Millis kModelCheck{400};
 // A machine's word that an adapter is in use holds for this long.
 constexpr Millis kUseLife{4000};
@@ -18,7 +21,8 @@
 constexpr Millis kGrace{120};
 constexpr double kDemandSeconds = 8.0;  // Decay of the demand.
 constexpr size_t kHeldRemembered = 30;
-constexpr Millis kWantLife{6000};
+// Requests that wait ask again more often than this.
+constexpr Millis kWantLife{450};
 
 }  // namespace
 
@@ -31,6 +35,7 @@
 void EnginePlacement::Reset(Millis now) {
   synced_ = false;
   order_.reset();
+  leaving_.reset();
   report_outstanding_ = false;
   report_not_before_ = now;
   models_.clear();
@@ -84,14 +89,69 @@
     pending_tells_.push_back(std::move(tell));
     return;
   }
+  if (synced_ && wanted_.count(target) == 0 && !HasPlaceFor(target, now)) {
+    PlacementAction tell;
+    tell.kind = PlacementAction::Kind::kTellFull;
+    tell.target = target;
+    tell.machine = machine;
+    pending_tells_.push_back(std::move(tell));
+    return;
+  }
   auto [it, added] = wanted_.try_emplace(target);
   if (added) {
     it->second.since = now;
   }
+  it->second.asked = now;
   it->second.version = std::max(it->second.version, version);
   it->second.machines.insert(machine);
 }
 
+// Whether a load could begin at once, or after those that are wanted already.
+bool EnginePlacement::HasPlaceFor(const ModelRef& target, Millis now) const {
+  if (resident_.count(target) > 0 || loading_.count(target) > 0) {
+    return true;
+  }
+  if (models_.count(target.model) == 0 || leaving_) {
+    return false;
+  }
+  size_t taken = SlotsTaken();
+  size_t queued = 0;
+  for (const auto& [ref, it] : wanted_) {
+    bool placed = resident_.count(ref) > 0 || loading_.count(ref) > 0;
+    queued += placed ? 0 : 1;
+  }
+  size_t idle = 0;
+  for (const auto& [ref, it] : resident_) {
+    bool needed = wanted_.count(ref) > 0 || InUse(ref, now);
+    idle += needed ? 0 : 1;
+  }
+  size_t free = limits_.adapter_slots > taken
+                    ? limits_.adapter_slots - taken
+                    : 0;
+  return queued < free + idle;
+}
+
+size_t EnginePlacement::SlotsTaken() const {
+  size_t taken = resident_.size();
+  for (const auto& [ref, it] : loading_) {
+    taken += resident_.count(ref) == 0 ? 1 : 0;
+  }
+  return taken;
+}
+
+bool EnginePlacement::Fits(const ModelRef& target) const {
+  size_t taken = SlotsTaken();
+  double needed_mb = 0;
+  if (const ModelSpec* spec = SpecOf(target.model)) {
+    needed_mb = spec->adapter_mb * static_cast<double>(taken + 1);
+  }
+  for (const auto& [model, version] : models_) {
+    const ModelSpec* held = SpecOf(model);
+    needed_mb += held != nullptr ? held->weights_mb : 0;
+  }
+  return taken < limits_.adapter_slots && needed_mb <= limits_.weights_mb;
+}
+
 void EnginePlacement::OnUse(const MachineId& machine, const ModelRef& target,
                             uint32_t running, Millis now) {
   Demand& it = demand_[target];
@@ -118,6 +178,7 @@
     if (added) {
       wanted->second.since = now;
     }
+    wanted->second.asked = now;
     wanted->second.version = std::max(wanted->second.version, version);
     wanted->second.machines.insert(it->second.told.begin(),
                                    it->second.told.end());
@@ -193,12 +254,19 @@
   order_.reset();
   bool accepted = outcome == OrderOutcome::kStarted ||
                   outcome == OrderOutcome::kHolds;
+  if (outcome == OrderOutcome::kConflict && leaving_ &&
+      now - leaving_since_ < kLongestLeaving) {
+    order_not_before_ = now + kOrderAgain;  // Its runs go on.
+    return;
+  }
   if (!accepted) {
     synced_ = false;
+    leaving_.reset();
     order_not_before_ = now + kOrderAgain;
-    report_not_before_ = std::max(report_not_before_, now);
+    report_not_before_ = std::max(report_not_before_, now + kReportLag);
     return;
   }
+  leaving_.reset();
   if (!order.target.is_adapter()) {
     ++orders_accepted_;
     model_coming_ = order.target.model;
@@ -212,6 +280,11 @@
   if (order.verb == OrderVerb::kUnload) {
     ++orders_accepted_;
     ApplyUnload(order.target);
+    if (outcome == OrderOutcome::kStarted) {
+      leaving_ = order.target;
+      leaving_since_ = now;
+      order_not_before_ = now + kOrderAgain;
+    }
     return;
   }
   if (outcome == OrderOutcome::kHolds) {
@@ -298,7 +371,7 @@
   std::vector<PlacementAction> actions;
   FinishLoads(now);
   std::erase_if(wanted_, [now](const auto& it) {
-    return now - it.second.since > kWantLife;
+    return now - it.second.asked > kWantLife;
   });
   std::vector<ModelRef> held;
   for (const auto& [target, it] : wanted_) {
@@ -372,23 +445,7 @@
     return std::nullopt;
   }
   bool replaces = resident_.count(*target) > 0;
-  size_t taken = resident_.size();
-  for (const auto& [ref, it] : loading_) {
-    taken += resident_.count(ref) == 0 ? 1 : 0;
-  }
-  const ModelSpec* spec = SpecOf(target->model);
-  double adapters_mb = 0;
-  double base_mb = 0;
-  if (spec != nullptr) {
-    adapters_mb = spec->adapter_mb * static_cast<double>(taken + 1);
-  }
-  for (const auto& [model, version] : models_) {
-    const ModelSpec* held = SpecOf(model);
-    base_mb += held != nullptr ? held->weights_mb : 0;
-  }
-  bool fits = taken < limits_.adapter_slots &&
-              base_mb + adapters_mb <= limits_.weights_mb;
-  if (replaces || fits) {
+  if (replaces || Fits(*target)) {
     return Order(OrderVerb::kLoad, *target, oldest->version);
   }
   if (std::optional<ModelRef> victim = Victim(now)) {
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -15,6 +15,8 @@
 constexpr double kLoadMs = 280;
 // For each engine before it in the adapter's order, when it must be loaded.
 constexpr double kFartherMs = 90;
+// Its owner has just said that all places are in use.
+constexpr double kFullMs = 450;
 constexpr double kOtherZoneMs = 6;
 constexpr double kAvoidedMs = 3000;
 constexpr double kTriedMs = 20000;
@@ -97,6 +99,7 @@
           residency.Holds(it->entry.id, facts.model, facts.minimum_version);
       if (!choice.resident) {
         choice.cost_ms += kLoadMs + kFartherMs * static_cast<double>(order[i]);
+        choice.cost_ms += facts.now < it->full_until ? kFullMs : 0;
       }
     }
     if (!best || choice.cost_ms < best->cost_ms) {
