Refuse what comes long after SIGTERM, answer what is open at the end

Change: 2.6 s after SIGTERM (the balancer takes out after two misses) a new request is refused as not run and its connection closed; at the end open requests are answered 502 or, not yet sent, 503.

--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -70,6 +70,8 @@
   void OnAdapterReady(const UpstreamId& engine, const ModelRef& target);
   // The engine has no place for an adapter that this request waits for.
   void OnEngineFull(const UpstreamId& engine, const ModelRef& target);
+  // The process ends now: answers what is open.
+  void OnStop();
   bool finished() const { return finished_; }
 
  private:
@@ -90,6 +92,8 @@
   void Conclude(AttemptEnd end, CallOutcome* outcome);
   void CloseAttempt(bool failed);
   void OnTimeUp();
+  void GiveUp(ErrorKind kind_if_sent, ErrorKind kind_if_unsent,
+              std::string detail);
   void Refuse(ErrorKind kind, std::string detail, Millis retry_after);
   void Fail(const Error& error);
   void Answer(HttpResponse response);
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -44,6 +44,9 @@
 // Before the platform's kill.
 constexpr Millis kStopMargin{700};
 constexpr Millis kStopCheck{50};
+// For the last answers to leave.
+constexpr Millis kFlushTime{150};
+constexpr Millis kStoppingRetry{50};
 constexpr char kStatePath[] = "/state";
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
@@ -252,13 +255,19 @@
   void OnRequest(HttpRequest request, std::shared_ptr<Responder> responder) {
     uint64_t connection = request.connection;
     Error error;
+    if (state_.stopping && EventLoop::Now() - stop_begun_ > kNoticedByBalancer) {
+      // Who still comes here keeps an old connection: it is to use another.
+      error = {ErrorKind::kStopping, "This instance is stopping.",
+               NotRun::kTrue};
+      ++state_.counters.refused;
+      Refuse(error, ports_.codec->RequestIdOf(request), kStoppingRetry,
+             responder.get());
+      return;
+    }
     std::optional<ServingRequest> decoded =
         ports_.codec->DecodeRequest(std::move(request), &error);
     if (!decoded) {
-      HttpResponse response =
-          ports_.codec->EncodeError(error, RequestId(), Millis(0));
-      response.close_connection = state_.stopping;
-      responder->Send(std::move(response));
+      Refuse(error, RequestId(), Millis(0), responder.get());
       return;
     }
     auto run = std::make_shared<RequestRun>(&deps_, std::move(*decoded),
@@ -267,6 +276,13 @@
     run->Begin();
   }
 
+  void Refuse(const Error& error, const RequestId& id, Millis retry_after,
+              Responder* responder) {
+    HttpResponse response = ports_.codec->EncodeError(error, id, retry_after);
+    response.close_connection = state_.stopping;
+    responder->Send(std::move(response));
+  }
+
   void OnEnded(uint64_t connection) {
     // Called from within the run: it goes after this turn of the loop.
     loop_->Post([this, connection] {
@@ -938,14 +954,21 @@
   void CheckStop() {
     Millis spent = EventLoop::Now() - stop_begun_;
     Millis grace = state_.settings.bounds.stop - kStopMargin;
-    bool noticed = spent >= kNoticedByBalancer;
-    if ((noticed && active_.empty()) || spent >= grace) {
-      LogInfo("gateway", "Stopped after {} ms with {} open requests.",
-              spent.count(), active_.size());
-      stop_done_();
+    bool done = spent >= kNoticedByBalancer && active_.empty();
+    if (!done && spent < grace) {
+      stop_timer_.Start(kStopCheck, [this] { CheckStop(); });
       return;
     }
-    stop_timer_.Start(kStopCheck, [this] { CheckStop(); });
+    LogInfo("gateway", "Stopped after {} ms with {} open requests.",
+            spent.count(), active_.size());
+    std::vector<std::shared_ptr<RequestRun>> open;
+    for (const auto& [connection, run] : active_) {
+      open.push_back(run);
+    }
+    for (const auto& run : open) {
+      run->OnStop();
+    }
+    stop_timer_.Start(kFlushTime, [this] { stop_done_(); });
   }
 
   const GatewayPorts ports_;
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -568,22 +568,31 @@
 }
 
 void RequestRun::OnTimeUp() {
+  GiveUp(ErrorKind::kUpstreamTimeout, ErrorKind::kQueueTimeout,
+         "The time for the request is over.");
+}
+
+void RequestRun::OnStop() {
+  GiveUp(ErrorKind::kOutcomeUnknown, ErrorKind::kStopping,
+         "The instance stops.");
+}
+
+void RequestRun::GiveUp(ErrorKind kind_if_sent, ErrorKind kind_if_unsent,
+                        std::string detail) {
   if (finished_) {
     return;
   }
   CallId call = call_;
   call_ = 0;
-  bool sent = call != 0;
-  may_have_run_ = may_have_run_ || sent;
+  may_have_run_ = may_have_run_ || call != 0;
   CloseAttempt(false);
-  Error error{ErrorKind::kUpstreamTimeout, "The time for the request is over.",
-              NotRun::kUnknown};
-  if (!may_have_run_) {
-    error = {ErrorKind::kQueueTimeout, "It could not be started in time.",
-             NotRun::kTrue};
+  Error error{kind_if_unsent, std::move(detail), NotRun::kTrue};
+  if (may_have_run_) {
+    error.kind = kind_if_sent;
+    error.not_run = NotRun::kUnknown;
   }
   Fail(error);
-  if (sent) {
+  if (call != 0) {
     deps_->client->Cancel(call);
   }
 }
--- a/libs/serving/include/serving/edge_codec.h
+++ b/libs/serving/include/serving/edge_codec.h
@@ -17,6 +17,8 @@
   // None, with `error` set, when the request is malformed.
   virtual std::optional<ServingRequest> DecodeRequest(HttpRequest request,
                                                       Error* error) const = 0;
+  // Empty when the request names none.
+  virtual RequestId RequestIdOf(const HttpRequest& request) const = 0;
   // Sets method, target, header fields and body of the call to an upstream.
   virtual void EncodeCall(const ServingRequest& request,
                           const UpstreamInstructions& instructions,
