Don't let an unload that waits keep wants out for good

An unload answered 202 set 'leaving', which made the owner call the engine full, so no want came that would have led to the next order and cleared it. Change: an engine is avoided for 250 ms after such an unload; the begin of a use is told at once, so that an adapter in use is not taken for idle.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -689,7 +689,9 @@
                     static_cast<uint32_t>(std::max(0, count)));
     } else {
       changed_uses_.insert(key);
-      if (!use_timer_.pending()) {
+      if (change > 0) {
+        TellUses();  // Before the owner takes the adapter for idle.
+      } else if (!use_timer_.pending()) {
         use_timer_.Start(kUsePeriod, [this] { TellUses(); });
       }
     }
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -14,6 +14,8 @@
 constexpr Millis kReportLag{300};
 constexpr Millis kOrderAgain{60};
 constexpr Millis kLongestLeaving{3000};
+// An engine that waits for the runs of an adapter is avoided for so long.
+constexpr Millis kBlockedFor{250};
 constexpr Millis kModelCheck{400};
 // A machine's word that an adapter is in use holds for this long.
 constexpr Millis kUseLife{4000};
@@ -111,7 +113,8 @@
   if (resident_.count(target) > 0 || loading_.count(target) > 0) {
     return true;
   }
-  if (models_.count(target.model) == 0 || leaving_) {
+  bool blocked = leaving_ && now - leaving_since_ < kBlockedFor;
+  if (models_.count(target.model) == 0 || blocked) {
     return false;
   }
   size_t taken = SlotsTaken();
