Ask again while an engine loads its base model

A report that was taken during the load counted as the last word, though no model stood in it. Change: the owner reports again until the model is there.

--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -110,7 +110,7 @@
   void FinishLoads(Millis now);
   void TellReady(const ModelRef& target, std::vector<PlacementAction>* actions);
   std::optional<PlacementAction> NextOrder(Millis now);
-  std::optional<PlacementAction> BaseModelOrder(Millis now);
+  std::optional<PlacementAction> BaseModelOrder() const;
   std::optional<PlacementAction> AdapterOrder(Millis now);
   std::optional<ModelRef> Victim(Millis now) const;
   PlacementAction Order(OrderVerb verb, const ModelRef& target,
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -385,14 +385,16 @@
   }
   actions.insert(actions.end(), pending_tells_.begin(), pending_tells_.end());
   pending_tells_.clear();
-  if (!synced_ && !report_outstanding_ && now >= report_not_before_) {
+  bool unsure = !synced_ || model_coming_;
+  if (unsure && !report_outstanding_ && now >= report_not_before_) {
     report_outstanding_ = true;
     PlacementAction report;
     report.kind = PlacementAction::Kind::kReport;
     actions.push_back(report);
     return actions;
   }
-  if (!may_order || !synced_ || order_ || now < order_not_before_) {
+  if (!may_order || !synced_ || model_coming_ || order_ ||
+      now < order_not_before_) {
     return actions;
   }
   if (std::optional<PlacementAction> order = NextOrder(now)) {
@@ -403,13 +405,13 @@
 }
 
 std::optional<PlacementAction> EnginePlacement::NextOrder(Millis now) {
-  if (std::optional<PlacementAction> order = BaseModelOrder(now)) {
+  if (std::optional<PlacementAction> order = BaseModelOrder()) {
     return order;
   }
   return AdapterOrder(now);
 }
 
-std::optional<PlacementAction> EnginePlacement::BaseModelOrder(Millis now) {
+std::optional<PlacementAction> EnginePlacement::BaseModelOrder() const {
   if (!models_.empty() || model_coming_ || spec_.models.empty()) {
     return std::nullopt;
   }
@@ -430,7 +432,6 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  (void)now;
   return Order(OrderVerb::kLoad, ModelRef{best->id, AdapterId()}, 0);
 }
 
@@ -495,16 +496,13 @@
   for (const auto& [ref, it] : loading_) {
     consider(it.due);
   }
-  if (!synced_ && !report_outstanding_) {
+  if ((!synced_ || model_coming_) && !report_outstanding_) {
     consider(report_not_before_);
   }
   if (!wanted_.empty() && !order_ && synced_) {
     // A victim may have become idle, or an order may be given again.
     consider(std::max(order_not_before_, now + Millis(25)));
   }
-  if (model_coming_ && !report_outstanding_) {
-    consider(report_not_before_);
-  }
   return next;
 }
 
