Never take a repeated send for unsent; believe an engine's count later

Causes: (1) TWICE: libcurl repeats a call on a new connection when a kept one broke before the answer; when that connection fails it reports 'can't connect', which was taken as not sent. transport_test shows it (failed before). (2) A report older than the last order was accepted whenever the owner was unsure.

--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -136,7 +136,8 @@
   std::optional<ModelRef> leaving_;
   Millis leaving_since_;
   Millis order_not_before_;
-  int64_t orders_accepted_ = 0;
+  int64_t orders_accepted_ = 0;  // As this owner counts; see OnReport.
+  Millis accepted_at_;           // The last one.
   std::map<ModelId, int64_t> models_;  // Base models that are there.
   std::optional<ModelId> model_coming_;
   Millis model_due_;
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -40,6 +40,7 @@
   leaving_.reset();
   report_outstanding_ = false;
   report_not_before_ = now;
+  orders_accepted_ = 0;
   models_.clear();
   model_coming_.reset();
   resident_.clear();
@@ -135,11 +136,8 @@
 }
 
 size_t EnginePlacement::SlotsTaken() const {
-  size_t taken = resident_.size();
-  for (const auto& [ref, it] : loading_) {
-    taken += resident_.count(ref) == 0 ? 1 : 0;
-  }
-  return taken;
+  // One that replaces an older version takes a place of its own meanwhile.
+  return resident_.size() + loading_.size();
 }
 
 bool EnginePlacement::Fits(const ModelRef& target) const {
@@ -213,8 +211,10 @@
     return;
   }
   // A report is as of some hundred milliseconds ago: one from before the last
-  // accepted order says nothing.
-  if (synced_ && report.orders_accepted < orders_accepted_) {
+  // accepted order says nothing. Later on the engine's own count is right: an
+  // order that changed nothing may not have been counted.
+  bool lags = now - accepted_at_ < kReportLag * 2;
+  if (report.orders_accepted < orders_accepted_ && lags) {
     return;
   }
   orders_accepted_ = report.orders_accepted;
@@ -270,6 +270,7 @@
     return;
   }
   leaving_.reset();
+  accepted_at_ = now;
   if (!order.target.is_adapter()) {
     ++orders_accepted_;
     model_coming_ = order.target.model;
@@ -448,8 +449,7 @@
   if (oldest == nullptr || loading_.size() >= limits_.loads_at_once) {
     return std::nullopt;
   }
-  bool replaces = resident_.count(*target) > 0;
-  if (replaces || Fits(*target)) {
+  if (resident_.count(*target) > 0 || Fits(*target)) {
     return Order(OrderVerb::kLoad, *target, oldest->version);
   }
   if (std::optional<ModelRef> victim = Victim(now)) {
--- a/libs/transport/src/loop_client.cc
+++ b/libs/transport/src/loop_client.cc
@@ -381,13 +381,15 @@
     if (transfer.too_large) {
       return CallResult::kTooLarge;
     }
-    // The time of the connection is set only once it stood.
-    curl_off_t connected = 0;
-    curl_easy_getinfo(transfer.easy, CURLINFO_CONNECT_TIME_T, &connected);
-    if (code == CURLE_COULDNT_CONNECT) {
+    // libcurl may have sent the request on a kept connection that broke and
+    // then have failed to make another one.
+    long sent_bytes = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+    bool sent = sent_bytes > 0 || transfer.body_sent > 0;
+    if (!sent && code == CURLE_COULDNT_CONNECT) {
       return CallResult::kRefused;
     }
-    if (code == CURLE_OPERATION_TIMEDOUT && connected == 0) {
+    if (!sent && code == CURLE_OPERATION_TIMEDOUT) {
       return CallResult::kConnectTimeout;
     }
     return CallResult::kBroken;
