Tell uses that go on again

Cause: an owner forgets a use after 4 s; longer runs were taken for idle and their adapters unloaded. Change: uses are told again every 1.5 s; the end line of a request names the time to its first event.

--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -138,6 +138,7 @@
   uint32_t misses_ = 0;  // Engines that did not hold the adapter.
   bool may_have_run_ = false;
   bool answer_begun_ = false;
+  Millis first_event_after_;  // From arrival; zero: none yet.
   EventSplitter events_;
   bool finished_ = false;
 };
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -33,6 +33,7 @@
 // enough that a dead owner's engines get another one.
 constexpr Millis kLeaseTime{6000};
 constexpr Millis kUsePeriod{100};
+constexpr Millis kUseAgainPeriod{1500};
 // Knowledge of this age is refreshed from peers.
 constexpr Millis kAskPeersAge{2400};
 constexpr Millis kAskPeersPeriod{350};
@@ -111,6 +112,7 @@
         claim_timer_(loop_),
         expire_timer_(loop_),
         use_timer_(loop_),
+        use_again_timer_(loop_),
         fresh_timer_(loop_),
         stop_timer_(loop_) {
     SetRequestDeps();
@@ -118,6 +120,7 @@
     sync_.Start();
     lease_.Start();
     WatchFreshness();
+    TellUsesAgain();
     LogInfo("gateway", "Started machine={} zone={} boot={}.",
             self_.machine.str(), self_.zone.str(), self_.boot.str());
   }
@@ -691,7 +694,8 @@
       changed_uses_.insert(key);
       if (change > 0) {
         TellUses();  // Before the owner takes the adapter for idle.
-      } else if (!use_timer_.pending()) {
+      }
+      if (!use_timer_.pending()) {
         use_timer_.Start(kUsePeriod, [this] { TellUses(); });
       }
     }
@@ -718,6 +722,21 @@
     changed_uses_.clear();
   }
 
+  // Long runs: an owner forgets a use that is not told again.
+  void TellUsesAgain() {
+    for (const auto& [key, count] : uses_) {
+      const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(key.first));
+      if (owner != nullptr && owner->machine == self_.machine) {
+        orders_.OnUse(self_.machine, key.first, key.second,
+                      static_cast<uint32_t>(std::max(0, count)));
+      } else {
+        changed_uses_.insert(key);
+      }
+    }
+    TellUses();
+    use_again_timer_.Start(kUseAgainPeriod, [this] { TellUsesAgain(); });
+  }
+
   // ---- Peers.
 
   void OnPeerItem(const MachineId& from, const schema::PeerItem& item) {
@@ -999,6 +1018,7 @@
   Timer claim_timer_;
   Timer expire_timer_;
   Timer use_timer_;
+  Timer use_again_timer_;
   Timer fresh_timer_;
   Timer stop_timer_;
   std::unique_ptr<Timer> register_timer_;
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -399,6 +399,7 @@
   }
   if (!answer_begun_) {
     answer_begun_ = true;
+    first_event_after_ = EventLoop::Now() - arrived_;
     responder_->StartStream(200, facts_.forward);
   }
   responder_->WriteChunk(std::move(events), {});
@@ -651,12 +652,13 @@
   wait_timer_.Cancel();
   LogInfo("request",
           "Ended id={} outcome={} status={} ms={} sends={} model={} "
-          "workspace={} route={} asked={} misses={} config={}.",
+          "workspace={} route={} first_ms={} asked={} misses={} config={}.",
           request_.id.str(), outcome, status,
           (EventLoop::Now() - arrived_).count(), sends_,
           ToString(request_.model),
           workspace_ != nullptr ? workspace_->id.str() : "-",
-          route_ != nullptr ? route_->name : "-", asked_, misses_,
+          route_ != nullptr ? route_->name : "-", first_event_after_.count(),
+          asked_, misses_,
           config_ != nullptr ? config_->version() : 0);
   responder_.reset();
   deps_->hooks.ended(connection_);
