Count an adapter as used from the word that it is ready

Cause: an adapter was unloaded within 50 ms of its load, before the request that had waited for it arrived: its last want lay further back than the grace time. Change: the grace begins with the word 'ready'.

--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -108,7 +108,8 @@
   };
 
   void FinishLoads(Millis now);
-  void TellReady(const ModelRef& target, std::vector<PlacementAction>* actions);
+  void TellReady(const ModelRef& target, Millis now,
+                 std::vector<PlacementAction>* actions);
   std::optional<PlacementAction> NextOrder(Millis now);
   std::optional<PlacementAction> BaseModelOrder() const;
   std::optional<PlacementAction> AdapterOrder(Millis now);
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -352,7 +352,7 @@
   }
 }
 
-void EnginePlacement::TellReady(const ModelRef& target,
+void EnginePlacement::TellReady(const ModelRef& target, Millis now,
                                 std::vector<PlacementAction>* actions) {
   auto it = wanted_.find(target);
   if (it == wanted_.end() || !Holds(target, it->second.version)) {
@@ -361,6 +361,8 @@
   Resident& resident = resident_[target];
   for (const MachineId& machine : it->second.machines) {
     resident.told.insert(machine);
+    // Its requests are on their way from now on.
+    demand_[target].uses[machine].at = now;
     PlacementAction tell;
     tell.kind = PlacementAction::Kind::kTellReady;
     tell.target = target;
@@ -382,7 +384,7 @@
     held.push_back(target);
   }
   for (const ModelRef& target : held) {
-    TellReady(target, &actions);
+    TellReady(target, now, &actions);
   }
   actions.insert(actions.end(), pending_tells_.begin(), pending_tells_.end());
   pending_tells_.clear();
--- a/libs/serving/src/upstream_book.cc
+++ b/libs/serving/src/upstream_book.cc
@@ -15,6 +15,17 @@
 constexpr Millis kLongestAvoid{2000};
 constexpr double kSmoothing = 0.15;  // Weight of one more observation.
 
+// An engine's reading time is near the lowest that is seen: a higher one holds
+// the waiting behind requests of others. It rises slowly, so that an engine
+// that has become slow shows.
+constexpr double kFalling = 0.3;
+constexpr double kRising = 0.04;
+
+void FollowLow(double* value, double seen) {
+  double weight = seen < *value ? kFalling : kRising;
+  *value = *value == 0 ? seen : *value + weight * (seen - *value);
+}
+
 void Smooth(double* value, double seen) {
   *value = *value == 0 ? seen : *value + kSmoothing * (seen - *value);
 }
@@ -134,7 +145,7 @@
 void UpstreamBook::OnFirstEvent(UpstreamState* it, int64_t prompt_tokens,
                                 Millis took) {
   int64_t read = std::max<int64_t>(1, it->tokens_unread);
-  Smooth(&it->first_event_ms_per_token,
+  FollowLow(&it->first_event_ms_per_token,
          static_cast<double>(took.count()) / static_cast<double>(read));
   it->tokens_unread = std::max<int64_t>(0, it->tokens_unread - prompt_tokens);
 }
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -15,6 +15,8 @@
 constexpr double kLoadMs = 280;
 // For each engine before it in the adapter's order, when it must be loaded.
 constexpr double kFartherMs = 90;
+// Against a second copy: it takes a place and a load that others need.
+constexpr double kSecondCopyMs = 350;
 // Its owner has just said that all places are in use.
 constexpr double kFullMs = 450;
 constexpr double kOtherZoneMs = 6;
@@ -82,6 +84,10 @@
   if (!plain) {
     order = OrderFor(usable, ToString(facts.model));
   }
+  bool held = std::any_of(usable.begin(), usable.end(), [&](auto* it) {
+    return !plain && residency.Holds(it->entry.id, facts.model,
+                                     facts.minimum_version);
+  });
   std::optional<Choice> best;
   for (size_t i = 0; i < usable.size(); ++i) {
     UpstreamState* it = usable[i];
@@ -100,6 +106,7 @@
       if (!choice.resident) {
         choice.cost_ms += kLoadMs + kFartherMs * static_cast<double>(order[i]);
         choice.cost_ms += facts.now < it->full_until ? kFullMs : 0;
+        choice.cost_ms += held ? kSecondCopyMs : 0;
       }
     }
     if (!best || choice.cost_ms < best->cost_ms) {
