--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -16,7 +16,7 @@
 // For each engine before it in the adapter's order, when it must be loaded.
 constexpr double kFartherMs = 90;
 // Against a second copy: it takes a place and a load that others need.
-constexpr double kSecondCopyMs = 350;
+constexpr double kSecondCopyMs = 60;
 // Its owner has just said that all places are in use.
 constexpr double kFullMs = 450;
 constexpr double kOtherZoneMs = 6;
