Tell peers what is on its way to each engine

Cause: an instance sees an engine's load only in its own answers, one in 1.6 s; prompts piled up on one engine, which delays first events and makes pauses in the streams that run there. Change: EngineLoad messages, 15 ms after a change and rarer with more instances; the choice counts all prompt tokens not yet read.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -34,6 +34,8 @@
 constexpr Millis kLeaseTime{6000};
 constexpr Millis kUsePeriod{100};
 constexpr Millis kUseAgainPeriod{1500};
+constexpr Millis kLoadPeriod{15};
+constexpr size_t kLoadInstancesSquared = 200;
 // Knowledge of this age is refreshed from peers.
 constexpr Millis kAskPeersAge{2400};
 constexpr Millis kAskPeersPeriod{350};
@@ -113,6 +115,7 @@
         expire_timer_(loop_),
         use_timer_(loop_),
         use_again_timer_(loop_),
+        load_timer_(loop_),
         fresh_timer_(loop_),
         stop_timer_(loop_) {
     SetRequestDeps();
@@ -149,6 +152,7 @@
     UpstreamBook::Hooks hooks;
     hooks.on_started = [this](const UpstreamState& it) { OnStarted(it); };
     hooks.on_left = [this](const UpstreamId& it) { OnLeft(it); };
+    hooks.on_load = [this](const UpstreamId& it) { OnLoadChanged(it); };
     return hooks;
   }
 
@@ -737,6 +741,40 @@
     use_again_timer_.Start(kUseAgainPeriod, [this] { TellUsesAgain(); });
   }
 
+  // ---- Load of engines.
+
+  void OnLoadChanged(const UpstreamId& upstream) {
+    if (SpecOf(upstream) == nullptr) {
+      return;
+    }
+    changed_loads_.insert(upstream);
+    if (!load_timer_.pending()) {
+      load_timer_.Start(LoadPeriod(), [this] { TellLoads(); });
+    }
+  }
+
+  // Rarer with more instances, so that what each hears stays bounded.
+  Millis LoadPeriod() const {
+    int64_t times = static_cast<int64_t>(
+        1 + state_.instances * state_.instances / kLoadInstancesSquared);
+    return kLoadPeriod * times;
+  }
+
+  void TellLoads() {
+    for (const UpstreamId& id : changed_loads_) {
+      const UpstreamState* it = state_.upstreams.Find(id);
+      if (it == nullptr) {
+        continue;
+      }
+      schema::PeerItem item;
+      item.mutable_load()->set_engine(id.str());
+      item.mutable_load()->set_in_flight(it->in_flight);
+      item.mutable_load()->set_tokens_unread(it->tokens_unread);
+      TellAll(item);
+    }
+    changed_loads_.clear();
+  }
+
   // ---- Peers.
 
   void OnPeerItem(const MachineId& from, const schema::PeerItem& item) {
@@ -766,6 +804,12 @@
       case schema::PeerItem::kRateAnswer:
         rates_.OnAnswer(item.rate_answer());
         break;
+      case schema::PeerItem::kLoad:
+        state_.upstreams.OnPeerLoad(
+            UpstreamId(item.load().engine()), from,
+            {item.load().in_flight(), item.load().tokens_unread(),
+             EventLoop::Now()});
+        break;
       case schema::PeerItem::kAlive:
         break;  // Hearing the sender was its purpose.
       case schema::PeerItem::kCrash:
@@ -1015,10 +1059,12 @@
   Millis next_fetch_;
   std::map<std::pair<UpstreamId, ModelRef>, int> uses_;
   std::set<std::pair<UpstreamId, ModelRef>> changed_uses_;
+  std::set<UpstreamId> changed_loads_;
   Timer claim_timer_;
   Timer expire_timer_;
   Timer use_timer_;
   Timer use_again_timer_;
+  Timer load_timer_;
   Timer fresh_timer_;
   Timer stop_timer_;
   std::unique_ptr<Timer> register_timer_;
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -393,8 +393,9 @@
     first_event_seen_ = true;
     UpstreamState* upstream = state_->upstreams.Find(upstream_);
     if (upstream != nullptr) {
-      state_->upstreams.OnFirstEvent(upstream, PromptTokens(),
-                                     EventLoop::Now() - sent_at_);
+      Millis now = EventLoop::Now();
+      state_->upstreams.OnFirstEvent(upstream, PromptTokens(), now - sent_at_,
+                                     now);
     }
   }
   if (!answer_begun_) {
--- a/libs/serving/include/serving/upstream_book.h
+++ b/libs/serving/include/serving/upstream_book.h
@@ -22,6 +22,13 @@
   bool gone = false;  // Gets nothing new; kept while requests are open.
   Millis gone_at;     // Not zero: will be gone then unless its entry returns.
 
+  // What another instance has on its way there, as it last said.
+  struct PeerLoad {
+    uint32_t in_flight = 0;
+    int64_t tokens_unread = 0;
+    Millis at;
+  };
+
   uint32_t in_flight = 0;       // Requests of this instance.
   int64_t tokens_unread = 0;    // Prompt tokens of those without an event yet.
   UpstreamLoadReport load;      // As it last said, over all instances.
@@ -33,8 +40,12 @@
   uint32_t connect_failures = 0;        // In a row.
   Millis avoid_until;                   // No connection could be made.
   int keep_idle_s = 0;                  // It keeps idle connections this long.
+  std::map<MachineId, PeerLoad> peer_loads;
   Millis full_until;  // Its owner said that it has no place for adapters.
 
+  // Over this instance and the peers heard of lately.
+  uint32_t AllInFlight(Millis now) const;
+  int64_t AllTokensUnread(Millis now) const;
   bool Usable(Millis now) const {
     return !gone && !entry.draining && (gone_at == Millis(0) || now < gone_at);
   }
@@ -47,6 +58,8 @@
     std::function<void(const UpstreamState&)> on_started;
     // It leaves, or is gone: nothing new may go there.
     std::function<void(const UpstreamId&)> on_left;
+    // What this instance has on its way there has changed.
+    std::function<void(const UpstreamId&)> on_load;
   };
 
   explicit UpstreamBook(Hooks hooks) : hooks_(std::move(hooks)) {}
@@ -68,9 +81,12 @@
     return upstreams_;
   }
 
+  void OnPeerLoad(const UpstreamId& id, const MachineId& peer,
+                  const UpstreamState::PeerLoad& load);
   // An attempt begins and ends.
   void OnBegin(UpstreamState* it, int64_t prompt_tokens);
-  void OnFirstEvent(UpstreamState* it, int64_t prompt_tokens, Millis took);
+  void OnFirstEvent(UpstreamState* it, int64_t prompt_tokens, Millis took,
+                    Millis now);
   void OnEnd(UpstreamState* it, int64_t unread_tokens);
   void OnLoad(UpstreamState* it, const UpstreamLoadReport& load, Millis now);
   void OnConnectFailure(UpstreamState* it, Millis now);
--- a/libs/serving/src/upstream_book.cc
+++ b/libs/serving/src/upstream_book.cc
@@ -30,8 +30,34 @@
   *value = *value == 0 ? seen : *value + kSmoothing * (seen - *value);
 }
 
+// A peer's word about its load holds for so long.
+constexpr Millis kPeerLoadLife{2500};
+
 }  // namespace
 
+uint32_t UpstreamState::AllInFlight(Millis now) const {
+  uint32_t sum = in_flight;
+  for (const auto& [peer, it] : peer_loads) {
+    sum += now - it.at < kPeerLoadLife ? it.in_flight : 0;
+  }
+  return sum;
+}
+
+int64_t UpstreamState::AllTokensUnread(Millis now) const {
+  int64_t sum = tokens_unread;
+  for (const auto& [peer, it] : peer_loads) {
+    sum += now - it.at < kPeerLoadLife ? it.tokens_unread : 0;
+  }
+  return sum;
+}
+
+void UpstreamBook::OnPeerLoad(const UpstreamId& id, const MachineId& peer,
+                              const UpstreamState::PeerLoad& load) {
+  if (UpstreamState* it = Find(id)) {
+    it->peer_loads[peer] = load;
+  }
+}
+
 void UpstreamBook::OnRecord(const UpstreamRecord& record, Millis now,
                             bool settling) {
   auto it = upstreams_.find(record.id);
@@ -140,20 +166,23 @@
   ++it->in_flight;
   ++it->begun_since_load;
   it->tokens_unread += prompt_tokens;
+  hooks_.on_load(it->entry.id);
 }
 
 void UpstreamBook::OnFirstEvent(UpstreamState* it, int64_t prompt_tokens,
-                                Millis took) {
-  int64_t read = std::max<int64_t>(1, it->tokens_unread);
+                                Millis took, Millis now) {
+  int64_t read = std::max<int64_t>(1, it->AllTokensUnread(now));
   FollowLow(&it->first_event_ms_per_token,
          static_cast<double>(took.count()) / static_cast<double>(read));
   it->tokens_unread = std::max<int64_t>(0, it->tokens_unread - prompt_tokens);
+  hooks_.on_load(it->entry.id);
 }
 
 void UpstreamBook::OnEnd(UpstreamState* it, int64_t unread_tokens) {
   BP_CHECK(it->in_flight > 0, "an attempt ends once");
   --it->in_flight;
   it->tokens_unread = std::max<int64_t>(0, it->tokens_unread - unread_tokens);
+  hooks_.on_load(it->entry.id);
 }
 
 void UpstreamBook::OnLoad(UpstreamState* it, const UpstreamLoadReport& load,
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -22,23 +22,16 @@
 constexpr double kOtherZoneMs = 6;
 constexpr double kAvoidedMs = 3000;
 constexpr double kTriedMs = 20000;
-// Of what others have in flight there, the part that still reads its prompt.
-constexpr double kOthersReading = 0.12;
 constexpr double kStepMsPerRun = 0.6;
-constexpr double kTypicalPrompt = 1600;
 constexpr double kFailureMs = 2500;  // Times the share of failures.
 
 double PromptCost(const UpstreamState& it, const ChoiceFacts& facts) {
   double per_token = it.first_event_ms_per_token > 0
                          ? it.first_event_ms_per_token
                          : kFirstGuessMsPerToken;
-  double reported = it.load.running + it.load.waiting;
-  double others = std::max(0.0, reported - it.in_flight);
-  double reading = others * kOthersReading + it.load.waiting;
-  double tokens = static_cast<double>(it.tokens_unread + facts.prompt_tokens) +
-                  reading * kTypicalPrompt;
-  double running = std::max<double>(reported, it.in_flight);
-  return per_token * tokens + kStepMsPerRun * running;
+  double tokens = static_cast<double>(it.AllTokensUnread(facts.now) +
+                                      facts.prompt_tokens);
+  return per_token * tokens + kStepMsPerRun * it.AllInFlight(facts.now);
 }
 
 double PlainCost(const UpstreamState& it) {
