Pause between watches of the store

Change: 600 ms between a watch that brought something and the next; a configuration is then in force well within its 2 s.

--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -13,6 +13,8 @@
 // How long one watch waits at the store. It also bounds the age of what is
 // known while nothing changes.
 constexpr Millis kWatchWait{1200};
+// Between two watches: upstreams write all the time, and each answer is paid.
+constexpr Millis kWatchPause{600};
 constexpr Millis kFirstRetry{100};
 constexpr Millis kLongestRetry{600};
 // After the store has come back entries may be missing for about this long.
@@ -102,7 +104,11 @@
   }
   revision_ = std::max(revision_, events.revision);
   hooks_.on_confirmed(sent);
-  Watch();
+  if (events.events.empty()) {
+    Watch();
+  } else {
+    retry_.Start(kWatchPause, [this] { Watch(); });
+  }
 }
 
 void StoreSync::OnFailure(const char* what) {
