--- a/libs/gateway/include/gateway/own_records.h
+++ b/libs/gateway/include/gateway/own_records.h
@@ -12,7 +12,7 @@
 std::string MemberKey(const MachineId& machine);
 std::string OwnerKey(const DutyId& duty);
 std::string EncodeMember(const Member& member);
-std::string EncodeOwner(const Member& owner);
+std::string EncodeOwner(const Member& owner, bool settled);
 
 // The machine or duty that a key is about; empty: another kind of key.
 MachineId MemberOfKey(const std::string& key);
--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -26,6 +26,8 @@
     // A key was written or removed. `settling`: the store was away until
     // shortly before, so leases may have lapsed that will come back.
     std::function<void(const StoreItem& item, bool settling)> on_item;
+    // A whole reading begins.
+    std::function<void()> on_relisting;
     // A whole reading ended; what it did not name is missing.
     std::function<void(const std::vector<StoreItem>& all, bool settling)>
         on_listed;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -158,8 +158,17 @@
 
   LeaseKeeper::Hooks LeaseHooks() {
     LeaseKeeper::Hooks hooks;
-    hooks.on_granted = [this](int64_t) { Register(); };
-    hooks.on_lost = [] {};
+    hooks.on_granted = [this](int64_t lease) {
+      ownership_.OnLease(lease);
+      Register();
+      ScheduleClaims();
+    };
+    hooks.on_lost = [this] {
+      ownership_.OnLease(0);
+      for (const DutyId& duty : ownership_.Duties()) {
+        OnDutyOwner(duty);
+      }
+    };
     return hooks;
   }
 
@@ -168,6 +177,7 @@
     hooks.on_item = [this](const StoreItem& item, bool settling) {
       OnItem(item, settling);
     };
+    hooks.on_relisting = [this] { ownership_.OnRelisting(); };
     hooks.on_listed = [this](const std::vector<StoreItem>& all,
                              bool settling) { OnListed(all, settling); };
     hooks.on_confirmed = [this](Millis at) {
@@ -593,14 +603,16 @@
     StoreCommit commit;
     std::string key = OwnerKey(claim.duty);
     commit.conditions.push_back({key, claim.revision});
-    commit.writes.push_back({key, EncodeOwner(self_), lease_.lease()});
+    int64_t lease = lease_.lease();
+    commit.writes.push_back({key, EncodeOwner(self_, claim.settled), lease});
     ports_.store->Commit(
-        std::move(commit), [this, claim](const StoreCommitted& it) {
+        std::move(commit), [this, claim, lease](const StoreCommitted& it) {
           if (it.outcome != StoreOutcome::kOk) {
             return;  // The watch tells how it stands; it is tried again.
           }
           ownership_.OnOwner(claim.duty,
-                             {self_.machine, self_.boot, it.revision},
+                             {self_.machine, self_.boot, it.revision, lease,
+                              claim.settled},
                              EventLoop::Now());
           OnDutyOwner(claim.duty);
           ScheduleClaims();
--- a/libs/gateway/src/own_records.cc
+++ b/libs/gateway/src/own_records.cc
@@ -32,10 +32,11 @@
   return record.SerializeAsString();
 }
 
-std::string EncodeOwner(const Member& owner) {
+std::string EncodeOwner(const Member& owner, bool settled) {
   schema::OwnerValue value;
   value.set_machine(owner.machine.str());
   value.set_boot(owner.boot.str());
+  value.set_settled(settled);
   return value.SerializeAsString();
 }
 
@@ -62,7 +63,7 @@
     return std::nullopt;
   }
   return OwnerRecord{MachineId(value.machine()), BootId(value.boot()),
-                     item.revision};
+                     item.revision, item.lease, value.settled()};
 }
 
 }  // namespace bilberrypitch
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -68,6 +68,7 @@
   ever_synced_ = true;
   revision_ = read_from_;
   bool settling = Settling(EventLoop::Now());
+  hooks_.on_relisting();
   for (const StoreItem& it : read_) {
     hooks_.on_item(it, settling);
   }
--- a/libs/serving/include/serving/ownership.h
+++ b/libs/serving/include/serving/ownership.h
@@ -4,8 +4,8 @@
 // A duty is a key in the store that lives with its machine's lease. The
 // revision of the key's last write is the fencing token: it rises with each
 // owner. A new owner waits out the turn of the one before, unless the duty
-// came up under this instance's eyes without an owner, or the owner before was this
-// same machine. No I/O.
+// came up under this instance's eyes without an owner, or its key stood as this same
+// machine's, settled, until then. No I/O.
 #pragma once
 
 #include <map>
@@ -37,6 +37,8 @@
   MachineId machine;
   BootId boot;
   int64_t revision = 0;  // Of the key: fencing token and condition.
+  int64_t lease = 0;     // With which the key lives.
+  bool settled = false;  // The turn of the owner before was over when written.
 };
 
 // A write of the owner's key for `duty` under the condition that it stands at
@@ -44,12 +46,16 @@
 struct Claim {
   DutyId duty;
   int64_t revision = 0;
+  bool settled = false;  // To write into the record.
 };
 
 class Ownership {
  public:
   Ownership(Member self, Millis turn, Millis now);
 
+  // This process's lease; 0: none. A duty that was taken with another lease is
+  // not held any more, whatever the last news of its key is.
+  void OnLease(int64_t lease);
   void OnMember(const Member& member);
   void OnMemberGone(const MachineId& machine);
   // `zone`: whose instances come first; empty: any.
@@ -57,7 +63,10 @@
   void OnDutyGone(const DutyId& duty);
   void OnOwner(const DutyId& duty, const OwnerRecord& owner, Millis now);
   void OnOwnerGone(const DutyId& duty, Millis now);
-  // The first whole reading of the store is complete.
+  // The store is read whole, the first time or because its history was dropped:
+  // owners may have come and gone unseen.
+  void OnRelisting();
+  // The whole reading is complete.
   void OnSynced(Millis now);
 
   // Claims to write now; each is given again after a while if it stays open.
@@ -84,17 +93,19 @@
     Millis unowned_since;
     // Whether some owner may have acted lately: its turn is waited out.
     bool had_owner = true;
-    bool last_owner_self = false;  // The last one seen was this machine.
-    Millis act_from;             // Of this process's right.
+    Millis act_from;  // Of this process's right.
     Millis claimed_at;
   };
 
+  bool Waits(const Duty& it) const;
   size_t RankOf(const DutyId& duty, const Duty& it) const;
 
   const Member self_;
   const Millis turn_;
   const Millis started_;
+  int64_t lease_ = 0;
   bool synced_ = false;
+  bool relisting_ = false;
   Millis synced_at_;
   std::map<MachineId, Member> members_;  // With this one.
   std::map<DutyId, Duty> duties_;
--- a/libs/serving/src/ownership.cc
+++ b/libs/serving/src/ownership.cc
@@ -47,6 +47,8 @@
   members_[self_.machine] = self_;
 }
 
+void Ownership::OnLease(int64_t lease) { lease_ = lease; }
+
 void Ownership::OnMember(const Member& member) {
   if (member.machine != self_.machine) {
     members_[member.machine] = member;
@@ -69,8 +71,8 @@
   it.listed = true;
   if (!it.owner) {
     it.unowned_since = now;
-    // Seen from its beginning: nobody has ordered it yet.
-    it.had_owner = !synced_;
+    // Seen from its beginning: nobody has done it yet.
+    it.had_owner = !synced_ || relisting_;
   }
 }
 
@@ -85,13 +87,22 @@
     return;
   }
   bool is_self = owner.machine == self_.machine && owner.boot == self_.boot;
-  if (is_self) {
-    bool waits = it.had_owner && !it.last_owner_self;
+  bool stays = is_self && it.owner && it.owner->boot == self_.boot &&
+               it.owner->lease == owner.lease;
+  if (is_self && !stays) {
+    bool waits = Waits(it);
     it.act_from = waits ? now + turn_ + kTurnMargin : now;
   }
   it.owner = owner;
   it.had_owner = true;
-  it.last_owner_self = owner.machine == self_.machine;
+}
+
+// Whether a right that is taken now begins only after another's turn.
+bool Ownership::Waits(const Duty& it) const {
+  // The claim is conditional on the key as it stands: if that is this
+  // machine's own, no other can have had the duty in between.
+  bool follows_self = it.owner && it.owner->machine == self_.machine;
+  return it.had_owner && !(follows_self && it.owner->settled);
 }
 
 void Ownership::OnOwnerGone(const DutyId& duty, Millis now) {
@@ -102,7 +113,15 @@
   }
 }
 
+void Ownership::OnRelisting() {
+  relisting_ = true;
+  for (auto& [duty, it] : duties_) {
+    it.had_owner = true;
+  }
+}
+
 void Ownership::OnSynced(Millis now) {
+  relisting_ = false;
   if (!synced_) {
     synced_ = true;
     synced_at_ = now;
@@ -135,9 +154,11 @@
     }
     if (it.owner) {
       bool own_machine = it.owner->machine == self_.machine;
-      if (own_machine && it.owner->boot != self_.boot) {
+      bool own = OwnedBySelf(duty);
+      bool settles = own && !it.owner->settled && now >= it.act_from;
+      if (settles || (own_machine && !own)) {
         it.claimed_at = now;
-        claims.push_back({duty, it.owner->revision});
+        claims.push_back({duty, it.owner->revision, settles || !Waits(it)});
       }
       continue;
     }
@@ -145,7 +166,7 @@
     Millis rank = kRankStep * static_cast<int64_t>(RankOf(duty, it));
     if (now >= from + rank) {
       it.claimed_at = now;
-      claims.push_back({duty, 0});
+      claims.push_back({duty, 0, !Waits(it)});
     }
   }
   return claims;
@@ -159,12 +180,13 @@
     }
     Millis due;
     if (it.owner) {
-      bool old_boot = it.owner->machine == self_.machine &&
-                      it.owner->boot != self_.boot;
-      if (old_boot) {
+      bool left_behind =
+          it.owner->machine == self_.machine && !OwnedBySelf(duty);
+      if (left_behind) {
         due = it.claimed_at + kClaimAgain;
-      } else if (OwnedBySelf(duty) && it.act_from > now) {
-        due = it.act_from;
+      } else if (OwnedBySelf(duty) &&
+                 (it.act_from > now || !it.owner->settled)) {
+        due = std::max(it.act_from, it.claimed_at + kClaimAgain);
       } else {
         continue;
       }
@@ -186,7 +208,7 @@
 bool Ownership::OwnedBySelf(const DutyId& duty) const {
   const OwnerRecord* owner = OwnerOf(duty);
   return owner != nullptr && owner->machine == self_.machine &&
-         owner->boot == self_.boot;
+         owner->boot == self_.boot && owner->lease == lease_ && lease_ != 0;
 }
 
 Millis Ownership::MayActFrom(const DutyId& duty) const {
--- /dev/null
+++ b/libs/serving/test/decisions_test.cc
@@ -0,0 +1,213 @@
+// The small decisions: routes, freshness, crashes, events, retries, attempts.
+#include <catch2/catch.hpp>
+
+#include "serving/active_config.h"
+#include "serving/attempt_policy.h"
+#include "serving/crash_ledger.h"
+#include "serving/event_splitter.h"
+#include "serving/freshness.h"
+#include "serving/retry_allowance.h"
+#include "serving/upstream_chooser.h"
+
+namespace bilberrypitch {
+namespace {
+
+Route RouteAt(const std::string& name, const std::string& prefix) {
+  Route route;
+  route.name = name;
+  route.host = "Shop.example";
+  route.path_prefix = prefix;
+  route.services = {{ServiceId("app"), 1}};
+  return route;
+}
+
+}  // namespace
+
+TEST_CASE("the longest prefix of the host's routes is chosen", "[routes]") {
+  ServingConfig config;
+  config.routes = {RouteAt("root", "/"), RouteAt("long", "/a/b/"),
+                   RouteAt("short", "/a/")};
+  ActiveConfig active(config);
+  REQUIRE(active.FindRoute("shop.example:80", "/a/b/c")->name == "long");
+  REQUIRE(active.FindRoute("shop.example", "/a/bc")->name == "short");
+  REQUIRE(active.FindRoute("shop.example", "/a/b")->name == "short");
+  REQUIRE(active.FindRoute("shop.example", "/x")->name == "root");
+  REQUIRE(active.FindRoute("other.example", "/a/") == nullptr);
+}
+
+TEST_CASE("a split gives each service its weight", "[routes]") {
+  Route route = RouteAt("split", "/");
+  route.services = {{ServiceId("one"), 90}, {ServiceId("two"), 10}};
+  int two = 0;
+  for (uint64_t draw = 0; draw < 1000; ++draw) {
+    two += PickService(route, draw) == ServiceId("two") ? 1 : 0;
+  }
+  REQUIRE(two == 100);
+}
+
+TEST_CASE("keyed requests end before the withdrawal bound", "[freshness]") {
+  Freshness it(Millis(5000));
+  REQUIRE_FALSE(it.MayServe(Millis(1)));
+  it.OnConfirmed(Millis(1000));
+  REQUIRE(it.MayServe(Millis(5000)));
+  REQUIRE_FALSE(it.MayServe(Millis(5999)));
+  it.OnConfirmed(Millis(500));  // Older news changes nothing.
+  REQUIRE(it.MayServe(Millis(5000)));
+}
+
+TEST_CASE("without a bound any confirmation is enough", "[freshness]") {
+  Freshness it(Millis(0));
+  REQUIRE_FALSE(it.MayServe(Millis(1)));
+  it.OnConfirmed(Millis(1));
+  REQUIRE(it.MayServe(Millis(1000000)));
+}
+
+TEST_CASE("a request is refused after three crashes of its own", "[crashes]") {
+  CrashLedger it;
+  Millis now(1000);
+  for (int64_t start = 0; start < 3; ++start) {
+    REQUIRE(it.MaySend(7, now));
+    it.OnCrash(7, {UpstreamId("u"), start}, now);
+    it.OnCrash(7, {UpstreamId("u"), start}, now);  // Told twice.
+  }
+  REQUIRE_FALSE(it.MaySend(7, now));
+  REQUIRE(it.MaySend(8, now));
+  REQUIRE(it.MaySend(7, now + Millis(200 * 1000)));
+}
+
+TEST_CASE("a good run clears a request that was near crashes", "[crashes]") {
+  CrashLedger it;
+  Millis now(1000);
+  it.OnCrash(7, {UpstreamId("u"), 1}, now);
+  it.OnCrash(7, {UpstreamId("u"), 2}, now);
+  it.OnSuccess(7);
+  it.OnCrash(7, {UpstreamId("u"), 3}, now);
+  REQUIRE(it.MaySend(7, now));
+}
+
+TEST_CASE("only whole events pass and the last id is kept", "[events]") {
+  EventSplitter it;
+  REQUIRE(it.Feed("id: 1\ndata: x") == "");
+  REQUIRE_FALSE(it.AtBoundary());
+  REQUIRE(it.Feed("\n\nid: 2\ndata: y\n") == "id: 1\ndata: x\n\n");
+  REQUIRE(it.last_id() == "1");
+  REQUIRE(it.Feed("\nid: 3\r\ndata: z\r\n\r\nid") ==
+          "id: 2\ndata: y\n\nid: 3\r\ndata: z\r\n\r\n");
+  REQUIRE(it.last_id() == "3");
+  REQUIRE(it.events() == 3);
+  it.DropPartial();
+  REQUIRE(it.AtBoundary());
+}
+
+TEST_CASE("the allowance keeps to its part of the bound", "[retries]") {
+  RetryAllowance it({0.2, 50, Millis(10000)});
+  Millis now(100000);
+  for (int i = 0; i < 100; ++i) {
+    it.OnRequest(now);
+  }
+  int taken = 0;
+  while (it.TryTake(10, now)) {
+    ++taken;
+  }
+  REQUIRE(taken <= 0.2 * 100 + 50 / 10);
+  REQUIRE(taken >= 10);
+  REQUIRE_FALSE(it.TryTake(10, now + Millis(9000)));
+  REQUIRE(it.TryTake(1, now + Millis(30000)));
+}
+
+TEST_CASE("a refusal is given only when nothing can have run", "[attempts]") {
+  AttemptFacts facts;
+  facts.kind = RequestKind::kRunOnce;
+  facts.time_left = Millis(0);
+  facts.end = AttemptEnd::kRefusedUnrun;
+  AttemptDecision unrun = DecideNext(facts);
+  REQUIRE(unrun.step == NextStep::kFail);
+  REQUIRE(unrun.error.not_run == NotRun::kTrue);
+  REQUIRE(AnswerFor(unrun.error.kind).status == 503);
+  for (AttemptEnd end : {AttemptEnd::kBroken, AttemptEnd::kSilent,
+                         AttemptEnd::kTimeUp, AttemptEnd::kWrongAnswer}) {
+    facts.end = end;
+    facts.may_have_run = true;
+    facts.time_left = Millis(5000);
+    AttemptDecision run = DecideNext(facts);
+    REQUIRE(run.step == NextStep::kFail);
+    REQUIRE(run.error.not_run != NotRun::kTrue);
+    int status = AnswerFor(run.error.kind).status;
+    REQUIRE((status == 502 || status == 504));
+  }
+}
+
+TEST_CASE("what may run once is sent again only unrun", "[attempts]") {
+  AttemptFacts facts;
+  facts.kind = RequestKind::kStream;
+  facts.time_left = Millis(5000);
+  facts.end = AttemptEnd::kNotSent;
+  REQUIRE(DecideNext(facts).step == NextStep::kSendAgain);
+  facts.end = AttemptEnd::kBroken;
+  facts.may_have_run = true;
+  facts.upstreams_run = 1;
+  facts.max_upstreams = 2;
+  REQUIRE(DecideNext(facts).step == NextStep::kFail);
+  facts.resumable = true;
+  REQUIRE(DecideNext(facts).step == NextStep::kSendAgain);
+  facts.answer_begun = true;
+  REQUIRE(DecideNext(facts).step == NextStep::kResume);
+  facts.upstreams_run = 2;
+  REQUIRE(DecideNext(facts).step == NextStep::kFail);
+}
+
+TEST_CASE("an engine that holds the adapter goes before others", "[choice]") {
+  UpstreamState first;
+  first.entry.id = UpstreamId("one");
+  UpstreamState second;
+  second.entry.id = UpstreamId("two");
+  ResidencyView residency;
+  ModelRef target{ModelId("m"), AdapterId("a")};
+  ChoiceFacts facts;
+  facts.model = target;
+  facts.now = Millis(1000);
+  std::vector<UpstreamState*> usable = {&first, &second};
+  REQUIRE_FALSE(ChooseUpstream(usable, residency, facts));
+  LoadedModel base{ModelId("m"), 1, {}};
+  residency.SetBaseModels(first.entry.id, {base});
+  residency.SetBaseModels(second.entry.id, {base});
+  REQUIRE_FALSE(ChooseUpstream(usable, residency, facts)->resident);
+  for (UpstreamState* it : usable) {
+    ResidencyView holds = residency;
+    holds.OnReady(it->entry.id, target, 1);
+    std::optional<Choice> choice = ChooseUpstream(usable, holds, facts);
+    REQUIRE(choice->upstream == it);
+    REQUIRE(choice->resident);
+    facts.minimum_version = 2;
+    REQUIRE_FALSE(ChooseUpstream(usable, holds, facts)->resident);
+    facts.minimum_version = 0;
+  }
+}
+
+// Pattern: one adapter wanted far more than the rest.
+TEST_CASE("a hot adapter gets a second copy when its engine is behind",
+          "[choice]") {
+  UpstreamState first;
+  first.entry.id = UpstreamId("one");
+  first.first_event_ms_per_token = 0.06;
+  UpstreamState second;
+  second.entry.id = UpstreamId("two");
+  second.first_event_ms_per_token = 0.06;
+  ModelRef target{ModelId("m"), AdapterId("a")};
+  ResidencyView residency;
+  LoadedModel base{ModelId("m"), 1, {}};
+  residency.SetBaseModels(first.entry.id, {base});
+  residency.SetBaseModels(second.entry.id, {base});
+  residency.OnReady(first.entry.id, target, 1);
+  ChoiceFacts facts;
+  facts.model = target;
+  facts.prompt_tokens = 1800;
+  facts.now = Millis(1000);
+  std::vector<UpstreamState*> usable = {&first, &second};
+  first.tokens_unread = 1800;
+  REQUIRE(ChooseUpstream(usable, residency, facts)->upstream == &first);
+  first.tokens_unread = 14 * 1800;
+  REQUIRE(ChooseUpstream(usable, residency, facts)->upstream == &second);
+}
+
+}  // namespace bilberrypitch
