--- a/apps/bilberrypitch/main.cc
+++ b/apps/bilberrypitch/main.cc
@@ -90,7 +90,8 @@
             static_cast<int>(!files.document.empty());
   }
   if (given != 1) {
-    fmt::print(stderr, "bilberrypitch: check takes one file of --boot, "
+    fmt::print(stderr,
+               "bilberrypitch: check takes one file of --boot, "
                "--settings and --document.\n");
     return kWrongUse;
   }
--- a/libs/gateway/include/gateway/order_service.h
+++ b/libs/gateway/include/gateway/order_service.h
@@ -34,7 +34,7 @@
                        AdapterPlace place)>
         tell;
     // What the engine is like; null: its service is not configured.
-    std::function<const EngineSpec*(const UpstreamId& engine)> spec_of;
+    std::function<const EngineProfile*(const UpstreamId& engine)> spec_of;
     // The version of the adapter that is named; 0: none.
     std::function<int64_t(const ModelRef& target)> named_version;
   };
--- a/libs/gateway/include/gateway/peer_link.h
+++ b/libs/gateway/include/gateway/peer_link.h
@@ -25,23 +25,23 @@
       std::function<void(const MachineId& from, const schema::PeerItem& item)>;
 
   // Throws std::exception when the address can't be bound.
-  PeerLink(EventLoop* loop, const Member& self, Receiver receiver);
+  PeerLink(EventLoop* loop, const ClusterMember& self, Receiver receiver);
   ~PeerLink();
 
   // Dropped when the machine is not known.
   void Send(const MachineId& to, schema::PeerItem item);
-  void SetMember(const Member& member);
+  void SetMember(const ClusterMember& member);
   void RemoveMember(const MachineId& machine);
-  const std::map<MachineId, Member>& peers() const { return peers_; }
+  const std::map<MachineId, ClusterMember>& peers() const { return peers_; }
 
  private:
   void Flush();
   void OnDatagram(std::string_view bytes);
 
   EventLoop* const loop_;
-  const Member self_;
+  const ClusterMember self_;
   const Receiver receiver_;
-  std::map<MachineId, Member> peers_;  // Without this instance.
+  std::map<MachineId, ClusterMember> peers_;  // Without this instance.
   std::map<MachineId, schema::PeerDatagram> queued_;
   bool flush_posted_ = false;
   std::unique_ptr<DatagramSocket> socket_;
--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -87,9 +87,9 @@
   bool OnHead(int status, const HttpHeaders& headers);
   void OnBytes(std::string_view bytes);
   void OnDone(CallOutcome outcome);
-  AttemptEnd EndOf(const CallOutcome& outcome) const;
+  SendEnd EndOf(const CallOutcome& outcome) const;
   void OnWholeAnswer(const CallOutcome& outcome, bool failed);
-  void Conclude(AttemptEnd end, CallOutcome* outcome);
+  void Conclude(SendEnd end, CallOutcome* outcome);
   void CloseAttempt(bool failed);
   void OnTimeUp();
   void GiveUp(ErrorKind kind_if_sent, ErrorKind kind_if_unsent,
@@ -121,7 +121,7 @@
 
   UpstreamId waiting_engine_;  // While the adapter is awaited there.
   Millis waiting_since_;
-  uint32_t asked_ = 0;         // Times that the adapter was asked for.
+  uint32_t asked_ = 0;  // Times that the adapter was asked for.
 
   // The attempt under way.
   CallId call_ = 0;  // 0: none.
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -19,9 +19,9 @@
 // Counted since the start; served with the metrics.
 struct RequestCounters {
   uint64_t received = 0;
-  uint64_t answered = 0;        // With an upstream's answer.
-  uint64_t refused = 0;         // Not run.
-  uint64_t failed = 0;          // May have run.
+  uint64_t answered = 0;  // With an upstream's answer.
+  uint64_t refused = 0;   // Not run.
+  uint64_t failed = 0;    // May have run.
   uint64_t caller_left = 0;
   uint64_t rate_limited = 0;
   uint64_t repeats = 0;         // Sends after the first.
--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -16,9 +16,19 @@
 
 class ClusterStore;
 class EventLoop;
+struct ClusterBounds;
 struct StoreEvents;
 struct StorePage;
 
+// How often the store is asked: both bound the age of what is known.
+struct StoreSyncPace {
+  Millis wait;   // Longest time that one watch waits at the store.
+  Millis pause;  // Between a watch that brought something and the next.
+};
+
+// A pace that keeps to the promised times of the deployment.
+StoreSyncPace PaceFor(const ClusterBounds& bounds);
+
 // On the loop's thread only.
 class StoreSync {
  public:
@@ -37,7 +47,8 @@
     std::function<void()> on_regained;
   };
 
-  StoreSync(EventLoop* loop, ClusterStore* store, Hooks hooks);
+  StoreSync(EventLoop* loop, ClusterStore* store, StoreSyncPace pace,
+            Hooks hooks);
 
   void Start();
   // The revision up to which the store is known.
@@ -57,6 +68,7 @@
 
   EventLoop* const loop_;
   ClusterStore* const store_;
+  const StoreSyncPace pace_;
   const Hooks hooks_;
   Timer retry_;
   bool ever_synced_ = false;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -36,8 +36,10 @@
 constexpr Millis kUseAgainPeriod{1500};
 constexpr Millis kLoadPeriod{15};
 constexpr size_t kLoadInstancesSquared = 200;
-// Knowledge of this age is refreshed from peers.
+// Knowledge of this age is refreshed from peers,
 constexpr Millis kAskPeersAge{2400};
+// at the latest at this part of the withdrawal bound.
+constexpr int64_t kAskPeersParts = 2;
 constexpr Millis kAskPeersPeriod{350};
 constexpr size_t kPeersAsked = 3;
 constexpr Millis kStateFetchPeriod{900};
@@ -99,15 +101,18 @@
         ownership_(self_, settings.bounds.order_turn, EventLoop::Now()),
         lease_(loop_, ports_.store,
                std::max(kLeaseTime, settings.shortest_lease), LeaseHooks()),
-        sync_(loop_, ports_.store, SyncHooks()),
+        sync_(loop_, ports_.store, PaceFor(settings.bounds), SyncHooks()),
+        ask_peers_age_(std::min(
+            kAskPeersAge,
+            Millis(settings.bounds.withdraw.count() / kAskPeersParts))),
         peers_(loop_, self_,
                [this](const MachineId& from, const schema::PeerItem& item) {
                  OnPeerItem(from, item);
                }),
         orders_(loop_, self_.machine, &ownership_, &lease_, &state_.upstreams,
                 ports_.engines, OrderHooks()),
-        rates_(loop_, self_.machine, RateMarginOf(settings.bounds),
-               &ownership_, &lease_, &peers_),
+        rates_(loop_, self_.machine, RateMarginOf(settings.bounds), &ownership_,
+               &lease_, &peers_),
         suspicions_([this](uint64_t fingerprint, const CrashId& crash) {
           OnCrash(fingerprint, crash, true);
         }),
@@ -178,8 +183,9 @@
       OnItem(item, settling);
     };
     hooks.on_relisting = [this] { ownership_.OnRelisting(); };
-    hooks.on_listed = [this](const std::vector<StoreItem>& all,
-                             bool settling) { OnListed(all, settling); };
+    hooks.on_listed = [this](const std::vector<StoreItem>& all, bool settling) {
+      OnListed(all, settling);
+    };
     hooks.on_confirmed = [this](Millis at) {
       state_.freshness.OnConfirmed(at);
     };
@@ -272,7 +278,8 @@
   void OnRequest(HttpRequest request, std::shared_ptr<Responder> responder) {
     uint64_t connection = request.connection;
     Error error;
-    if (state_.stopping && EventLoop::Now() - stop_begun_ > kNoticedByBalancer) {
+    if (state_.stopping &&
+        EventLoop::Now() - stop_begun_ > kNoticedByBalancer) {
       // Who still comes here keeps an old connection: it is to use another.
       error = {ErrorKind::kStopping, "This instance is stopping.",
                NotRun::kTrue};
@@ -333,6 +340,7 @@
       OnConfig(std::move(config->config), item.revision);
     } else if (auto* upstream = std::get_if<UpstreamRecord>(&record)) {
       Remember(item);
+      upstream_keys_[upstream->id] = item.key;
       OnUpstream(*upstream, now, settling);
     } else if (auto* version = std::get_if<AdapterVersionRecord>(&record)) {
       Remember(item);
@@ -355,7 +363,8 @@
   }
 
   void OnConfig(ServingConfig config, int64_t revision) {
-    if (state_.config != nullptr && config.version <= state_.config->version()) {
+    if (state_.config != nullptr &&
+        config.version <= state_.config->version()) {
       // An older one never comes into force again.
       config_revision_ = std::max(config_revision_, revision);
       return;
@@ -388,7 +397,7 @@
     return {bounds.rate_over, bounds.rate_slack, bounds.rate_window.seconds()};
   }
 
-  const EngineSpec* SpecOf(const UpstreamId& engine) {
+  const EngineProfile* SpecOf(const UpstreamId& engine) {
     UpstreamState* it = state_.upstreams.Find(engine);
     if (it == nullptr || state_.config == nullptr) {
       return nullptr;
@@ -479,7 +488,7 @@
   }
 
   void OnMemberItem(const MachineId& machine, const StoreItem& item) {
-    std::optional<Member> member;
+    std::optional<ClusterMember> member;
     if (!item.deleted) {
       member = DecodeMember(item);
     }
@@ -514,20 +523,19 @@
       keys.insert(it.key);
     }
     std::vector<UpstreamId> upstreams;
-    for (const auto& [id, it] : state_.upstreams.all()) {
-      bool listed = std::any_of(known_.begin(), known_.end(), [&](auto& item) {
-        return keys.count(item.first) > 0 && IsEntryOf(item.second, id);
-      });
-      if (listed) {
+    for (const auto& [id, key] : upstream_keys_) {
+      if (keys.count(key) > 0) {
         upstreams.push_back(id);
       }
     }
     Millis now = EventLoop::Now();
     state_.upstreams.OnListed(upstreams, now, settling);
-    std::erase_if(known_, [&](const auto& item) {
-      return keys.count(item.first) == 0 &&
-             std::holds_alternative<UpstreamRecord>(
-                 ports_.decode_record(item.second));
+    std::erase_if(upstream_keys_, [&](const auto& it) {
+      bool gone = keys.count(it.second) == 0;
+      if (gone) {
+        known_.erase(it.second);
+      }
+      return gone;
     });
     RemoveUnlistedOwn(keys, now);
     ownership_.OnSynced(now);
@@ -535,12 +543,6 @@
     ScheduleClaims();
   }
 
-  bool IsEntryOf(const StoreItem& item, const UpstreamId& id) const {
-    StoreRecord record = ports_.decode_record(item);
-    auto* upstream = std::get_if<UpstreamRecord>(&record);
-    return upstream != nullptr && upstream->id == id;
-  }
-
   void RemoveUnlistedOwn(const std::set<std::string>& keys, Millis now) {
     std::vector<MachineId> machines;
     for (const auto& [machine, member] : peers_.peers()) {
@@ -589,7 +591,7 @@
       return;
     }
     Millis now = EventLoop::Now();
-    for (const Claim& it : ownership_.Claims(now)) {
+    for (const DutyClaim& it : ownership_.Claims(now)) {
       WriteClaim(it);
     }
     Millis due = ownership_.NextDue(now);
@@ -599,7 +601,7 @@
     }
   }
 
-  void WriteClaim(const Claim& claim) {
+  void WriteClaim(const DutyClaim& claim) {
     StoreCommit commit;
     std::string key = OwnerKey(claim.duty);
     commit.conditions.push_back({key, claim.revision});
@@ -610,10 +612,10 @@
           if (it.outcome != StoreOutcome::kOk) {
             return;  // The watch tells how it stands; it is tried again.
           }
-          ownership_.OnOwner(claim.duty,
-                             {self_.machine, self_.boot, it.revision, lease,
-                              claim.settled},
-                             EventLoop::Now());
+          ownership_.OnOwner(
+              claim.duty,
+              {self_.machine, self_.boot, it.revision, lease, claim.settled},
+              EventLoop::Now());
           OnDutyOwner(claim.duty);
           ScheduleClaims();
         });
@@ -825,10 +827,10 @@
       case schema::PeerItem::kAlive:
         break;  // Hearing the sender was its purpose.
       case schema::PeerItem::kCrash:
-        OnCrash(item.crash().fingerprint(),
-                {UpstreamId(item.crash().upstream()),
-                 item.crash().started_ms()},
-                false);
+        OnCrash(
+            item.crash().fingerprint(),
+            {UpstreamId(item.crash().upstream()), item.crash().started_ms()},
+            false);
         break;
       case schema::PeerItem::kQuestion:
         AnswerFreshness(from, item.question().nonce());
@@ -867,12 +869,12 @@
   void WatchFreshness() {
     Millis now = EventLoop::Now();
     Millis age = state_.freshness.Age(now);
-    if (!state_.freshness.ever_confirmed() || age > kAskPeersAge) {
+    if (!state_.freshness.ever_confirmed() || age > ask_peers_age_) {
       AskPeers(now);
       fresh_timer_.Start(kAskPeersPeriod, [this] { WatchFreshness(); });
       return;
     }
-    fresh_timer_.Start(std::max(kAskPeersPeriod, kAskPeersAge - age),
+    fresh_timer_.Start(std::max(kAskPeersPeriod, ask_peers_age_ - age),
                        [this] { WatchFreshness(); });
   }
 
@@ -914,9 +916,9 @@
         state_.config != nullptr) {
       state_.freshness.OnConfirmed(question_sent_ - Millis(answer.age_ms()));
     }
-    bool newer = answer.config_revision() > config_revision_ ||
-                 answer.store_revision() > std::max(sync_.revision(),
-                                                    peer_revision_);
+    bool newer =
+        answer.config_revision() > config_revision_ ||
+        answer.store_revision() > std::max(sync_.revision(), peer_revision_);
     if (newer && now >= next_fetch_) {
       next_fetch_ = now + kStateFetchPeriod;
       FetchState(from);
@@ -1050,11 +1052,12 @@
 
   const GatewayPorts ports_;
   EventLoop* const loop_;
-  const Member self_;
+  const ClusterMember self_;
   ServingState state_;
   Ownership ownership_;
   LeaseKeeper lease_;
   StoreSync sync_;
+  const Millis ask_peers_age_;
   PeerLink peers_;
   OrderService orders_;
   RateService rates_;
@@ -1064,6 +1067,7 @@
   std::unordered_multimap<uint64_t, std::shared_ptr<RequestRun>> active_;
   // What others wrote into the store, for peers that can't reach it.
   std::map<std::string, StoreItem> known_;
+  std::map<UpstreamId, std::string> upstream_keys_;
   int64_t config_revision_ = 0;  // Newest revision of the configuration seen.
   int64_t peer_revision_ = 0;    // Up to which a peer's state was taken.
   uint64_t question_ = 0;        // Nonce of the last question to peers.
--- a/libs/gateway/src/lease_keeper.cc
+++ b/libs/gateway/src/lease_keeper.cc
@@ -64,9 +64,8 @@
 
 void LeaseKeeper::Renew() {
   Millis sent = EventLoop::Now();
-  store_->RenewLease(lease_, [this, sent](const StoreLease& it) {
-    OnRenewed(it, sent);
-  });
+  store_->RenewLease(
+      lease_, [this, sent](const StoreLease& it) { OnRenewed(it, sent); });
 }
 
 void LeaseKeeper::OnRenewed(const StoreLease& it, Millis sent) {
--- a/libs/gateway/src/order_service.cc
+++ b/libs/gateway/src/order_service.cc
@@ -46,7 +46,7 @@
     placed_.erase(engine);
     return;
   }
-  const EngineSpec* spec = hooks_.spec_of(engine);
+  const EngineProfile* spec = hooks_.spec_of(engine);
   if (spec == nullptr) {
     return;
   }
@@ -120,8 +120,8 @@
   do {
     it->again = false;
     Millis now = EventLoop::Now();
-    bool may_order =
-        ownership_->Fence(EngineDuty(it->engine), now) != 0 && lease_->Valid(now);
+    bool may_order = ownership_->Fence(EngineDuty(it->engine), now) != 0 &&
+                     lease_->Valid(now);
     for (const PlacementAction& action : it->placement.Next(may_order, now)) {
       Do(it, action);
     }
@@ -170,14 +170,13 @@
     return;
   }
   ++reports_;
-  engines_->Report(
-      it->engine, state->entry.address,
-      [this, weak](bool ok, const EngineReport& report) {
-        if (auto placed = weak.lock()) {
-          placed->placement.OnReport(ok, report, EventLoop::Now());
-          Run(placed.get());
-        }
-      });
+  engines_->Report(it->engine, state->entry.address,
+                   [this, weak](bool ok, const EngineReport& report) {
+                     if (auto placed = weak.lock()) {
+                       placed->placement.OnReport(ok, report, EventLoop::Now());
+                       Run(placed.get());
+                     }
+                   });
 }
 
 void OrderService::Order(Placed* it, const PlacementAction& action) {
--- a/libs/gateway/src/own_records.cc
+++ b/libs/gateway/src/own_records.cc
@@ -23,7 +23,7 @@
   return std::string(kOwners) + duty.str();
 }
 
-std::string EncodeMember(const Member& member) {
+std::string EncodeMember(const ClusterMember& member) {
   schema::MemberRecord record;
   record.set_machine(member.machine.str());
   record.set_boot(member.boot.str());
@@ -32,7 +32,7 @@
   return record.SerializeAsString();
 }
 
-std::string EncodeOwner(const Member& owner, bool settled) {
+std::string EncodeOwner(const ClusterMember& owner, bool settled) {
   schema::OwnerValue value;
   value.set_machine(owner.machine.str());
   value.set_boot(owner.boot.str());
@@ -44,17 +44,15 @@
   return MachineId(After(key, kMembers));
 }
 
-DutyId DutyOfKey(const std::string& key) {
-  return DutyId(After(key, kOwners));
-}
+DutyId DutyOfKey(const std::string& key) { return DutyId(After(key, kOwners)); }
 
-std::optional<Member> DecodeMember(const StoreItem& item) {
+std::optional<ClusterMember> DecodeMember(const StoreItem& item) {
   schema::MemberRecord record;
   if (!record.ParseFromString(item.value) || record.machine().empty()) {
     return std::nullopt;
   }
-  return Member{MachineId(record.machine()), BootId(record.boot()),
-                ZoneId(record.zone()), record.address()};
+  return ClusterMember{MachineId(record.machine()), BootId(record.boot()),
+                       ZoneId(record.zone()), record.address()};
 }
 
 std::optional<OwnerRecord> DecodeOwner(const StoreItem& item) {
--- a/libs/gateway/src/peer_link.cc
+++ b/libs/gateway/src/peer_link.cc
@@ -13,19 +13,20 @@
 
 }  // namespace
 
-PeerLink::PeerLink(EventLoop* loop, const Member& self, Receiver receiver)
+PeerLink::PeerLink(EventLoop* loop, const ClusterMember& self,
+                   Receiver receiver)
     : loop_(loop),
       self_(self),
       receiver_(std::move(receiver)),
       socket_(std::make_unique<DatagramSocket>(
-          loop, self.address, [this](std::string_view bytes,
-                                     const std::string&) {
+          loop, self.address,
+          [this](std::string_view bytes, const std::string&) {
             OnDatagram(bytes);
           })) {}
 
 PeerLink::~PeerLink() = default;
 
-void PeerLink::SetMember(const Member& member) {
+void PeerLink::SetMember(const ClusterMember& member) {
   if (member.machine != self_.machine) {
     peers_[member.machine] = member;
   }
--- a/libs/gateway/src/rate_service.cc
+++ b/libs/gateway/src/rate_service.cc
@@ -74,8 +74,7 @@
 
 bool RateService::MayKeep(const WorkspaceId& workspace, Millis now) const {
   return ledger_.Keeps(workspace) &&
-         ownership_->Fence(RateDuty(workspace), now) != 0 &&
-         lease_->Valid(now);
+         ownership_->Fence(RateDuty(workspace), now) != 0 && lease_->Valid(now);
 }
 
 void RateService::Take(const WorkspaceId& workspace, double cost,
@@ -119,8 +118,8 @@
   }
   auto node = open_.extract(nonce);
   Open& it = *node.mapped();
-  it.done(ledger_.TakeAlone(it.workspace, it.keeper, it.cost,
-                            EventLoop::Now()));
+  it.done(
+      ledger_.TakeAlone(it.workspace, it.keeper, it.cost, EventLoop::Now()));
 }
 
 void RateService::OnQuestion(const MachineId& from,
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -93,8 +93,8 @@
   deadline_ = arrived_ + std::min(request_.time_allowed.value_or(kLongestCall),
                                   route_->timeout);
   WorkspaceId id = workspace_ != nullptr ? workspace_->id : WorkspaceId();
-  fingerprint_ = RequestFingerprint(request_.method, request_.target, id,
-                                    request_.body);
+  fingerprint_ =
+      RequestFingerprint(request_.method, request_.target, id, request_.body);
   if (!state_->crashes.MaySend(fingerprint_, arrived_)) {
     Refuse(ErrorKind::kInternal,
            "Upstreams that ran this request crashed; it is not run again.",
@@ -131,9 +131,10 @@
     return;
   }
   bool tokens = workspace_->counts_tokens && request_.states_tokens;
-  rate_cost_ = tokens ? static_cast<double>(request_.prompt_tokens +
-                                            request_.output_tokens)
-                      : workspace_->plain_cost;
+  rate_cost_ =
+      tokens
+          ? static_cast<double>(request_.prompt_tokens + request_.output_tokens)
+          : workspace_->plain_cost;
   auto self = shared_from_this();
   deps_->hooks.take_rate(
       workspace_->id, rate_cost_,
@@ -149,8 +150,8 @@
     return;
   }
   Millis now = EventLoop::Now();
-  Millis bound = std::min(Millis(route_->goal.count() / kRateWaitParts),
-                          kLongestRateWait);
+  Millis bound =
+      std::min(Millis(route_->goal.count() / kRateWaitParts), kLongestRateWait);
   if (now + verdict.wait > arrived_ + bound) {
     ++state_->counters.rate_limited;
     Refuse(ErrorKind::kRateLimited, "The workspace is beyond its rate.",
@@ -212,9 +213,8 @@
   facts.zone = state_->settings.zone;
   facts.now = now;
   facts.tried = tried_;
-  std::optional<Choice> choice =
-      ChooseUpstream(state_->upstreams.UsableOf(service_, now),
-                     state_->residency, facts);
+  std::optional<Choice> choice = ChooseUpstream(
+      state_->upstreams.UsableOf(service_, now), state_->residency, facts);
   if (!choice) {
     Millis bound = std::max(route_->goal, kNoUpstreamWait * 2);
     if (now > arrived_ + bound || TimeLeft() < kNoUpstreamWait * 2) {
@@ -294,8 +294,8 @@
   bool may_repeat =
       route_->MayRunTwice() && upstreams_run_ + 1 < route_->max_upstreams;
   if (may_repeat && !IsStream()) {
-    call.deadlines.first_byte = std::min(
-        left, std::max(kLeastSilence, route_->goal * kSilentGoals));
+    call.deadlines.first_byte =
+        std::min(left, std::max(kLeastSilence, route_->goal * kSilentGoals));
   }
   call.send_once = !route_->MayRunTwice();
   // Before the upstream closes the idle connection itself.
@@ -314,8 +314,7 @@
   if (workspace_ != nullptr) {
     instructions.workspace = workspace_->id;
   }
-  instructions.time_left =
-      std::max(Millis(1), TimeLeft() - kDeadlineMargin);
+  instructions.time_left = std::max(Millis(1), TimeLeft() - kDeadlineMargin);
   int urgency = route_->priority;
   if (workspace_ != nullptr && workspace_->priority) {
     urgency += *workspace_->priority * kUrgencyPerWorkspace;
@@ -406,34 +405,33 @@
   responder_->WriteChunk(std::move(events), {});
 }
 
-AttemptEnd RequestRun::EndOf(const CallOutcome& outcome) const {
+SendEnd RequestRun::EndOf(const CallOutcome& outcome) const {
   switch (outcome.result) {
     case CallResult::kRefused:
     case CallResult::kConnectTimeout:
-      return AttemptEnd::kNotSent;
+      return SendEnd::kNotSent;
     case CallResult::kComplete:
       break;
     case CallResult::kSilent:
-      return TimeLeft() <= Millis(1) ? AttemptEnd::kTimeUp
-                                     : AttemptEnd::kSilent;
+      return TimeLeft() <= Millis(1) ? SendEnd::kTimeUp : SendEnd::kSilent;
     case CallResult::kTooLong:
-      return AttemptEnd::kTimeUp;
+      return SendEnd::kTimeUp;
     case CallResult::kCancelled:
     case CallResult::kTooLarge:
-      return AttemptEnd::kWrongAnswer;
+      return SendEnd::kWrongAnswer;
     case CallResult::kBroken:
-      return AttemptEnd::kBroken;
+      return SendEnd::kBroken;
   }
   if (!facts_.same_request) {
-    return AttemptEnd::kWrongAnswer;
+    return SendEnd::kWrongAnswer;
   }
   if (facts_.not_run) {
-    return AttemptEnd::kRefusedUnrun;
+    return SendEnd::kRefusedUnrun;
   }
   if (!facts_.has_signature) {
-    return AttemptEnd::kWrongAnswer;
+    return SendEnd::kWrongAnswer;
   }
-  return AttemptEnd::kFailedAnswer;
+  return SendEnd::kFailedAnswer;
 }
 
 void RequestRun::OnDone(CallOutcome outcome) {
@@ -451,7 +449,7 @@
     OnWholeAnswer(outcome, false);
     return;
   }
-  AttemptEnd end = EndOf(outcome);
+  SendEnd end = EndOf(outcome);
   Conclude(end, &outcome);
 }
 
@@ -497,19 +495,19 @@
   upstream_ = UpstreamId();
 }
 
-void RequestRun::Conclude(AttemptEnd end, CallOutcome* outcome) {
+void RequestRun::Conclude(SendEnd end, CallOutcome* outcome) {
   UpstreamId upstream = upstream_;
-  bool unrun = end == AttemptEnd::kNotSent || end == AttemptEnd::kRefusedUnrun;
-  bool misses = end == AttemptEnd::kRefusedUnrun &&
+  bool unrun = end == SendEnd::kNotSent || end == SendEnd::kRefusedUnrun;
+  bool misses = end == SendEnd::kRefusedUnrun &&
                 outcome->status == kMisdirected && request_.model.is_adapter();
-  CloseAttempt(!unrun && end != AttemptEnd::kTimeUp);
-  if (end == AttemptEnd::kNotSent) {
+  CloseAttempt(!unrun && end != SendEnd::kTimeUp);
+  if (end == SendEnd::kNotSent) {
     if (UpstreamState* it = state_->upstreams.Find(upstream)) {
       state_->upstreams.OnConnectFailure(it, EventLoop::Now());
     }
     deps_->hooks.unreachable(upstream);
   }
-  if (end == AttemptEnd::kBroken) {
+  if (end == SendEnd::kBroken) {
     deps_->hooks.broken(fingerprint_, upstream, upstream_started_ms_);
   }
   if (!unrun) {
@@ -524,7 +522,7 @@
   } else {
     tried_.push_back(upstream);
   }
-  AttemptFacts facts;
+  SendFacts facts;
   facts.end = end;
   facts.kind = route_->kind;
   facts.resumable = route_->resumable;
@@ -534,8 +532,9 @@
   facts.max_upstreams = route_->max_upstreams;
   facts.sends = sends_;
   facts.time_left = TimeLeft();
-  AttemptDecision decision = DecideNext(facts);
-  LogInfo("request", "Attempt id={} send={} upstream={} end={} status={} "
+  SendDecision decision = DecideNext(facts);
+  LogInfo("request",
+          "Attempt id={} send={} upstream={} end={} status={} "
           "ms={} next={}.",
           request_.id.str(), sends_, upstream.str(), static_cast<int>(end),
           outcome->status, (EventLoop::Now() - sent_at_).count(),
@@ -543,9 +542,8 @@
   bool again = decision.step == NextStep::kSendAgain ||
                decision.step == NextStep::kResume;
   if (again &&
-      (end == AttemptEnd::kNotSent ||
-       state_->RetriesOf(service_).TryTake(state_->instances,
-                                           EventLoop::Now()))) {
+      (end == SendEnd::kNotSent || state_->RetriesOf(service_).TryTake(
+                                       state_->instances, EventLoop::Now()))) {
     if (misses) {
       auto self = shared_from_this();
       wait_timer_.Start(kAfterMiss, [self] { self->Dispatch(); });
@@ -554,7 +552,7 @@
     }
     return;
   }
-  bool passes = end == AttemptEnd::kFailedAnswer && !answer_begun_;
+  bool passes = end == SendEnd::kFailedAnswer && !answer_begun_;
   if (passes) {
     ++state_->counters.answered;
     HttpResponse response;
@@ -659,8 +657,7 @@
           ToString(request_.model),
           workspace_ != nullptr ? workspace_->id.str() : "-",
           route_ != nullptr ? route_->name : "-", first_event_after_.count(),
-          asked_, misses_,
-          config_ != nullptr ? config_->version() : 0);
+          asked_, misses_, config_ != nullptr ? config_->version() : 0);
   responder_.reset();
   deps_->hooks.ended(connection_);
 }
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -5,16 +5,17 @@
 
 #include "base/log.h"
 #include "serving/cluster_store.h"
+#include "serving/instance_settings.h"
 #include "transport/event_loop.h"
 
 namespace bilberrypitch {
 namespace {
 
-// How long one watch waits at the store. It also bounds the age of what is
-// known while nothing changes.
-constexpr Millis kWatchWait{1200};
-// Between two watches: upstreams write all the time, and each answer is paid.
-constexpr Millis kWatchPause{600};
+constexpr StoreSyncPace kSlowestPace{Millis(1200), Millis(600)};
+constexpr StoreSyncPace kFastestPace{Millis(150), Millis(20)};
+// Parts of the promised times that a wait and a pause may take.
+constexpr int64_t kWaitParts = 4;
+constexpr int64_t kPauseParts = 8;
 constexpr Millis kFirstRetry{100};
 constexpr Millis kLongestRetry{600};
 // After the store has come back entries may be missing for about this long.
@@ -23,8 +24,28 @@
 
 }  // namespace
 
-StoreSync::StoreSync(EventLoop* loop, ClusterStore* store, Hooks hooks)
-    : loop_(loop), store_(store), hooks_(std::move(hooks)), retry_(loop) {}
+StoreSyncPace PaceFor(const ClusterBounds& bounds) {
+  Millis shortest = std::min(bounds.apply, bounds.leave) * 2;
+  if (bounds.strict_withdrawal) {
+    shortest = std::min(shortest, bounds.withdraw);
+  }
+  StoreSyncPace pace;
+  // Upstreams write all the time, and each answered watch is paid: a pause
+  // lets their writes come together.
+  pace.wait = std::clamp(Millis(shortest.count() / kWaitParts),
+                         kFastestPace.wait, kSlowestPace.wait);
+  pace.pause = std::clamp(Millis(shortest.count() / kPauseParts),
+                          kFastestPace.pause, kSlowestPace.pause);
+  return pace;
+}
+
+StoreSync::StoreSync(EventLoop* loop, ClusterStore* store, StoreSyncPace pace,
+                     Hooks hooks)
+    : loop_(loop),
+      store_(store),
+      pace_(pace),
+      hooks_(std::move(hooks)),
+      retry_(loop) {}
 
 void StoreSync::Start() { ReadAll(); }
 
@@ -80,7 +101,7 @@
 
 void StoreSync::Watch() {
   Millis sent = EventLoop::Now();
-  store_->Watch("", revision_, kWatchWait, [this, sent](StoreEvents events) {
+  store_->Watch("", revision_, pace_.wait, [this, sent](StoreEvents events) {
     OnEvents(std::move(events), sent);
   });
 }
@@ -108,7 +129,7 @@
   if (events.events.empty()) {
     Watch();
   } else {
-    retry_.Start(kWatchPause, [this] { Watch(); });
+    retry_.Start(pace_.pause, [this] { Watch(); });
   }
 }
 
--- a/libs/serving/include/serving/attempt_policy.h
+++ b/libs/serving/include/serving/attempt_policy.h
@@ -14,7 +14,7 @@
 
 namespace bilberrypitch {
 
-enum class AttemptEnd : uint8_t {
+enum class SendEnd : uint8_t {
   kNotSent,       // No connection was made.
   kRefusedUnrun,  // The upstream states that it did not run it.
   kFailedAnswer,  // A whole answer that tells of the upstream's failure.
@@ -24,15 +24,15 @@
   kTimeUp,        // The time for the whole request is over.
 };
 
-struct AttemptFacts {
-  AttemptEnd end = AttemptEnd::kNotSent;
+struct SendFacts {
+  SendEnd end = SendEnd::kNotSent;
   RequestKind kind = RequestKind::kRunOnce;
   bool resumable = false;
-  bool answer_begun = false;     // The caller has got a part of it.
-  bool may_have_run = false;     // This attempt or one before.
-  uint32_t upstreams_run = 0;    // That may have run it so far.
+  bool answer_begun = false;   // The caller has got a part of it.
+  bool may_have_run = false;   // This attempt or one before.
+  uint32_t upstreams_run = 0;  // That may have run it so far.
   uint32_t max_upstreams = 1;
-  uint32_t sends = 0;            // Attempts so far.
+  uint32_t sends = 0;  // Attempts so far.
   Millis time_left;
 };
 
@@ -43,7 +43,7 @@
   kFail,        // Answer with `error`, or break the answer off.
 };
 
-struct AttemptDecision {
+struct SendDecision {
   NextStep step = NextStep::kFail;
   Error error;
 };
@@ -51,8 +51,8 @@
 // What is possible without regard to the retry allowance, which the caller
 // asks before it follows kSendAgain or kResume; when that refuses, it calls
 // FailureOf.
-AttemptDecision DecideNext(const AttemptFacts& facts);
+SendDecision DecideNext(const SendFacts& facts);
 // The failure that the caller is told.
-Error FailureOf(const AttemptFacts& facts);
+Error FailureOf(const SendFacts& facts);
 
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/cluster_store.h
+++ b/libs/serving/include/serving/cluster_store.h
@@ -15,12 +15,12 @@
 
 enum class StoreOutcome : uint8_t {
   kOk,
-  kConflict,      // A condition did not hold; nothing was done.
-  kLeaseEnded,    // The lease named does not exist.
-  kHistoryGone,   // A watch begins before what the store still knows.
-  kRefused,       // The store turned the call away; nothing was done.
-  kUnreachable,   // No connection was made; nothing was done.
-  kUnknown,       // No answer: a write may have been done or may yet be.
+  kConflict,     // A condition did not hold; nothing was done.
+  kLeaseEnded,   // The lease named does not exist.
+  kHistoryGone,  // A watch begins before what the store still knows.
+  kRefused,      // The store turned the call away; nothing was done.
+  kUnreachable,  // No connection was made; nothing was done.
+  kUnknown,      // No answer: a write may have been done or may yet be.
 };
 
 struct StorePage {
@@ -36,20 +36,20 @@
   int64_t revision = 0;  // Where the next watch begins.
 };
 
-struct StoreCondition {
+struct KeyCondition {
   std::string key;
   int64_t revision = 0;  // 0: does not exist.
 };
 
-struct StoreWrite {
+struct KeyWrite {
   std::string key;
   std::string value;
   int64_t lease = 0;
 };
 
 struct StoreCommit {
-  std::vector<StoreCondition> conditions;
-  std::vector<StoreWrite> writes;
+  std::vector<KeyCondition> conditions;
+  std::vector<KeyWrite> writes;
   std::vector<std::string> removals;
 };
 
--- a/libs/serving/include/serving/config.h
+++ b/libs/serving/include/serving/config.h
@@ -29,10 +29,10 @@
   std::string path_prefix;  // Begins and ends with a slash.
   std::vector<ServiceShare> services;
   RequestKind kind = RequestKind::kRunOnce;
-  bool resumable = false;    // A stream may go on at another upstream.
-  bool needs_key = true;     // False: open to callers without a key.
+  bool resumable = false;      // A stream may go on at another upstream.
+  bool needs_key = true;       // False: open to callers without a key.
   uint32_t max_upstreams = 1;  // Upstreams on which one attempt may run.
-  Millis timeout;            // Longest time until the answer ends.
+  Millis timeout;              // Longest time until the answer ends.
   Millis goal;  // Time to the (first event of the) answer for full credit.
   Millis pause_goal;  // Longest pause between two events; 0: none stated.
   int priority = 0;   // 0 is the most urgent.
@@ -49,7 +49,7 @@
 };
 
 // What a service's engines are like.
-struct EngineSpec {
+struct EngineProfile {
   uint32_t batch_slots = 1;
   int64_t cache_tokens = 0;  // Memory for running requests and cached prompts.
   double weights_mb = 0;     // Memory for base models and adapters.
@@ -60,7 +60,7 @@
 
 struct Service {
   ServiceId id;
-  std::optional<EngineSpec> engine;  // None: a plain service.
+  std::optional<EngineProfile> engine;  // None: a plain service.
 };
 
 struct Workspace {
--- a/libs/serving/include/serving/crash_ledger.h
+++ b/libs/serving/include/serving/crash_ledger.h
@@ -42,7 +42,8 @@
   std::map<uint64_t, Suspect> suspects_;
 };
 
-uint64_t RequestFingerprint(const std::string& method, const std::string& target,
+uint64_t RequestFingerprint(const std::string& method,
+                            const std::string& target,
                             const WorkspaceId& workspace,
                             const std::string& body);
 
--- a/libs/serving/include/serving/engine_api.h
+++ b/libs/serving/include/serving/engine_api.h
@@ -17,9 +17,9 @@
   std::string address;
   OrderVerb verb = OrderVerb::kLoad;
   ModelRef target;
-  int64_t version = 0;  // Of an adapter to load; 0: the newest.
-  std::string holder;   // Machine that gives the order.
-  int64_t fence = 0;    // Fencing token of the ownership.
+  int64_t version = 0;          // Of an adapter to load; 0: the newest.
+  std::string holder;           // Machine that gives the order.
+  int64_t fence = 0;            // Fencing token of the ownership.
   int64_t expected_orders = 0;  // Void unless the engine accepted just so many.
 };
 
--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -48,7 +48,7 @@
 
   EnginePlacement() = default;
 
-  void SetEngine(const EngineSpec& spec);
+  void SetEngine(const EngineProfile& spec);
   // A machine has requests that need this adapter, of that version at least.
   void OnWant(const MachineId& machine, const ModelRef& target, int64_t version,
               Millis now);
@@ -127,7 +127,7 @@
   Millis LoadEstimate(const ModelRef& target) const;
   void RememberHeld(const ModelRef& target);
 
-  EngineSpec spec_;
+  EngineProfile spec_;
   Limits limits_;
   bool synced_ = false;
   bool report_outstanding_ = false;
@@ -137,8 +137,8 @@
   std::optional<ModelRef> leaving_;
   Millis leaving_since_;
   Millis order_not_before_;
-  int64_t orders_accepted_ = 0;  // As this owner counts; see OnReport.
-  Millis accepted_at_;           // The last one.
+  int64_t orders_accepted_ = 0;        // As this owner counts; see OnReport.
+  Millis accepted_at_;                 // The last one.
   std::map<ModelId, int64_t> models_;  // Base models that are there.
   std::optional<ModelId> model_coming_;
   Millis model_due_;
--- a/libs/serving/include/serving/instance_settings.h
+++ b/libs/serving/include/serving/instance_settings.h
@@ -13,13 +13,13 @@
 
 // Promised times and rates. A zero time means that no bound is stated.
 struct ClusterBounds {
-  Millis leave{2000};       // A leaving upstream gets nothing new after this.
-  Millis apply{2000};       // A configuration is in force after this.
+  Millis leave{2000};  // A leaving upstream gets nothing new after this.
+  Millis apply{2000};  // A configuration is in force after this.
   bool strict_withdrawal = true;
-  Millis withdraw{5000};    // A withdrawn key stops working after this.
-  Millis stop{8000};        // From SIGTERM to SIGKILL.
-  double retry_ratio = 0.2;  // Repeated sends for each request to a service,
-  double retry_slack = 50;   // and beside, over all instances,
+  Millis withdraw{5000};       // A withdrawn key stops working after this.
+  Millis stop{8000};           // From SIGTERM to SIGKILL.
+  double retry_ratio = 0.2;    // Repeated sends for each request to a service,
+  double retry_slack = 50;     // and beside, over all instances,
   Millis retry_window{10000};  // in any such window.
   double rate_over = 0.1;      // A workspace may exceed its limit by this part
   double rate_slack = 0;       // and this many tokens in a window:
@@ -35,10 +35,10 @@
   MachineId machine;
   std::string ip;
   ZoneId zone;
-  std::vector<ZoneId> zones;    // All of the deployment.
-  std::string caller_address;   // Each IP:port.
+  std::vector<ZoneId> zones;   // All of the deployment.
+  std::string caller_address;  // Each IP:port.
   std::string ready_address;
-  std::string peer_address;     // Datagrams and state for other instances.
+  std::string peer_address;  // Datagrams and state for other instances.
   std::string store_address;
   double store_writes_per_s = 0;
   double store_reads_per_s = 0;
--- a/libs/serving/include/serving/ownership.h
+++ b/libs/serving/include/serving/ownership.h
@@ -4,8 +4,8 @@
 // A duty is a key in the store that lives with its machine's lease. The
 // revision of the key's last write is the fencing token: it rises with each
 // owner. A new owner waits out the turn of the one before, unless the duty
-// came up under this instance's eyes without an owner, or its key stood as this same
-// machine's, settled, until then. No I/O.
+// came up under this instance's eyes without an owner, or its key stood as this
+// same machine's, settled, until then. No I/O.
 #pragma once
 
 #include <map>
@@ -26,7 +26,7 @@
 WorkspaceId WorkspaceOf(const DutyId& duty);
 
 // One process of one machine, as registered in the store.
-struct Member {
+struct ClusterMember {
   MachineId machine;
   BootId boot;
   ZoneId zone;
@@ -43,7 +43,7 @@
 
 // A write of the owner's key for `duty` under the condition that it stands at
 // `revision` (0: is not there).
-struct Claim {
+struct DutyClaim {
   DutyId duty;
   int64_t revision = 0;
   bool settled = false;  // To write into the record.
@@ -51,12 +51,12 @@
 
 class Ownership {
  public:
-  Ownership(Member self, Millis turn, Millis now);
+  Ownership(ClusterMember self, Millis turn, Millis now);
 
   // This process's lease; 0: none. A duty that was taken with another lease is
   // not held any more, whatever the last news of its key is.
   void OnLease(int64_t lease);
-  void OnMember(const Member& member);
+  void OnMember(const ClusterMember& member);
   void OnMemberGone(const MachineId& machine);
   // `zone`: whose instances come first; empty: any.
   void OnDuty(const DutyId& duty, const ZoneId& zone, Millis now);
@@ -70,7 +70,7 @@
   void OnSynced(Millis now);
 
   // Claims to write now; each is given again after a while if it stays open.
-  std::vector<Claim> Claims(Millis now);
+  std::vector<DutyClaim> Claims(Millis now);
   // When Claims should be asked again; zero: not before the next event.
   Millis NextDue(Millis now) const;
 
@@ -81,8 +81,8 @@
   // When the right begins that this process holds already; zero: none.
   Millis MayActFrom(const DutyId& duty) const;
   const OwnerRecord* OwnerOf(const DutyId& duty) const;
-  const Member* FindMember(const MachineId& machine) const;
-  const std::map<MachineId, Member>& members() const { return members_; }
+  const ClusterMember* FindMember(const MachineId& machine) const;
+  const std::map<MachineId, ClusterMember>& members() const { return members_; }
   std::vector<DutyId> Duties() const;
 
  private:
@@ -100,14 +100,14 @@
   bool Waits(const Duty& it) const;
   size_t RankOf(const DutyId& duty, const Duty& it) const;
 
-  const Member self_;
+  const ClusterMember self_;
   const Millis turn_;
   const Millis started_;
   int64_t lease_ = 0;
   bool synced_ = false;
   bool relisting_ = false;
   Millis synced_at_;
-  std::map<MachineId, Member> members_;  // With this one.
+  std::map<MachineId, ClusterMember> members_;  // With this one.
   std::map<DutyId, Duty> duties_;
 };
 
--- a/libs/serving/include/serving/request.h
+++ b/libs/serving/include/serving/request.h
@@ -25,7 +25,7 @@
   std::string path;
   HttpHeaders headers;  // To forward: without what concerns one connection.
   std::string body;
-  std::string key;  // Empty: none was shown.
+  std::string key;                     // Empty: none was shown.
   std::optional<Millis> time_allowed;  // How long the caller waits.
   ModelRef model;                      // Empty on plain services.
   int64_t prompt_tokens = 0;
--- a/libs/serving/include/serving/store_record.h
+++ b/libs/serving/include/serving/store_record.h
@@ -19,7 +19,7 @@
 // One upstream; without an entry it is gone.
 struct UpstreamRecord {
   UpstreamId id;
-  std::optional<UpstreamEntry> entry;
+  std::optional<ListedUpstream> entry;
 };
 
 // The version of an adapter that is to be used from now on.
@@ -36,9 +36,9 @@
   std::string reason;
 };
 
-using StoreRecord = std::variant<ConfigRecord, UpstreamRecord,
-                                 AdapterVersionRecord, OwnRecord,
-                                 UnreadableRecord>;
+using StoreRecord =
+    std::variant<ConfigRecord, UpstreamRecord, AdapterVersionRecord, OwnRecord,
+                 UnreadableRecord>;
 
 // Translates the platform's form of a record.
 using DecodeStoreRecord = std::function<StoreRecord(const StoreItem&)>;
--- a/libs/serving/include/serving/upstream_book.h
+++ b/libs/serving/include/serving/upstream_book.h
@@ -18,7 +18,7 @@
 
 // One upstream. `entry` is the store's word; the rest is this instance's own.
 struct UpstreamState {
-  UpstreamEntry entry;
+  ListedUpstream entry;
   bool gone = false;  // Gets nothing new; kept while requests are open.
   Millis gone_at;     // Not zero: will be gone then unless its entry returns.
 
@@ -29,9 +29,9 @@
     Millis at;
   };
 
-  uint32_t in_flight = 0;       // Requests of this instance.
-  int64_t tokens_unread = 0;    // Prompt tokens of those without an event yet.
-  UpstreamLoadReport load;      // As it last said, over all instances.
+  uint32_t in_flight = 0;     // Requests of this instance.
+  int64_t tokens_unread = 0;  // Prompt tokens of those without an event yet.
+  UpstreamLoadReport load;    // As it last said, over all instances.
   Millis load_at;
   uint32_t begun_since_load = 0;
   double first_event_ms_per_token = 0;  // Smoothed; 0: not seen yet.
--- a/libs/serving/include/serving/upstream_entry.h
+++ b/libs/serving/include/serving/upstream_entry.h
@@ -25,7 +25,7 @@
 };
 
 // An upstream as it registered itself.
-struct UpstreamEntry {
+struct ListedUpstream {
   UpstreamId id;  // Of one start, mostly; see `started_ms`.
   ServiceId service;
   std::string address;  // IP:port.
--- a/libs/serving/src/attempt_policy.cc
+++ b/libs/serving/src/attempt_policy.cc
@@ -7,7 +7,7 @@
 constexpr Millis kLeastTime{60};
 constexpr uint32_t kMostSends = 8;
 
-bool MaySendAgain(const AttemptFacts& facts) {
+bool MaySendAgain(const SendFacts& facts) {
   if (facts.time_left < kLeastTime || facts.sends >= kMostSends) {
     return false;
   }
@@ -20,14 +20,14 @@
 
 }  // namespace
 
-AttemptDecision DecideNext(const AttemptFacts& facts) {
-  AttemptDecision decision;
-  bool again = facts.end != AttemptEnd::kTimeUp && MaySendAgain(facts);
+SendDecision DecideNext(const SendFacts& facts) {
+  SendDecision decision;
+  bool again = facts.end != SendEnd::kTimeUp && MaySendAgain(facts);
   if (again && facts.answer_begun) {
     decision.step = facts.resumable ? NextStep::kResume : NextStep::kFail;
   } else if (again) {
     decision.step = NextStep::kSendAgain;
-  } else if (facts.end == AttemptEnd::kFailedAnswer) {
+  } else if (facts.end == SendEnd::kFailedAnswer) {
     decision.step = NextStep::kPassAnswer;
   }
   if (decision.step == NextStep::kFail) {
@@ -36,17 +36,17 @@
   return decision;
 }
 
-Error FailureOf(const AttemptFacts& facts) {
+Error FailureOf(const SendFacts& facts) {
   if (!facts.may_have_run) {
     return {ErrorKind::kUpstreamUnavailable,
             "No upstream took the request; it has not run.", NotRun::kTrue};
   }
   switch (facts.end) {
-    case AttemptEnd::kTimeUp:
-    case AttemptEnd::kSilent:
+    case SendEnd::kTimeUp:
+    case SendEnd::kSilent:
       return {ErrorKind::kUpstreamTimeout,
               "The upstream did not answer in time.", NotRun::kUnknown};
-    case AttemptEnd::kWrongAnswer:
+    case SendEnd::kWrongAnswer:
       return {ErrorKind::kWrongAnswer,
               "The upstream's answer was not one to this request.",
               NotRun::kUnknown};
--- a/libs/serving/src/crash_ledger.cc
+++ b/libs/serving/src/crash_ledger.cc
@@ -46,7 +46,8 @@
   });
 }
 
-uint64_t RequestFingerprint(const std::string& method, const std::string& target,
+uint64_t RequestFingerprint(const std::string& method,
+                            const std::string& target,
                             const WorkspaceId& workspace,
                             const std::string& body) {
   return StableHash(method + " " + target + "\n" + workspace.str(), body);
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-void EnginePlacement::SetEngine(const EngineSpec& spec) {
+void EnginePlacement::SetEngine(const EngineProfile& spec) {
   spec_ = spec;
   limits_.adapter_slots = spec.adapter_slots;
   limits_.weights_mb = spec.weights_mb;
@@ -129,9 +129,8 @@
     bool needed = wanted_.count(ref) > 0 || InUse(ref, now);
     idle += needed ? 0 : 1;
   }
-  size_t free = limits_.adapter_slots > taken
-                    ? limits_.adapter_slots - taken
-                    : 0;
+  size_t free =
+      limits_.adapter_slots > taken ? limits_.adapter_slots - taken : 0;
   return queued < free + idle;
 }
 
@@ -255,8 +254,8 @@
   }
   Outstanding order = *order_;
   order_.reset();
-  bool accepted = outcome == OrderOutcome::kStarted ||
-                  outcome == OrderOutcome::kHolds;
+  bool accepted =
+      outcome == OrderOutcome::kStarted || outcome == OrderOutcome::kHolds;
   if (outcome == OrderOutcome::kConflict && leaving_ &&
       now - leaving_since_ < kLongestLeaving) {
     order_not_before_ = now + kOrderAgain;  // Its runs go on.
@@ -275,8 +274,8 @@
     ++orders_accepted_;
     model_coming_ = order.target.model;
     const ModelSpec* spec = SpecOf(order.target.model);
-    model_due_ = now + (spec != nullptr ? spec->load_time : kModelCheck) +
-                 kModelCheck;
+    model_due_ =
+        now + (spec != nullptr ? spec->load_time : kModelCheck) + kModelCheck;
     synced_ = false;
     report_not_before_ = now + kModelCheck;
     return;
--- a/libs/serving/src/event_splitter.cc
+++ b/libs/serving/src/event_splitter.cc
@@ -21,13 +21,14 @@
 
 std::string EventSplitter::Feed(std::string_view bytes) {
   pending_.append(bytes);
+  const std::string_view text = pending_;
   size_t from = 0;
   while (true) {
-    size_t end = EndOfEvent(pending_, from);
+    size_t end = EndOfEvent(text, from);
     if (end == std::string_view::npos) {
       break;
     }
-    NoteEvent(std::string_view(pending_).substr(from, end - from));
+    NoteEvent(text.substr(from, end - from));
     from = end;
   }
   std::string whole = pending_.substr(0, from);
--- a/libs/serving/src/ownership.cc
+++ b/libs/serving/src/ownership.cc
@@ -42,14 +42,14 @@
   return WorkspaceId(After(duty, kRatePrefix));
 }
 
-Ownership::Ownership(Member self, Millis turn, Millis now)
+Ownership::Ownership(ClusterMember self, Millis turn, Millis now)
     : self_(std::move(self)), turn_(turn), started_(now) {
   members_[self_.machine] = self_;
 }
 
 void Ownership::OnLease(int64_t lease) { lease_ = lease; }
 
-void Ownership::OnMember(const Member& member) {
+void Ownership::OnMember(const ClusterMember& member) {
   if (member.machine != self_.machine) {
     members_[member.machine] = member;
   }
@@ -61,8 +61,7 @@
   }
 }
 
-void Ownership::OnDuty(const DutyId& duty, const ZoneId& zone,
-                         Millis now) {
+void Ownership::OnDuty(const DutyId& duty, const ZoneId& zone, Millis now) {
   Duty& it = duties_[duty];
   it.zone = zone;
   if (it.listed) {
@@ -76,9 +75,7 @@
   }
 }
 
-void Ownership::OnDutyGone(const DutyId& duty) {
-  duties_.erase(duty);
-}
+void Ownership::OnDutyGone(const DutyId& duty) { duties_.erase(duty); }
 
 void Ownership::OnOwner(const DutyId& duty, const OwnerRecord& owner,
                         Millis now) {
@@ -129,7 +126,7 @@
 }
 
 size_t Ownership::RankOf(const DutyId& duty, const Duty& it) const {
-  auto weight = [&duty, &it](const Member& member) {
+  auto weight = [&duty, &it](const ClusterMember& member) {
     bool same_zone = member.zone == it.zone;
     return std::make_pair(same_zone,
                           StableHash(duty.str(), member.machine.str()));
@@ -142,8 +139,8 @@
   return rank;
 }
 
-std::vector<Claim> Ownership::Claims(Millis now) {
-  std::vector<Claim> claims;
+std::vector<DutyClaim> Ownership::Claims(Millis now) {
+  std::vector<DutyClaim> claims;
   if (!synced_) {
     return claims;
   }
@@ -224,11 +221,10 @@
 
 const OwnerRecord* Ownership::OwnerOf(const DutyId& duty) const {
   auto it = duties_.find(duty);
-  return it != duties_.end() && it->second.owner ? &*it->second.owner
-                                                  : nullptr;
+  return it != duties_.end() && it->second.owner ? &*it->second.owner : nullptr;
 }
 
-const Member* Ownership::FindMember(const MachineId& machine) const {
+const ClusterMember* Ownership::FindMember(const MachineId& machine) const {
   auto it = members_.find(machine);
   return it == members_.end() ? nullptr : &it->second;
 }
--- a/libs/serving/src/rate_ledger.cc
+++ b/libs/serving/src/rate_ledger.cc
@@ -32,8 +32,7 @@
 void RateLedger::SetMembers(const std::vector<MachineId>& members, Millis now) {
   members_ = members;
   std::erase_if(heard_, [&](const auto& it) {
-    return std::find(members.begin(), members.end(), it.first) ==
-           members.end();
+    return std::find(members.begin(), members.end(), it.first) == members.end();
   });
   for (auto& [id, account] : accounts_) {
     Apply(&account, now);
--- a/libs/serving/src/retry_allowance.cc
+++ b/libs/serving/src/retry_allowance.cc
@@ -12,8 +12,8 @@
 }  // namespace
 
 int64_t RetryAllowance::Number(Millis now) const {
-  int64_t length =
-      std::max<int64_t>(1, bound_.window.count() / static_cast<int64_t>(kSlices));
+  int64_t length = std::max<int64_t>(
+      1, bound_.window.count() / static_cast<int64_t>(kSlices));
   return now.count() / length;
 }
 
--- a/libs/serving/src/token_bucket.cc
+++ b/libs/serving/src/token_bucket.cc
@@ -50,8 +50,8 @@
   if (missing <= 0 && limit_.burst > 0) {
     return Millis(0);
   }
-  double seconds = limit_.rate_per_s > 0 ? missing / limit_.rate_per_s
-                                         : kLongestWaitSeconds;
+  double seconds =
+      limit_.rate_per_s > 0 ? missing / limit_.rate_per_s : kLongestWaitSeconds;
   seconds = std::min(seconds, kLongestWaitSeconds);
   constexpr double kMsPerSecond = 1000;
   return Millis(static_cast<int64_t>(seconds * kMsPerSecond) + 1);
--- a/libs/serving/src/upstream_book.cc
+++ b/libs/serving/src/upstream_book.cc
@@ -67,7 +67,7 @@
     }
     return;
   }
-  const UpstreamEntry& entry = *record.entry;
+  const ListedUpstream& entry = *record.entry;
   bool started = it == upstreams_.end() || it->second->gone ||
                  it->second->entry.started_ms != entry.started_ms ||
                  it->second->entry.address != entry.address;
@@ -173,7 +173,7 @@
                                 Millis took, Millis now) {
   int64_t read = std::max<int64_t>(1, it->AllTokensUnread(now));
   FollowLow(&it->first_event_ms_per_token,
-         static_cast<double>(took.count()) / static_cast<double>(read));
+            static_cast<double>(took.count()) / static_cast<double>(read));
   it->tokens_unread = std::max<int64_t>(0, it->tokens_unread - prompt_tokens);
   hooks_.on_load(it->entry.id);
 }
@@ -193,7 +193,8 @@
 }
 
 void UpstreamBook::OnConnectFailure(UpstreamState* it, Millis now) {
-  Millis wait = kFirstAvoid * (int64_t{1} << std::min(it->connect_failures, 4U));
+  Millis wait =
+      kFirstAvoid * (int64_t{1} << std::min(it->connect_failures, 4U));
   ++it->connect_failures;
   it->avoid_until = now + std::min(wait, kLongestAvoid);
 }
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -29,8 +29,8 @@
   double per_token = it.first_event_ms_per_token > 0
                          ? it.first_event_ms_per_token
                          : kFirstGuessMsPerToken;
-  double tokens = static_cast<double>(it.AllTokensUnread(facts.now) +
-                                      facts.prompt_tokens);
+  double tokens =
+      static_cast<double>(it.AllTokensUnread(facts.now) + facts.prompt_tokens);
   return per_token * tokens + kStepMsPerRun * it.AllInFlight(facts.now);
 }
 
@@ -47,8 +47,8 @@
   double cost = kFailureMs * it.failure_share;
   cost += it.entry.zone == facts.zone ? 0 : kOtherZoneMs;
   cost += facts.now < it.avoid_until ? kAvoidedMs : 0;
-  bool tried = std::find(facts.tried.begin(), facts.tried.end(),
-                         it.entry.id) != facts.tried.end();
+  bool tried = std::find(facts.tried.begin(), facts.tried.end(), it.entry.id) !=
+               facts.tried.end();
   return cost + (tried ? kTriedMs : 0);
 }
 
@@ -78,8 +78,8 @@
     order = OrderFor(usable, ToString(facts.model));
   }
   bool held = std::any_of(usable.begin(), usable.end(), [&](auto* it) {
-    return !plain && residency.Holds(it->entry.id, facts.model,
-                                     facts.minimum_version);
+    return !plain &&
+           residency.Holds(it->entry.id, facts.model, facts.minimum_version);
   });
   std::optional<Choice> best;
   for (size_t i = 0; i < usable.size(); ++i) {
--- a/libs/serving/test/decisions_test.cc
+++ b/libs/serving/test/decisions_test.cc
@@ -109,27 +109,27 @@
   while (it.TryTake(10, now)) {
     ++taken;
   }
-  REQUIRE(taken <= 0.2 * 100 + 50 / 10);
+  REQUIRE(taken <= 0.2 * 100 + 50.0 / 10);
   REQUIRE(taken >= 10);
   REQUIRE_FALSE(it.TryTake(10, now + Millis(9000)));
   REQUIRE(it.TryTake(1, now + Millis(30000)));
 }
 
 TEST_CASE("a refusal is given only when nothing can have run", "[attempts]") {
-  AttemptFacts facts;
+  SendFacts facts;
   facts.kind = RequestKind::kRunOnce;
   facts.time_left = Millis(0);
-  facts.end = AttemptEnd::kRefusedUnrun;
-  AttemptDecision unrun = DecideNext(facts);
+  facts.end = SendEnd::kRefusedUnrun;
+  SendDecision unrun = DecideNext(facts);
   REQUIRE(unrun.step == NextStep::kFail);
   REQUIRE(unrun.error.not_run == NotRun::kTrue);
   REQUIRE(AnswerFor(unrun.error.kind).status == 503);
-  for (AttemptEnd end : {AttemptEnd::kBroken, AttemptEnd::kSilent,
-                         AttemptEnd::kTimeUp, AttemptEnd::kWrongAnswer}) {
+  for (SendEnd end : {SendEnd::kBroken, SendEnd::kSilent, SendEnd::kTimeUp,
+                      SendEnd::kWrongAnswer}) {
     facts.end = end;
     facts.may_have_run = true;
     facts.time_left = Millis(5000);
-    AttemptDecision run = DecideNext(facts);
+    SendDecision run = DecideNext(facts);
     REQUIRE(run.step == NextStep::kFail);
     REQUIRE(run.error.not_run != NotRun::kTrue);
     int status = AnswerFor(run.error.kind).status;
@@ -138,12 +138,12 @@
 }
 
 TEST_CASE("what may run once is sent again only unrun", "[attempts]") {
-  AttemptFacts facts;
+  SendFacts facts;
   facts.kind = RequestKind::kStream;
   facts.time_left = Millis(5000);
-  facts.end = AttemptEnd::kNotSent;
+  facts.end = SendEnd::kNotSent;
   REQUIRE(DecideNext(facts).step == NextStep::kSendAgain);
-  facts.end = AttemptEnd::kBroken;
+  facts.end = SendEnd::kBroken;
   facts.may_have_run = true;
   facts.upstreams_run = 1;
   facts.max_upstreams = 2;
--- a/libs/serving/test/engine_placement_test.cc
+++ b/libs/serving/test/engine_placement_test.cc
@@ -14,12 +14,10 @@
 const MachineId kPeer("entry-2");
 constexpr size_t kPlaces = 6;
 
-ModelRef Adapter(int n) {
-  return {kModel, AdapterId("a" + std::to_string(n))};
-}
+ModelRef Adapter(int n) { return {kModel, AdapterId("a" + std::to_string(n))}; }
 
-EngineSpec Spec() {
-  EngineSpec spec;
+EngineProfile Spec() {
+  EngineProfile spec;
   spec.batch_slots = 64;
   spec.weights_mb = 44000;
   spec.adapter_slots = kPlaces;
@@ -297,9 +295,9 @@
       placement.OnOrder(OrderOutcome::kUnknown, now);
       return;
     }
-    placement.OnOrder(engine.Order(it.verb, it.target, it.version,
-                                   it.expected_orders, now),
-                      now);
+    placement.OnOrder(
+        engine.Order(it.verb, it.target, it.version, it.expected_orders, now),
+        now);
   }
 
   void BeginAll(const ModelRef& target) {
--- a/libs/serving/test/fake_engine.h
+++ b/libs/serving/test/fake_engine.h
@@ -111,13 +111,13 @@
       return OrderOutcome::kConflict;
     }
     size_t taken = held_.size() + loading_.size();
-    over_places_ = over_places_ || (held_.count(target) == 0 &&
-                                    taken + 1 > places_);
+    over_places_ =
+        over_places_ || (held_.count(target) == 0 && taken + 1 > places_);
     ++orders_;
     ++loads_;
     // Adapters that it held recently load ten times as fast.
-    bool recent = std::find(recent_.begin(), recent_.end(), target) !=
-                  recent_.end();
+    bool recent =
+        std::find(recent_.begin(), recent_.end(), target) != recent_.end();
     loading_[target] = {std::max<int64_t>(version, 1),
                         now + Millis(recent ? 25 : 250)};
     Snapshot(now);
--- a/libs/serving/test/ownership_test.cc
+++ b/libs/serving/test/ownership_test.cc
@@ -14,7 +14,7 @@
 constexpr Millis kLease{6000};
 const DutyId kDuty = EngineDuty(UpstreamId("engine-1"));
 
-Member MemberOf(const std::string& machine, const std::string& boot) {
+ClusterMember MemberOf(const std::string& machine, const std::string& boot) {
   return {MachineId(machine), BootId(boot), ZoneId("z"), "127.0.0.1:1"};
 }
 
@@ -137,8 +137,8 @@
     std::string boot;
     int64_t lease = 0;
     std::unique_ptr<Ownership> view;
-    Millis lease_until;   // As the store counts.
-    Millis valid_until;   // As the machine counts.
+    Millis lease_until;  // As the store counts.
+    Millis valid_until;  // As the machine counts.
     Millis frozen_until;
     Millis cut_until;
     Millis renewed;
@@ -153,8 +153,8 @@
     Machine& it = machines_[i];
     it.name = "m" + std::to_string(i);
     it.boot = "b" + std::to_string(++boots_);
-    it.view = std::make_unique<Ownership>(MemberOf(it.name, it.boot), kTurn,
-                                          now_);
+    it.view =
+        std::make_unique<Ownership>(MemberOf(it.name, it.boot), kTurn, now_);
     it.lease = ++leases_;
     it.view->OnLease(it.lease);
     it.lease_until = now_ + kLease;
@@ -223,7 +223,7 @@
       See(&it);
     }
     if (reaches) {
-      for (const Claim& claim : it.view->Claims(now_)) {
+      for (const DutyClaim& claim : it.view->Claims(now_)) {
         Write(&it, claim);
       }
     }
@@ -234,7 +234,7 @@
     }
   }
 
-  void Write(Machine* it, const Claim& claim) {
+  void Write(Machine* it, const DutyClaim& claim) {
     int64_t stands = owner_ ? owner_->revision : 0;
     if (stands != claim.revision) {
       return;
@@ -353,8 +353,8 @@
     REQUIRE(it.TakeAsKeeper(MachineId("m2"), 9, WorkspaceId("w"), 600, now)
                 .granted);
   }
-  REQUIRE(it.TakeAsKeeper(MachineId("m2"), 10, WorkspaceId("w"), 400, now)
-              .granted);
+  REQUIRE(
+      it.TakeAsKeeper(MachineId("m2"), 10, WorkspaceId("w"), 400, now).granted);
 }
 
 TEST_CASE("a lower limit binds at once", "[rates]") {
@@ -365,8 +365,8 @@
   it.SetKeeper(WorkspaceId("w"), true, now);
   now = now + Millis(5000);
   it.SetWorkspaces({Limited(10, 10)}, now);
-  REQUIRE(it.TakeAsKeeper(MachineId("m1"), 1, WorkspaceId("w"), 10, now)
-              .granted);
+  REQUIRE(
+      it.TakeAsKeeper(MachineId("m1"), 1, WorkspaceId("w"), 10, now).granted);
   REQUIRE_FALSE(
       it.TakeAsKeeper(MachineId("m1"), 2, WorkspaceId("w"), 10, now).granted);
 }
@@ -391,6 +391,7 @@
     }
     Millis now(1000);
     std::vector<RateLedger> ledgers;
+    ledgers.reserve(kInstances);
     for (int i = 0; i < kInstances; ++i) {
       ledgers.emplace_back(members[static_cast<size_t>(i)], margin);
       ledgers.back().SetMembers(members, now);
@@ -418,18 +419,17 @@
       double cost = 500 + draw(6000);
       RateVerdict verdict;
       if (i == 0 || (!cut && ledgers[i].Hears(members[0], now))) {
-        verdict = ledgers[0].TakeAsKeeper(members[i], ++nonce,
-                                          WorkspaceId("w"), cost, now);
+        verdict = ledgers[0].TakeAsKeeper(members[i], ++nonce, WorkspaceId("w"),
+                                          cost, now);
       } else {
-        verdict =
-            ledgers[i].TakeAlone(WorkspaceId("w"), members[0], cost, now);
+        verdict = ledgers[i].TakeAlone(WorkspaceId("w"), members[0], cost, now);
       }
       if (verdict.granted) {
         granted.emplace_back(now, cost);
       }
     }
-    double bound = (kRate * margin.window_s + kBurst) * (1 + margin.over) +
-                   margin.slack;
+    double bound =
+        (kRate * margin.window_s + kBurst) * (1 + margin.over) + margin.slack;
     size_t from = 0;
     double sum = 0;
     double most = 0;
--- a/libs/transport/include/transport/event_loop.h
+++ b/libs/transport/include/transport/event_loop.h
@@ -25,6 +25,8 @@
   void Run();
   // Thread-safe.
   void Stop();
+  // Makes Run possible again after Stop.
+  void Restart();
   // Thread-safe; `work` runs later on the loop's thread.
   void Post(std::function<void()> work);
   // Calls `handle` with each of these signals until Run returns. Once only.
--- a/libs/transport/include/transport/http_message.h
+++ b/libs/transport/include/transport/http_message.h
@@ -29,8 +29,8 @@
 struct HttpRequest {
   std::string method;
   std::string target;  // Path and query as they came.
-  std::string path;   // Without the query.
-  std::string query;  // Without the question mark.
+  std::string path;    // Without the query.
+  std::string query;   // Without the question mark.
   HttpHeaders headers;
   std::string body;
   uint64_t connection = 0;  // The same number for all requests on it.
--- a/libs/transport/src/event_loop.cc
+++ b/libs/transport/src/event_loop.cc
@@ -40,6 +40,8 @@
 
 void EventLoop::Stop() { context_->stop(); }
 
+void EventLoop::Restart() { context_->restart(); }
+
 void EventLoop::Post(std::function<void()> work) {
   asio::post(*context_, std::move(work));
 }
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -78,8 +78,9 @@
       : on_closed_(std::move(on_closed)) {}
 
   void state_changed(const restinio::connection_state::notice_t& it) noexcept {
-    if (on_closed_ && restinio::holds_alternative<
-                          restinio::connection_state::closed_t>(it.cause())) {
+    if (on_closed_ &&
+        restinio::holds_alternative<restinio::connection_state::closed_t>(
+            it.cause())) {
       on_closed_(it.connection_id());
     }
   }
--- a/libs/transport/src/loop_client.cc
+++ b/libs/transport/src/loop_client.cc
@@ -12,7 +12,6 @@
 
 #include <algorithm>
 #include <asio.hpp>
-#include <cstring>
 #include <mutex>
 #include <unordered_map>
 
@@ -195,8 +194,8 @@
     }
     for (const HttpHeader& it : call.headers.all()) {
       // A trailing semicolon is libcurl's form of a field without a value.
-      std::string line = it.value.empty() ? it.name + ";"
-                                          : it.name + ": " + it.value;
+      std::string line =
+          it.value.empty() ? it.name + ";" : it.name + ": " + it.value;
       list = curl_slist_append(list, line.c_str());
     }
     transfer->header_list = list;
@@ -207,7 +206,7 @@
     auto* transfer = static_cast<Transfer*>(user);
     const std::string& body = transfer->call.body;
     size_t bytes = std::min(size * n, body.size() - transfer->body_sent);
-    std::memcpy(to, body.data() + transfer->body_sent, bytes);
+    std::copy_n(body.data() + transfer->body_sent, bytes, to);
     transfer->body_sent += bytes;
     return bytes;
   }
@@ -304,21 +303,19 @@
   void Arm(int fd, const std::shared_ptr<Watched>& it) {
     if ((it->wanted & CURL_POLL_IN) != 0 && !it->reading) {
       it->reading = true;
-      it->descriptor.async_wait(
-          asio::posix::stream_descriptor::wait_read,
-          [this, fd, it](const asio::error_code& ec) {
-            it->reading = false;
-            OnReady(fd, it, CURL_CSELECT_IN, ec);
-          });
+      it->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                [this, fd, it](const asio::error_code& ec) {
+                                  it->reading = false;
+                                  OnReady(fd, it, CURL_CSELECT_IN, ec);
+                                });
     }
     if ((it->wanted & CURL_POLL_OUT) != 0 && !it->writing) {
       it->writing = true;
-      it->descriptor.async_wait(
-          asio::posix::stream_descriptor::wait_write,
-          [this, fd, it](const asio::error_code& ec) {
-            it->writing = false;
-            OnReady(fd, it, CURL_CSELECT_OUT, ec);
-          });
+      it->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                [this, fd, it](const asio::error_code& ec) {
+                                  it->writing = false;
+                                  OnReady(fd, it, CURL_CSELECT_OUT, ec);
+                                });
     }
   }
 
@@ -344,8 +341,8 @@
     if (after_ms < 0) {
       self->curl_timer_.Cancel();
     } else {
-      self->curl_timer_.Start(
-          Millis(after_ms), [self] { self->Drive(CURL_SOCKET_TIMEOUT, 0); });
+      self->curl_timer_.Start(Millis(after_ms),
+                              [self] { self->Drive(CURL_SOCKET_TIMEOUT, 0); });
     }
     return 0;
   }
@@ -446,8 +443,7 @@
   std::unordered_map<int, std::shared_ptr<Watched>> watched_;
 };
 
-LoopClient::LoopClient(EventLoop* loop)
-    : impl_(std::make_unique<Impl>(loop)) {}
+LoopClient::LoopClient(EventLoop* loop) : impl_(std::make_unique<Impl>(loop)) {}
 
 LoopClient::~LoopClient() = default;
 
--- a/libs/transport/test/loop_client_test.cc
+++ b/libs/transport/test/loop_client_test.cc
@@ -11,8 +11,7 @@
 namespace bilberrypitch {
 namespace {
 
-constexpr char kKeptAnswer[] =
-    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr char kKeptAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 // Answers the first request on its one connection, then reads a second one,
 // stops listening and resets the connection.
--- a/tools/bilberrypitch_lab/test/small_deployment.cc
+++ b/tools/bilberrypitch_lab/test/small_deployment.cc
@@ -36,7 +36,10 @@
   StartInstance("entry-2", "a", options.instance);
   StartInstance("entry-3", "b", options.instance);
   int status = PutDocument("entry-1", 0);
-  if (status != 200) throw std::runtime_error("the document was refused");
+  if (status != 200) {
+    throw std::runtime_error("the document was refused: " +
+                             std::to_string(status));
+  }
   key_ = IssueKey("entry-1", "club");
   WaitReady(instances_);
   bool known = true;
