Split the gateway by job

Change: Membership (lease, record, duties), FreshnessService, AdapterService, LoadTeller and the attempts of a request stand by themselves; no behaviour is meant to change.

--- /dev/null
+++ b/libs/gateway/include/gateway/adapter_service.h
@@ -0,0 +1,53 @@
+// This instance's side of the adapters that its requests use: it asks owners
+// for adapters and tells them of uses.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "serving/ids.h"
+#include "transport/timer.h"
+
+namespace bilberrypitch {
+
+class EventLoop;
+class OrderService;
+class Ownership;
+class PeerLink;
+
+// On the loop's thread only.
+class AdapterService {
+ public:
+  // Tells what runs every now and then from the start on.
+  AdapterService(EventLoop* loop, MachineId self, Ownership* ownership,
+                 OrderService* orders, PeerLink* peers);
+
+  // Requests wait for an adapter in that version at least.
+  void Want(const UpstreamId& engine, const ModelRef& target, int64_t version);
+  // An engine said that it does not hold the adapter.
+  void Missing(const UpstreamId& engine, const ModelRef& target);
+  // A request began (+1) or ended (-1) on an adapter.
+  void CountUse(const UpstreamId& engine, const ModelRef& target, int change);
+
+ private:
+  using Place = std::pair<UpstreamId, ModelRef>;
+
+  // Empty: the engine has no owner.
+  MachineId OwnerOf(const UpstreamId& engine) const;
+  void TellChanged();
+  void TellAgain();
+  void TellOne(const Place& place, int running);
+
+  const MachineId self_;
+  Ownership* const ownership_;
+  OrderService* const orders_;
+  PeerLink* const peers_;
+  std::map<Place, int> running_;  // No zeros.
+  std::set<Place> changed_;       // Not told yet.
+  Timer changed_timer_;
+  Timer again_timer_;
+};
+
+}  // namespace bilberrypitch
--- a/libs/gateway/include/gateway/peer_link.h
+++ b/libs/gateway/include/gateway/peer_link.h
@@ -30,6 +30,7 @@
 
   // Dropped when the machine is not known.
   void Send(const MachineId& to, schema::PeerItem item);
+  void SendAll(const schema::PeerItem& item);
   void SetMember(const ClusterMember& member);
   void RemoveMember(const MachineId& machine);
   const std::map<MachineId, ClusterMember>& peers() const { return peers_; }
--- /dev/null
+++ b/libs/gateway/src/adapter_service.cc
@@ -0,0 +1,117 @@
+// Wants and uses of adapters.
+#include "gateway/adapter_service.h"
+
+#include <algorithm>
+
+#include "gateway/order_service.h"
+#include "gateway/peer_link.h"
+#include "schema/cluster.pb.h"
+#include "serving/ownership.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr Millis kChangePeriod{100};
+// Owners forget a use that is not told again.
+constexpr Millis kAgainPeriod{1500};
+
+void SetName(schema::ModelName* to, const ModelRef& from) {
+  to->set_model(from.model.str());
+  to->set_adapter(from.adapter.str());
+}
+
+}  // namespace
+
+AdapterService::AdapterService(EventLoop* loop, MachineId self,
+                               Ownership* ownership, OrderService* orders,
+                               PeerLink* peers)
+    : self_(std::move(self)),
+      ownership_(ownership),
+      orders_(orders),
+      peers_(peers),
+      changed_timer_(loop),
+      again_timer_(loop) {
+  TellAgain();
+}
+
+MachineId AdapterService::OwnerOf(const UpstreamId& engine) const {
+  const OwnerRecord* owner = ownership_->OwnerOf(EngineDuty(engine));
+  return owner != nullptr ? owner->machine : MachineId();
+}
+
+void AdapterService::Want(const UpstreamId& engine, const ModelRef& target,
+                          int64_t version) {
+  MachineId owner = OwnerOf(engine);
+  if (owner == self_) {
+    orders_->OnWant(self_, engine, target, version);
+    return;
+  }
+  schema::PeerItem item;
+  item.mutable_want()->set_engine(engine.str());
+  SetName(item.mutable_want()->mutable_target(), target);
+  item.mutable_want()->set_minimum_version(version);
+  peers_->Send(owner, std::move(item));
+}
+
+void AdapterService::Missing(const UpstreamId& engine, const ModelRef& target) {
+  MachineId owner = OwnerOf(engine);
+  if (owner == self_) {
+    orders_->OnMissing(engine, target);
+    return;
+  }
+  schema::PeerItem item;
+  item.mutable_missing()->set_engine(engine.str());
+  SetName(item.mutable_missing()->mutable_target(), target);
+  peers_->Send(owner, std::move(item));
+}
+
+void AdapterService::CountUse(const UpstreamId& engine, const ModelRef& target,
+                              int change) {
+  Place place(engine, target);
+  int running = running_[place] += change;
+  if (running <= 0) {
+    running_.erase(place);
+  }
+  if (change > 0 || OwnerOf(engine) == self_) {
+    // Before the owner takes the adapter for idle.
+    TellOne(place, running);
+    return;
+  }
+  changed_.insert(place);
+  if (!changed_timer_.pending()) {
+    changed_timer_.Start(kChangePeriod, [this] { TellChanged(); });
+  }
+}
+
+void AdapterService::TellOne(const Place& place, int running) {
+  changed_.erase(place);
+  auto count = static_cast<uint32_t>(std::max(0, running));
+  MachineId owner = OwnerOf(place.first);
+  if (owner == self_) {
+    orders_->OnUse(self_, place.first, place.second, count);
+    return;
+  }
+  schema::PeerItem item;
+  item.mutable_use()->set_engine(place.first.str());
+  SetName(item.mutable_use()->mutable_target(), place.second);
+  item.mutable_use()->set_running(count);
+  peers_->Send(owner, std::move(item));
+}
+
+void AdapterService::TellChanged() {
+  std::set<Place> changed;
+  changed.swap(changed_);
+  for (const Place& place : changed) {
+    auto it = running_.find(place);
+    TellOne(place, it == running_.end() ? 0 : it->second);
+  }
+}
+
+void AdapterService::TellAgain() {
+  for (const auto& [place, running] : running_) {
+    TellOne(place, running);
+  }
+  again_timer_.Start(kAgainPeriod, [this] { TellAgain(); });
+}
+
+}  // namespace bilberrypitch
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -9,10 +9,12 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "gateway/adapter_service.h"
 #include "gateway/crash_suspicions.h"
-#include "gateway/lease_keeper.h"
+#include "gateway/freshness_service.h"
+#include "gateway/load_teller.h"
+#include "gateway/membership.h"
 #include "gateway/order_service.h"
-#include "gateway/own_records.h"
 #include "gateway/peer_link.h"
 #include "gateway/rate_service.h"
 #include "gateway/request_run.h"
@@ -32,18 +34,10 @@
 // Long enough that owners go on through a short outage of the store, short
 // enough that a dead owner's engines get another one.
 constexpr Millis kLeaseTime{6000};
-constexpr Millis kUsePeriod{100};
-constexpr Millis kUseAgainPeriod{1500};
-constexpr Millis kLoadPeriod{15};
-constexpr size_t kLoadInstancesSquared = 200;
 // Knowledge of this age is refreshed from peers,
 constexpr Millis kAskPeersAge{2400};
 // at the latest at this part of the withdrawal bound.
 constexpr int64_t kAskPeersParts = 2;
-constexpr Millis kAskPeersPeriod{350};
-constexpr size_t kPeersAsked = 3;
-constexpr Millis kStateFetchPeriod{900};
-constexpr Millis kStateFetchDeadline{600};
 // The balancer takes an instance out after two misses, one a second.
 constexpr Millis kNoticedByBalancer{2600};
 // Before the platform's kill.
@@ -52,9 +46,9 @@
 // For the last answers to leave.
 constexpr Millis kFlushTime{150};
 constexpr Millis kStoppingRetry{50};
-constexpr char kStatePath[] = "/state";
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
+
 ModelRef RefOf(const schema::ModelName& it) {
   return ModelRef{ModelId(it.model()), AdapterId(it.adapter())};
 }
@@ -98,37 +92,35 @@
         self_{settings.machine, BootId(RandomHex(8)), settings.zone,
               settings.peer_address},
         state_(settings, BookHooks()),
-        ownership_(self_, settings.bounds.order_turn, EventLoop::Now()),
-        lease_(loop_, ports_.store,
-               std::max(kLeaseTime, settings.shortest_lease), LeaseHooks()),
         sync_(loop_, ports_.store, PaceFor(settings.bounds), SyncHooks()),
-        ask_peers_age_(std::min(
-            kAskPeersAge,
-            Millis(settings.bounds.withdraw.count() / kAskPeersParts))),
         peers_(loop_, self_,
                [this](const MachineId& from, const schema::PeerItem& item) {
                  OnPeerItem(from, item);
                }),
-        orders_(loop_, self_.machine, &ownership_, &lease_, &state_.upstreams,
-                ports_.engines, OrderHooks()),
-        rates_(loop_, self_.machine, RateMarginOf(settings.bounds), &ownership_,
-               &lease_, &peers_),
+        membership_(loop_, ports_.store, self_,
+                    std::max(kLeaseTime, settings.shortest_lease),
+                    settings.bounds.order_turn, &peers_, MembershipHooks()),
+        orders_(loop_, self_.machine, membership_.ownership(),
+                membership_.lease(), &state_.upstreams, ports_.engines,
+                OrderHooks()),
+        adapters_(loop_, self_.machine, membership_.ownership(), &orders_,
+                  &peers_),
+        loads_(loop_, &state_.upstreams, &peers_),
+        rates_(loop_, self_.machine, RateMarginOf(settings.bounds),
+               membership_.ownership(), membership_.lease(), &peers_),
         suspicions_([this](uint64_t fingerprint, const CrashId& crash) {
           OnCrash(fingerprint, crash, true);
         }),
-        claim_timer_(loop_),
         expire_timer_(loop_),
-        use_timer_(loop_),
-        use_again_timer_(loop_),
-        load_timer_(loop_),
-        fresh_timer_(loop_),
         stop_timer_(loop_) {
+    fresh_ = std::make_unique<FreshnessService>(
+        loop_, ports_.client, &peers_, &sync_, &state_.freshness,
+        AskPeersAge(settings.bounds),
+        [this](const StoreItem& item) { OnItem(item, true); });
     SetRequestDeps();
     Listen();
     sync_.Start();
-    lease_.Start();
-    WatchFreshness();
-    TellUsesAgain();
+    membership_.Start();
     LogInfo("gateway", "Started machine={} zone={} boot={}.",
             self_.machine.str(), self_.zone.str(), self_.boot.str());
   }
@@ -144,6 +136,7 @@
       return;
     }
     state_.stopping = true;
+    membership_.StopClaiming();
     stop_begun_ = EventLoop::Now();
     stop_done_ = std::move(done);
     LogInfo("gateway", "Stopping with {} open requests.", active_.size());
@@ -157,22 +150,23 @@
     UpstreamBook::Hooks hooks;
     hooks.on_started = [this](const UpstreamState& it) { OnStarted(it); };
     hooks.on_left = [this](const UpstreamId& it) { OnLeft(it); };
-    hooks.on_load = [this](const UpstreamId& it) { OnLoadChanged(it); };
+    hooks.on_load = [this](const UpstreamId& it) {
+      if (SpecOf(it) != nullptr) {
+        loads_.OnChanged(it);
+      }
+    };
     return hooks;
   }
 
-  LeaseKeeper::Hooks LeaseHooks() {
-    LeaseKeeper::Hooks hooks;
-    hooks.on_granted = [this](int64_t lease) {
-      ownership_.OnLease(lease);
-      Register();
-      ScheduleClaims();
+  Membership::Hooks MembershipHooks() {
+    Membership::Hooks hooks;
+    hooks.on_duty = [this](const DutyId& duty) { OnDuty(duty); };
+    hooks.on_members = [this] {
+      state_.instances = peers_.peers().size() + 1;
+      rates_.OnMembers();
     };
-    hooks.on_lost = [this] {
-      ownership_.OnLease(0);
-      for (const DutyId& duty : ownership_.Duties()) {
-        OnDutyOwner(duty);
-      }
+    hooks.on_gone = [this](const MachineId& machine) {
+      orders_.OnMachineGone(machine);
     };
     return hooks;
   }
@@ -182,7 +176,7 @@
     hooks.on_item = [this](const StoreItem& item, bool settling) {
       OnItem(item, settling);
     };
-    hooks.on_relisting = [this] { ownership_.OnRelisting(); };
+    hooks.on_relisting = [this] { membership_.OnRelisting(); };
     hooks.on_listed = [this](const std::vector<StoreItem>& all, bool settling) {
       OnListed(all, settling);
     };
@@ -216,15 +210,15 @@
     deps_.state = &state_;
     deps_.hooks.want_adapter = [this](const UpstreamId& engine,
                                       const ModelRef& target, int64_t version) {
-      WantAdapter(engine, target, version);
+      adapters_.Want(engine, target, version);
     };
     deps_.hooks.adapter_missing = [this](const UpstreamId& engine,
                                          const ModelRef& target) {
-      TellMissing(engine, target);
+      adapters_.Missing(engine, target);
     };
     deps_.hooks.adapter_use = [this](const UpstreamId& engine,
                                      const ModelRef& target, int change) {
-      CountUse(engine, target, change);
+      adapters_.CountUse(engine, target, change);
     };
     deps_.hooks.broken = [this](uint64_t fingerprint, const UpstreamId& id,
                                 int64_t started_ms) {
@@ -240,6 +234,11 @@
     deps_.hooks.ended = [this](uint64_t connection) { OnEnded(connection); };
   }
 
+  static Millis AskPeersAge(const ClusterBounds& bounds) {
+    return std::min(kAskPeersAge,
+                    Millis(bounds.withdraw.count() / kAskPeersParts));
+  }
+
   HttpServerOptions OptionsFor(const std::string& address) const {
     std::optional<Address> parsed = ParseAddress(address);
     HttpServerOptions options;
@@ -269,7 +268,7 @@
     peer_server_ = std::make_unique<HttpServer>(
         OptionsFor(state_.settings.peer_address),
         [this](HttpRequest request, std::shared_ptr<Responder> responder) {
-          responder->Send(OnPeerRequest(request));
+          responder->Send(fresh_->OnStateRequest(request));
         });
   }
 
@@ -336,46 +335,35 @@
     StoreRecord record = ports_.decode_record(item);
     Millis now = EventLoop::Now();
     if (auto* config = std::get_if<ConfigRecord>(&record)) {
-      known_[item.key] = item;
+      fresh_->Remember(item);
       OnConfig(std::move(config->config), item.revision);
     } else if (auto* upstream = std::get_if<UpstreamRecord>(&record)) {
-      Remember(item);
+      fresh_->Remember(item);
       upstream_keys_[upstream->id] = item.key;
       OnUpstream(*upstream, now, settling);
     } else if (auto* version = std::get_if<AdapterVersionRecord>(&record)) {
-      Remember(item);
+      fresh_->Remember(item);
       OnVersion(*version);
     } else if (auto* bad = std::get_if<UnreadableRecord>(&record)) {
       LogWarning("store", "Skipped a record that can't be read: {}.",
                  bad->reason);
     } else {
-      OnOwnItem(item, now);
-    }
-    ScheduleClaims();
-  }
-
-  void Remember(const StoreItem& item) {
-    if (item.deleted) {
-      known_.erase(item.key);
-    } else {
-      known_[item.key] = item;
+      membership_.OnItem(item);
     }
   }
 
   void OnConfig(ServingConfig config, int64_t revision) {
+    fresh_->OnConfigRevision(revision);
     if (state_.config != nullptr &&
         config.version <= state_.config->version()) {
-      // An older one never comes into force again.
-      config_revision_ = std::max(config_revision_, revision);
-      return;
+      return;  // An older one never comes into force again.
     }
-    config_revision_ = std::max(config_revision_, revision);
     LogInfo("config", "Version {} in force, revision={}, routes={}.",
             config.version, revision, config.routes.size());
     state_.config = std::make_shared<const ActiveConfig>(std::move(config));
     ApplyRates();
-    for (const DutyId& duty : ownership_.Duties()) {
-      OnDutyOwner(duty);
+    for (const DutyId& duty : membership_.ownership()->Duties()) {
+      OnDuty(duty);
     }
     for (const auto& [id, it] : state_.upstreams.all()) {
       NoteEngine(*it);
@@ -383,14 +371,12 @@
   }
 
   void ApplyRates() {
-    Millis now = EventLoop::Now();
     rates_.SetWorkspaces(state_.config->config().workspaces);
     for (const Workspace& it : state_.config->config().workspaces) {
       if (it.rate_per_s > 0) {
-        ownership_.OnDuty(RateDuty(it.id), ZoneId(), now);
+        membership_.AddDuty(RateDuty(it.id), ZoneId());
       }
     }
-    ScheduleClaims();
   }
 
   static RateMargin RateMarginOf(const ClusterBounds& bounds) {
@@ -409,8 +395,7 @@
   // Engines of services with models have an owner; plain services don't.
   void NoteEngine(const UpstreamState& it) {
     if (!it.gone && SpecOf(it.entry.id) != nullptr) {
-      ownership_.OnDuty(EngineDuty(it.entry.id), it.entry.zone,
-                        EventLoop::Now());
+      membership_.AddDuty(EngineDuty(it.entry.id), it.entry.zone);
     }
   }
 
@@ -439,7 +424,7 @@
     LogInfo("upstream", "Leaves id={} draining={}.", id.str(), drains);
     if (!drains) {
       suspicions_.OnDown(id, EventLoop::Now());
-      ownership_.OnDutyGone(EngineDuty(id));
+      membership_.RemoveDuty(EngineDuty(id));
     }
     orders_.OnEngineLeft(id);
     state_.residency.OnEngineReset(id);
@@ -456,29 +441,7 @@
     orders_.OnVersion(record.adapter, record.version);
   }
 
-  void OnOwnItem(const StoreItem& item, Millis now) {
-    MachineId machine = MemberOfKey(item.key);
-    if (!machine.empty()) {
-      OnMemberItem(machine, item);
-      return;
-    }
-    DutyId duty = DutyOfKey(item.key);
-    if (duty.empty()) {
-      return;
-    }
-    std::optional<OwnerRecord> owner;
-    if (!item.deleted) {
-      owner = DecodeOwner(item);
-    }
-    if (owner) {
-      ownership_.OnOwner(duty, *owner, now);
-    } else {
-      ownership_.OnOwnerGone(duty, now);
-    }
-    OnDutyOwner(duty);
-  }
-
-  void OnDutyOwner(const DutyId& duty) {
+  void OnDuty(const DutyId& duty) {
     if (UpstreamId engine = EngineOf(duty); !engine.empty()) {
       orders_.OnOwnership(engine);
     }
@@ -487,36 +450,6 @@
     }
   }
 
-  void OnMemberItem(const MachineId& machine, const StoreItem& item) {
-    std::optional<ClusterMember> member;
-    if (!item.deleted) {
-      member = DecodeMember(item);
-    }
-    if (machine == self_.machine) {
-      bool own = member && member->boot == self_.boot;
-      if (!own && lease_.lease() != 0) {
-        Register();  // The key of an earlier process, or it was removed.
-      }
-      return;
-    }
-    if (member) {
-      bool fresh = peers_.peers().count(machine) == 0;
-      ownership_.OnMember(*member);
-      peers_.SetMember(*member);
-      if (fresh) {
-        LogInfo("peer", "Joined machine={} zone={}.", machine.str(),
-                member->zone.str());
-      }
-    } else {
-      LogInfo("peer", "Left machine={}.", machine.str());
-      ownership_.OnMemberGone(machine);
-      peers_.RemoveMember(machine);
-      orders_.OnMachineGone(machine);
-    }
-    state_.instances = peers_.peers().size() + 1;
-    rates_.OnMembers();
-  }
-
   void OnListed(const std::vector<StoreItem>& all, bool settling) {
     std::set<std::string> keys;
     for (const StoreItem& it : all) {
@@ -533,92 +466,12 @@
     std::erase_if(upstream_keys_, [&](const auto& it) {
       bool gone = keys.count(it.second) == 0;
       if (gone) {
-        known_.erase(it.second);
+        fresh_->Forget(it.second);
       }
       return gone;
     });
-    RemoveUnlistedOwn(keys, now);
-    ownership_.OnSynced(now);
+    membership_.OnListed(keys);
     ScheduleExpiry();
-    ScheduleClaims();
-  }
-
-  void RemoveUnlistedOwn(const std::set<std::string>& keys, Millis now) {
-    std::vector<MachineId> machines;
-    for (const auto& [machine, member] : peers_.peers()) {
-      if (keys.count(MemberKey(machine)) == 0) {
-        machines.push_back(machine);
-      }
-    }
-    for (const MachineId& machine : machines) {
-      StoreItem gone;
-      gone.key = MemberKey(machine);
-      gone.deleted = true;
-      OnMemberItem(machine, gone);
-    }
-    for (const DutyId& duty : ownership_.Duties()) {
-      if (keys.count(OwnerKey(duty)) == 0) {
-        ownership_.OnOwnerGone(duty, now);
-        OnDutyOwner(duty);
-      }
-    }
-  }
-
-  // ---- Lease, membership and ownership.
-
-  void Register() {
-    StoreCommit commit;
-    commit.writes.push_back(
-        {MemberKey(self_.machine), EncodeMember(self_), lease_.lease()});
-    ports_.store->Commit(std::move(commit), [this](const StoreCommitted& it) {
-      if (it.outcome != StoreOutcome::kOk) {
-        LogWarning("peer", "Registration was not acknowledged, outcome={}.",
-                   static_cast<int>(it.outcome));
-        // Its key is awaited by the watch; ask again if it does not come.
-        register_timer_ = std::make_unique<Timer>(loop_);
-        register_timer_->Start(kAskPeersPeriod, [this] {
-          if (lease_.lease() != 0) {
-            Register();
-          }
-        });
-      }
-    });
-  }
-
-  void ScheduleClaims() {
-    if (lease_.lease() == 0 || state_.stopping) {
-      claim_timer_.Start(kAskPeersPeriod, [this] { ScheduleClaims(); });
-      return;
-    }
-    Millis now = EventLoop::Now();
-    for (const DutyClaim& it : ownership_.Claims(now)) {
-      WriteClaim(it);
-    }
-    Millis due = ownership_.NextDue(now);
-    if (due != Millis(0)) {
-      claim_timer_.Start(std::max(Millis(1), due - now),
-                         [this] { ScheduleClaims(); });
-    }
-  }
-
-  void WriteClaim(const DutyClaim& claim) {
-    StoreCommit commit;
-    std::string key = OwnerKey(claim.duty);
-    commit.conditions.push_back({key, claim.revision});
-    int64_t lease = lease_.lease();
-    commit.writes.push_back({key, EncodeOwner(self_, claim.settled), lease});
-    ports_.store->Commit(
-        std::move(commit), [this, claim, lease](const StoreCommitted& it) {
-          if (it.outcome != StoreOutcome::kOk) {
-            return;  // The watch tells how it stands; it is tried again.
-          }
-          ownership_.OnOwner(
-              claim.duty,
-              {self_.machine, self_.boot, it.revision, lease, claim.settled},
-              EventLoop::Now());
-          OnDutyOwner(claim.duty);
-          ScheduleClaims();
-        });
   }
 
   void ScheduleExpiry() {
@@ -632,23 +485,6 @@
 
   // ---- Adapters.
 
-  void WantAdapter(const UpstreamId& engine, const ModelRef& target,
-                   int64_t version) {
-    const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(engine));
-    if (owner == nullptr) {
-      return;
-    }
-    if (owner->machine == self_.machine) {
-      orders_.OnWant(self_.machine, engine, target, version);
-      return;
-    }
-    schema::PeerItem item;
-    item.mutable_want()->set_engine(engine.str());
-    SetName(item.mutable_want()->mutable_target(), target);
-    item.mutable_want()->set_minimum_version(version);
-    peers_.Send(owner->machine, std::move(item));
-  }
-
   void TellAdapter(const MachineId& machine, const UpstreamId& engine,
                    const ModelRef& target, int64_t version,
                    AdapterPlace place) {
@@ -686,109 +522,6 @@
     }
   }
 
-  void TellMissing(const UpstreamId& engine, const ModelRef& target) {
-    const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(engine));
-    if (owner == nullptr) {
-      return;
-    }
-    if (owner->machine == self_.machine) {
-      orders_.OnMissing(engine, target);
-      return;
-    }
-    schema::PeerItem item;
-    item.mutable_missing()->set_engine(engine.str());
-    SetName(item.mutable_missing()->mutable_target(), target);
-    peers_.Send(owner->machine, std::move(item));
-  }
-
-  void CountUse(const UpstreamId& engine, const ModelRef& target, int change) {
-    auto key = std::make_pair(engine, target);
-    int count = uses_[key] += change;
-    const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(engine));
-    if (owner != nullptr && owner->machine == self_.machine) {
-      orders_.OnUse(self_.machine, engine, target,
-                    static_cast<uint32_t>(std::max(0, count)));
-    } else {
-      changed_uses_.insert(key);
-      if (change > 0) {
-        TellUses();  // Before the owner takes the adapter for idle.
-      }
-      if (!use_timer_.pending()) {
-        use_timer_.Start(kUsePeriod, [this] { TellUses(); });
-      }
-    }
-    if (count <= 0) {
-      uses_.erase(key);
-    }
-  }
-
-  void TellUses() {
-    for (const auto& key : changed_uses_) {
-      const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(key.first));
-      if (owner == nullptr) {
-        continue;
-      }
-      auto it = uses_.find(key);
-      int count = it == uses_.end() ? 0 : it->second;
-      schema::PeerItem item;
-      item.mutable_use()->set_engine(key.first.str());
-      SetName(item.mutable_use()->mutable_target(), key.second);
-      item.mutable_use()->set_running(
-          static_cast<uint32_t>(std::max(0, count)));
-      peers_.Send(owner->machine, std::move(item));
-    }
-    changed_uses_.clear();
-  }
-
-  // Long runs: an owner forgets a use that is not told again.
-  void TellUsesAgain() {
-    for (const auto& [key, count] : uses_) {
-      const OwnerRecord* owner = ownership_.OwnerOf(EngineDuty(key.first));
-      if (owner != nullptr && owner->machine == self_.machine) {
-        orders_.OnUse(self_.machine, key.first, key.second,
-                      static_cast<uint32_t>(std::max(0, count)));
-      } else {
-        changed_uses_.insert(key);
-      }
-    }
-    TellUses();
-    use_again_timer_.Start(kUseAgainPeriod, [this] { TellUsesAgain(); });
-  }
-
-  // ---- Load of engines.
-
-  void OnLoadChanged(const UpstreamId& upstream) {
-    if (SpecOf(upstream) == nullptr) {
-      return;
-    }
-    changed_loads_.insert(upstream);
-    if (!load_timer_.pending()) {
-      load_timer_.Start(LoadPeriod(), [this] { TellLoads(); });
-    }
-  }
-
-  // Rarer with more instances, so that what each hears stays bounded.
-  Millis LoadPeriod() const {
-    int64_t times = static_cast<int64_t>(
-        1 + state_.instances * state_.instances / kLoadInstancesSquared);
-    return kLoadPeriod * times;
-  }
-
-  void TellLoads() {
-    for (const UpstreamId& id : changed_loads_) {
-      const UpstreamState* it = state_.upstreams.Find(id);
-      if (it == nullptr) {
-        continue;
-      }
-      schema::PeerItem item;
-      item.mutable_load()->set_engine(id.str());
-      item.mutable_load()->set_in_flight(it->in_flight);
-      item.mutable_load()->set_tokens_unread(it->tokens_unread);
-      TellAll(item);
-    }
-    changed_loads_.clear();
-  }
-
   // ---- Peers.
 
   void OnPeerItem(const MachineId& from, const schema::PeerItem& item) {
@@ -833,10 +566,10 @@
             false);
         break;
       case schema::PeerItem::kQuestion:
-        AnswerFreshness(from, item.question().nonce());
+        fresh_->AnswerQuestion(from, item.question().nonce());
         break;
       case schema::PeerItem::kAnswer:
-        OnFreshnessAnswer(from, item.answer());
+        fresh_->OnAnswer(from, item.answer());
         break;
       case schema::PeerItem::BODY_NOT_SET:
         LogWarning("peer", "An item from {} has no known body.", from.str());
@@ -844,12 +577,6 @@
     }
   }
 
-  void TellAll(const schema::PeerItem& item) {
-    for (const auto& [machine, member] : peers_.peers()) {
-      peers_.Send(machine, item);
-    }
-  }
-
   void OnCrash(uint64_t fingerprint, const CrashId& crash, bool tell) {
     state_.crashes.OnCrash(fingerprint, crash, EventLoop::Now());
     LogInfo("crash", "Request fingerprint={:016x} ran when upstream={} ended.",
@@ -861,132 +588,7 @@
     item.mutable_crash()->set_fingerprint(fingerprint);
     item.mutable_crash()->set_upstream(crash.upstream.str());
     item.mutable_crash()->set_started_ms(crash.started_ms);
-    TellAll(item);
-  }
-
-  // ---- Freshness from peers.
-
-  void WatchFreshness() {
-    Millis now = EventLoop::Now();
-    Millis age = state_.freshness.Age(now);
-    if (!state_.freshness.ever_confirmed() || age > ask_peers_age_) {
-      AskPeers(now);
-      fresh_timer_.Start(kAskPeersPeriod, [this] { WatchFreshness(); });
-      return;
-    }
-    fresh_timer_.Start(std::max(kAskPeersPeriod, ask_peers_age_ - age),
-                       [this] { WatchFreshness(); });
-  }
-
-  void AskPeers(Millis now) {
-    ++question_;
-    question_sent_ = now;
-    schema::PeerItem item;
-    item.mutable_question()->set_nonce(question_);
-    size_t n = peers_.peers().size();
-    size_t skip = n == 0 ? 0 : (question_ * kPeersAsked) % n;
-    size_t i = 0;
-    for (const auto& [machine, member] : peers_.peers()) {
-      if ((i++ + n - skip) % n < kPeersAsked) {
-        peers_.Send(machine, item);
-      }
-    }
-  }
-
-  void AnswerFreshness(const MachineId& to, uint64_t nonce) {
-    if (!state_.freshness.ever_confirmed() || state_.config == nullptr) {
-      return;
-    }
-    schema::PeerItem item;
-    auto* answer = item.mutable_answer();
-    answer->set_nonce(nonce);
-    answer->set_age_ms(state_.freshness.Age(EventLoop::Now()).count());
-    answer->set_config_revision(config_revision_);
-    answer->set_store_revision(sync_.revision());
-    peers_.Send(to, std::move(item));
-  }
-
-  void OnFreshnessAnswer(const MachineId& from,
-                         const schema::FreshnessAnswer& answer) {
-    if (answer.nonce() != question_) {
-      return;  // To an earlier question: its age can't be told.
-    }
-    Millis now = EventLoop::Now();
-    if (answer.config_revision() == config_revision_ &&
-        state_.config != nullptr) {
-      state_.freshness.OnConfirmed(question_sent_ - Millis(answer.age_ms()));
-    }
-    bool newer =
-        answer.config_revision() > config_revision_ ||
-        answer.store_revision() > std::max(sync_.revision(), peer_revision_);
-    if (newer && now >= next_fetch_) {
-      next_fetch_ = now + kStateFetchPeriod;
-      FetchState(from);
-    }
-  }
-
-  void FetchState(const MachineId& from) {
-    auto it = peers_.peers().find(from);
-    if (it == peers_.peers().end()) {
-      return;
-    }
-    HttpCall call;
-    call.address = it->second.address;
-    call.target = kStatePath;
-    call.deadlines.connect = kStateFetchDeadline;
-    call.deadlines.first_byte = kStateFetchDeadline;
-    call.deadlines.whole = kStateFetchDeadline * 2;
-    call.on_done = [this, sent = EventLoop::Now()](const CallOutcome& outcome) {
-      schema::KnownState known;
-      bool ok = outcome.result == CallResult::kComplete &&
-                outcome.status == kOk && known.ParseFromString(outcome.body);
-      if (ok) {
-        OnPeerState(known, sent);
-      }
-    };
-    ports_.client->Start(std::move(call));
-  }
-
-  void OnPeerState(const schema::KnownState& known, Millis sent) {
-    if (!sync_.away() && sync_.ever_synced()) {
-      return;  // The store's own word has come meanwhile.
-    }
-    LogInfo("peer", "Took the state up to revision={} from a peer.",
-            known.store_revision());
-    for (const schema::KnownItem& it : known.items()) {
-      StoreItem item;
-      item.key = it.key();
-      item.value = it.value();
-      item.revision = it.revision();
-      auto held = known_.find(item.key);
-      if (held == known_.end() || held->second.revision < item.revision) {
-        OnItem(item, true);
-      }
-    }
-    peer_revision_ = std::max(peer_revision_, known.store_revision());
-    if (known.config_revision() == config_revision_) {
-      state_.freshness.OnConfirmed(sent - Millis(known.age_ms()));
-    }
-  }
-
-  HttpResponse OnPeerRequest(const HttpRequest& request) {
-    HttpResponse response;
-    if (request.path != kStatePath || state_.config == nullptr) {
-      response.status = kUnavailable;
-      return response;
-    }
-    schema::KnownState known;
-    for (const auto& [key, item] : known_) {
-      schema::KnownItem* it = known.add_items();
-      it->set_key(item.key);
-      it->set_value(item.value);
-      it->set_revision(item.revision);
-    }
-    known.set_store_revision(std::max(sync_.revision(), peer_revision_));
-    known.set_config_revision(config_revision_);
-    known.set_age_ms(state_.freshness.Age(EventLoop::Now()).count());
-    response.body = known.SerializeAsString();
-    return response;
+    peers_.SendAll(item);
   }
 
   // ---- Readiness, metrics and stop.
@@ -1054,36 +656,21 @@
   EventLoop* const loop_;
   const ClusterMember self_;
   ServingState state_;
-  Ownership ownership_;
-  LeaseKeeper lease_;
   StoreSync sync_;
-  const Millis ask_peers_age_;
   PeerLink peers_;
+  Membership membership_;
   OrderService orders_;
+  AdapterService adapters_;
+  LoadTeller loads_;
   RateService rates_;
   CrashSuspicions suspicions_;
+  std::unique_ptr<FreshnessService> fresh_;
   RequestDeps deps_;
   // By connection; one may carry several requests.
   std::unordered_multimap<uint64_t, std::shared_ptr<RequestRun>> active_;
-  // What others wrote into the store, for peers that can't reach it.
-  std::map<std::string, StoreItem> known_;
   std::map<UpstreamId, std::string> upstream_keys_;
-  int64_t config_revision_ = 0;  // Newest revision of the configuration seen.
-  int64_t peer_revision_ = 0;    // Up to which a peer's state was taken.
-  uint64_t question_ = 0;        // Nonce of the last question to peers.
-  Millis question_sent_;
-  Millis next_fetch_;
-  std::map<std::pair<UpstreamId, ModelRef>, int> uses_;
-  std::set<std::pair<UpstreamId, ModelRef>> changed_uses_;
-  std::set<UpstreamId> changed_loads_;
-  Timer claim_timer_;
   Timer expire_timer_;
-  Timer use_timer_;
-  Timer use_again_timer_;
-  Timer load_timer_;
-  Timer fresh_timer_;
   Timer stop_timer_;
-  std::unique_ptr<Timer> register_timer_;
   Millis stop_begun_;
   std::function<void()> stop_done_;
   std::unique_ptr<HttpServer> callers_;
--- /dev/null
+++ b/libs/gateway/src/load_teller.cc
@@ -0,0 +1,48 @@
+// Load of engines, told to peers.
+#include "gateway/load_teller.h"
+
+#include "gateway/peer_link.h"
+#include "schema/cluster.pb.h"
+#include "serving/upstream_book.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr Millis kPeriod{15};
+constexpr size_t kInstancesSquared = 200;
+
+}  // namespace
+
+LoadTeller::LoadTeller(EventLoop* loop, UpstreamBook* upstreams,
+                       PeerLink* peers)
+    : upstreams_(upstreams), peers_(peers), timer_(loop) {}
+
+void LoadTeller::OnChanged(const UpstreamId& engine) {
+  changed_.insert(engine);
+  if (!timer_.pending()) {
+    timer_.Start(Period(), [this] { Tell(); });
+  }
+}
+
+// Rarer with more instances, so that what each hears stays bounded.
+Millis LoadTeller::Period() const {
+  size_t n = peers_->peers().size() + 1;
+  return kPeriod * static_cast<int64_t>(1 + n * n / kInstancesSquared);
+}
+
+void LoadTeller::Tell() {
+  for (const UpstreamId& id : changed_) {
+    const UpstreamState* it = upstreams_->Find(id);
+    if (it == nullptr) {
+      continue;
+    }
+    schema::PeerItem item;
+    item.mutable_load()->set_engine(id.str());
+    item.mutable_load()->set_in_flight(it->in_flight);
+    item.mutable_load()->set_tokens_unread(it->tokens_unread);
+    peers_->SendAll(item);
+  }
+  changed_.clear();
+}
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/gateway/src/membership.cc
@@ -0,0 +1,190 @@
+// Registration and claims of duties.
+#include "gateway/membership.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "base/log.h"
+#include "gateway/own_records.h"
+#include "gateway/peer_link.h"
+#include "serving/cluster_store.h"
+#include "transport/event_loop.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr Millis kRetryPeriod{350};
+
+}  // namespace
+
+Membership::Membership(EventLoop* loop, ClusterStore* store,
+                       const ClusterMember& self, Millis lease_time,
+                       Millis turn, PeerLink* peers, Hooks hooks)
+    : loop_(loop),
+      store_(store),
+      self_(self),
+      peers_(peers),
+      hooks_(std::move(hooks)),
+      ownership_(self, turn, EventLoop::Now()),
+      lease_(loop, store, lease_time, LeaseHooks()),
+      claim_timer_(loop),
+      register_timer_(loop) {}
+
+void Membership::Start() { lease_.Start(); }
+
+void Membership::StopClaiming() { claiming_ = false; }
+
+LeaseKeeper::Hooks Membership::LeaseHooks() {
+  LeaseKeeper::Hooks hooks;
+  hooks.on_granted = [this](int64_t lease) {
+    ownership_.OnLease(lease);
+    Register();
+    Schedule();
+  };
+  hooks.on_lost = [this] {
+    ownership_.OnLease(0);
+    for (const DutyId& duty : ownership_.Duties()) {
+      hooks_.on_duty(duty);
+    }
+  };
+  return hooks;
+}
+
+void Membership::AddDuty(const DutyId& duty, const ZoneId& zone) {
+  ownership_.OnDuty(duty, zone, EventLoop::Now());
+  Schedule();
+}
+
+void Membership::RemoveDuty(const DutyId& duty) { ownership_.OnDutyGone(duty); }
+
+void Membership::Register() {
+  StoreCommit commit;
+  commit.writes.push_back(
+      {MemberKey(self_.machine), EncodeMember(self_), lease_.lease()});
+  store_->Commit(std::move(commit), [this](const StoreCommitted& it) {
+    if (it.outcome == StoreOutcome::kOk) {
+      return;
+    }
+    LogWarning("peer", "Registration was not acknowledged, outcome={}.",
+               static_cast<int>(it.outcome));
+    register_timer_.Start(kRetryPeriod, [this] {
+      if (lease_.lease() != 0) {
+        Register();
+      }
+    });
+  });
+}
+
+void Membership::OnItem(const StoreItem& item) {
+  MachineId machine = MemberOfKey(item.key);
+  if (!machine.empty()) {
+    OnMember(machine, item);
+    return;
+  }
+  DutyId duty = DutyOfKey(item.key);
+  if (!duty.empty()) {
+    OnOwner(duty, item);
+  }
+}
+
+void Membership::OnOwner(const DutyId& duty, const StoreItem& item) {
+  Millis now = EventLoop::Now();
+  std::optional<OwnerRecord> owner;
+  if (!item.deleted) {
+    owner = DecodeOwner(item);
+  }
+  if (owner) {
+    ownership_.OnOwner(duty, *owner, now);
+  } else {
+    ownership_.OnOwnerGone(duty, now);
+  }
+  hooks_.on_duty(duty);
+  Schedule();
+}
+
+void Membership::OnMember(const MachineId& machine, const StoreItem& item) {
+  std::optional<ClusterMember> member;
+  if (!item.deleted) {
+    member = DecodeMember(item);
+  }
+  if (machine == self_.machine) {
+    bool own = member && member->boot == self_.boot;
+    if (!own && lease_.lease() != 0) {
+      Register();  // The key of an earlier process, or it was removed.
+    }
+    return;
+  }
+  if (member) {
+    if (peers_->peers().count(machine) == 0) {
+      LogInfo("peer", "Joined machine={} zone={}.", machine.str(),
+              member->zone.str());
+    }
+    ownership_.OnMember(*member);
+    peers_->SetMember(*member);
+  } else {
+    LogInfo("peer", "Left machine={}.", machine.str());
+    ownership_.OnMemberGone(machine);
+    peers_->RemoveMember(machine);
+    hooks_.on_gone(machine);
+  }
+  hooks_.on_members();
+}
+
+void Membership::OnRelisting() { ownership_.OnRelisting(); }
+
+void Membership::OnListed(const std::set<std::string>& keys) {
+  std::vector<MachineId> missing;
+  for (const auto& [machine, member] : peers_->peers()) {
+    if (keys.count(MemberKey(machine)) == 0) {
+      missing.push_back(machine);
+    }
+  }
+  StoreItem gone;
+  gone.deleted = true;
+  for (const MachineId& machine : missing) {
+    OnMember(machine, gone);
+  }
+  for (const DutyId& duty : ownership_.Duties()) {
+    if (keys.count(OwnerKey(duty)) == 0) {
+      OnOwner(duty, gone);
+    }
+  }
+  ownership_.OnSynced(EventLoop::Now());
+  Schedule();
+}
+
+void Membership::Schedule() {
+  if (lease_.lease() == 0 || !claiming_) {
+    return;  // A lease that is granted comes back here.
+  }
+  Millis now = EventLoop::Now();
+  for (const DutyClaim& it : ownership_.Claims(now)) {
+    Write(it);
+  }
+  Millis due = ownership_.NextDue(now);
+  if (due != Millis(0)) {
+    claim_timer_.Start(std::max(Millis(1), due - now), [this] { Schedule(); });
+  }
+}
+
+void Membership::Write(const DutyClaim& claim) {
+  StoreCommit commit;
+  std::string key = OwnerKey(claim.duty);
+  commit.conditions.push_back({key, claim.revision});
+  int64_t lease = lease_.lease();
+  commit.writes.push_back({key, EncodeOwner(self_, claim.settled), lease});
+  store_->Commit(
+      std::move(commit), [this, claim, lease](const StoreCommitted& it) {
+        if (it.outcome != StoreOutcome::kOk) {
+          return;  // The watch tells how it stands; it is tried again.
+        }
+        ownership_.OnOwner(
+            claim.duty,
+            {self_.machine, self_.boot, it.revision, lease, claim.settled},
+            EventLoop::Now());
+        hooks_.on_duty(claim.duty);
+        Schedule();
+      });
+}
+
+}  // namespace bilberrypitch
--- a/libs/gateway/src/peer_link.cc
+++ b/libs/gateway/src/peer_link.cc
@@ -53,6 +53,12 @@
   }
 }
 
+void PeerLink::SendAll(const schema::PeerItem& item) {
+  for (const auto& [machine, member] : peers_) {
+    Send(machine, item);
+  }
+}
+
 void PeerLink::Flush() {
   flush_posted_ = false;
   for (auto& [machine, datagram] : queued_) {
--- /dev/null
+++ b/libs/gateway/src/request_attempt.cc
@@ -0,0 +1,314 @@
+// The attempts of one request at upstreams, and what follows each.
+#include <algorithm>
+
+#include "base/log.h"
+#include "gateway/request_run.h"
+#include "gateway/serving_state.h"
+#include "serving/edge_codec.h"
+#include "transport/event_loop.h"
+#include "transport/loop_client.h"
+#include "transport/responder.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr Millis kConnectDeadline{350};
+// What the upstream is told lies so much before the caller's own end.
+constexpr Millis kDeadlineMargin{10};
+constexpr Millis kAfterMiss{40};
+constexpr int kUrgencyPerWorkspace = 3;
+constexpr int kLeastUrgent = 9;
+// A plain service that is sound answers within this many goals.
+constexpr int64_t kSilentGoals = 3;
+constexpr Millis kLeastSilence{400};
+
+bool IsFailure(int status) { return status >= 500; }
+
+}  // namespace
+
+HttpCall RequestRun::NewCall(const UpstreamState& upstream) const {
+  HttpCall call;
+  call.address = upstream.entry.address;
+  call.deadlines.connect = kConnectDeadline;
+  Millis left = TimeLeft();
+  call.deadlines.whole = left;
+  call.deadlines.first_byte = left;
+  call.deadlines.progress = left;
+  bool may_repeat =
+      route_->MayRunTwice() && upstreams_run_ + 1 < route_->max_upstreams;
+  if (may_repeat && !IsStream()) {
+    call.deadlines.first_byte =
+        std::min(left, std::max(kLeastSilence, route_->goal * kSilentGoals));
+  }
+  call.send_once = !route_->MayRunTwice();
+  // Before the upstream closes the idle connection itself.
+  call.max_idle_s = std::max(1, upstream.keep_idle_s - 1);
+  if (upstream.keep_idle_s == 0) {
+    call.max_idle_s = 0;
+  }
+  return call;
+}
+
+void RequestRun::Send(UpstreamState* upstream) {
+  Millis now = EventLoop::Now();
+  HttpCall call = NewCall(*upstream);
+  UpstreamInstructions instructions;
+  instructions.upstream = upstream->entry.id;
+  if (workspace_ != nullptr) {
+    instructions.workspace = workspace_->id;
+  }
+  instructions.time_left = std::max(Millis(1), TimeLeft() - kDeadlineMargin);
+  int urgency = route_->priority;
+  if (workspace_ != nullptr && workspace_->priority) {
+    urgency += *workspace_->priority * kUrgencyPerWorkspace;
+  }
+  const Service* service = config_->FindService(service_);
+  if (service != nullptr && service->engine) {
+    instructions.urgency = std::clamp(urgency, 0, kLeastUrgent);
+    auto named = state_->named_versions.find(request_.model);
+    if (named != state_->named_versions.end()) {
+      instructions.minimum_version = named->second;
+    }
+  }
+  if (answer_begun_) {
+    instructions.resume_after_event = events_.last_id();
+    events_.DropPartial();
+  }
+  deps_->codec->EncodeCall(request_, instructions, &call);
+  upstream_ = upstream->entry.id;
+  upstream_started_ms_ = upstream->entry.started_ms;
+  sent_at_ = now;
+  first_event_seen_ = false;
+  attempt_streams_ = false;
+  facts_ = AnswerFacts();
+  if (sends_ > 0) {
+    ++state_->counters.repeats;
+  }
+  ++sends_;
+  state_->upstreams.OnBegin(upstream, PromptTokens());
+  if (request_.model.is_adapter()) {
+    deps_->hooks.adapter_use(upstream_, request_.model, 1);
+  }
+  auto self = shared_from_this();
+  call.on_head = [self](int status, const HttpHeaders& headers) {
+    return self->OnHead(status, headers);
+  };
+  if (IsStream()) {
+    call.on_data = [self](std::string_view bytes) {
+      self->OnBytes(bytes);
+      return true;
+    };
+  }
+  call.on_done = [self](CallOutcome outcome) {
+    self->OnDone(std::move(outcome));
+  };
+  call_ = deps_->client->Start(std::move(call));
+}
+
+bool RequestRun::OnHead(int status, const HttpHeaders& headers) {
+  facts_ = deps_->codec->DecodeAnswer(request_, status, headers);
+  UpstreamState* upstream = state_->upstreams.Find(upstream_);
+  if (upstream != nullptr) {
+    if (facts_.load) {
+      state_->upstreams.OnLoad(upstream, *facts_.load, EventLoop::Now());
+    }
+    if (facts_.keep_idle_s > 0) {
+      upstream->keep_idle_s = facts_.keep_idle_s;
+    }
+  }
+  if (!facts_.same_request) {
+    return false;
+  }
+  attempt_streams_ = IsStream() && status < 300 && facts_.has_signature;
+  return status >= 300 || facts_.has_signature;
+}
+
+void RequestRun::OnBytes(std::string_view bytes) {
+  if (finished_ || !attempt_streams_) {
+    return;
+  }
+  std::string events = events_.Feed(bytes);
+  if (events.empty()) {
+    return;
+  }
+  if (!first_event_seen_) {
+    first_event_seen_ = true;
+    UpstreamState* upstream = state_->upstreams.Find(upstream_);
+    if (upstream != nullptr) {
+      Millis now = EventLoop::Now();
+      state_->upstreams.OnFirstEvent(upstream, PromptTokens(), now - sent_at_,
+                                     now);
+    }
+  }
+  if (!answer_begun_) {
+    answer_begun_ = true;
+    first_event_after_ = EventLoop::Now() - arrived_;
+    responder_->StartStream(200, facts_.forward);
+  }
+  responder_->WriteChunk(std::move(events), {});
+}
+
+SendEnd RequestRun::EndOf(const CallOutcome& outcome) const {
+  switch (outcome.result) {
+    case CallResult::kRefused:
+    case CallResult::kConnectTimeout:
+      return SendEnd::kNotSent;
+    case CallResult::kComplete:
+      break;
+    case CallResult::kSilent:
+      return TimeLeft() <= Millis(1) ? SendEnd::kTimeUp : SendEnd::kSilent;
+    case CallResult::kTooLong:
+      return SendEnd::kTimeUp;
+    case CallResult::kCancelled:
+    case CallResult::kTooLarge:
+      return SendEnd::kWrongAnswer;
+    case CallResult::kBroken:
+      return SendEnd::kBroken;
+  }
+  if (!facts_.same_request) {
+    return SendEnd::kWrongAnswer;
+  }
+  if (facts_.not_run) {
+    return SendEnd::kRefusedUnrun;
+  }
+  if (!facts_.has_signature) {
+    return SendEnd::kWrongAnswer;
+  }
+  return SendEnd::kFailedAnswer;
+}
+
+void RequestRun::OnDone(CallOutcome outcome) {
+  call_ = 0;
+  if (finished_) {
+    return;
+  }
+  bool whole = outcome.result == CallResult::kComplete && facts_.same_request &&
+               facts_.has_signature && !facts_.not_run;
+  if (whole && IsStream() && attempt_streams_ && !events_.AtBoundary()) {
+    whole = false;  // The last event is cut.
+    outcome.result = CallResult::kBroken;
+  }
+  if (whole && !IsFailure(outcome.status)) {
+    OnWholeAnswer(outcome, false);
+    return;
+  }
+  SendEnd end = EndOf(outcome);
+  Conclude(end, &outcome);
+}
+
+void RequestRun::OnWholeAnswer(const CallOutcome& outcome, bool failed) {
+  CloseAttempt(failed);
+  if (!failed) {
+    state_->crashes.OnSuccess(fingerprint_);
+  }
+  ++state_->counters.answered;
+  if (answer_begun_) {
+    responder_->EndStream();
+    Finish("answered", outcome.status);
+    return;
+  }
+  HttpResponse response;
+  response.status = outcome.status;
+  response.headers = facts_.forward;
+  response.body = outcome.body;
+  response.close_connection = state_->stopping;
+  if (attempt_streams_) {
+    // A stream without an event.
+    responder_->StartStream(outcome.status, facts_.forward);
+    responder_->EndStream();
+  } else {
+    responder_->Send(std::move(response));
+  }
+  Finish("answered", outcome.status);
+}
+
+void RequestRun::CloseAttempt(bool failed) {
+  if (upstream_.empty()) {
+    return;
+  }
+  UpstreamState* upstream = state_->upstreams.Find(upstream_);
+  Millis took = EventLoop::Now() - sent_at_;
+  if (upstream != nullptr) {
+    state_->upstreams.OnEnd(upstream, first_event_seen_ ? 0 : PromptTokens());
+    state_->upstreams.OnResult(upstream, failed, took);
+  }
+  if (request_.model.is_adapter()) {
+    deps_->hooks.adapter_use(upstream_, request_.model, -1);
+  }
+  upstream_ = UpstreamId();
+}
+
+void RequestRun::Conclude(SendEnd end, CallOutcome* outcome) {
+  UpstreamId upstream = upstream_;
+  bool unrun = end == SendEnd::kNotSent || end == SendEnd::kRefusedUnrun;
+  bool misses = end == SendEnd::kRefusedUnrun &&
+                outcome->status == kMisdirected && request_.model.is_adapter();
+  CloseAttempt(!unrun && end != SendEnd::kTimeUp);
+  if (end == SendEnd::kNotSent) {
+    if (UpstreamState* it = state_->upstreams.Find(upstream)) {
+      state_->upstreams.OnConnectFailure(it, EventLoop::Now());
+    }
+    deps_->hooks.unreachable(upstream);
+  }
+  if (end == SendEnd::kBroken) {
+    deps_->hooks.broken(fingerprint_, upstream, upstream_started_ms_);
+  }
+  if (!unrun) {
+    may_have_run_ = true;
+    ++upstreams_run_;
+  }
+  if (misses) {
+    ++state_->counters.adapter_misses;
+    ++misses_;
+    state_->residency.OnGone(upstream, request_.model);
+    deps_->hooks.adapter_missing(upstream, request_.model);
+  } else {
+    tried_.push_back(upstream);
+  }
+  SendFacts facts;
+  facts.end = end;
+  facts.kind = route_->kind;
+  facts.resumable = route_->resumable;
+  facts.answer_begun = answer_begun_;
+  facts.may_have_run = may_have_run_;
+  facts.upstreams_run = upstreams_run_;
+  facts.max_upstreams = route_->max_upstreams;
+  facts.sends = sends_;
+  facts.time_left = TimeLeft();
+  SendDecision decision = DecideNext(facts);
+  LogInfo("request",
+          "Attempt id={} send={} upstream={} end={} status={} "
+          "ms={} next={}.",
+          request_.id.str(), sends_, upstream.str(), static_cast<int>(end),
+          outcome->status, (EventLoop::Now() - sent_at_).count(),
+          static_cast<int>(decision.step));
+  bool again = decision.step == NextStep::kSendAgain ||
+               decision.step == NextStep::kResume;
+  if (again &&
+      (end == SendEnd::kNotSent || state_->RetriesOf(service_).TryTake(
+                                       state_->instances, EventLoop::Now()))) {
+    if (misses) {
+      auto self = shared_from_this();
+      wait_timer_.Start(kAfterMiss, [self] { self->Dispatch(); });
+    } else {
+      Dispatch();
+    }
+    return;
+  }
+  bool passes = end == SendEnd::kFailedAnswer && !answer_begun_;
+  if (passes) {
+    ++state_->counters.answered;
+    HttpResponse response;
+    response.status = outcome->status;
+    response.headers = facts_.forward;
+    response.body = std::move(outcome->body);
+    response.close_connection = state_->stopping;
+    responder_->Send(std::move(response));
+    Finish("upstream_failed", outcome->status);
+    return;
+  }
+  Fail(FailureOf(facts));
+}
+
+}  // namespace bilberrypitch
