--- a/libs/serving/test/ownership_test.cc
+++ b/libs/serving/test/ownership_test.cc
@@ -386,6 +386,7 @@
       return std::uniform_int_distribution<int>(0, n - 1)(random);
     };
     std::vector<MachineId> members;
+    members.reserve(kInstances);
     for (int i = 0; i < kInstances; ++i) {
       members.emplace_back("m" + std::to_string(i));
     }
@@ -405,8 +406,12 @@
       now = now + Millis(10);
       size_t i = static_cast<size_t>(draw(kInstances));
       bool cut = now < cut_until[i];
-      if (draw(3000) == 0 && i != 0) {
-        cut_until[i] = now + Millis(draw(8000));
+      if (draw(2500) == 0) {
+        // Some instances lose the keeper together, for longer than a window.
+        size_t cuts = 1 + static_cast<size_t>(draw(kInstances - 1));
+        for (size_t j = 1; j <= cuts; ++j) {
+          cut_until[j] = now + Millis(4000 + draw(10000));
+        }
       }
       if (step % 40 == 0) {
         for (size_t j = 1; j < kInstances; ++j) {
