End a client without calling back

Cause, found reading the code: at the end of a process the gateway goes before its clients, and a client that ended called back for each open call, the watch of the store among them: into what was destroyed. Change: the destructor drops what is open; worker threads cancel it explicitly, since callers may wait there. A test that fails before.

--- a/libs/transport/include/transport/loop_client.h
+++ b/libs/transport/include/transport/loop_client.h
@@ -13,7 +13,7 @@
 class LoopClient {
  public:
   explicit LoopClient(EventLoop* loop);
-  // Cancels what is open; `on_done` of each is called.
+  // Drops what is open without calling back: who would be called may be gone.
   ~LoopClient();
 
   // Never calls back before it returns. `id` is not in use; ids are either all
@@ -23,6 +23,8 @@
   // Calls `on_done` with kCancelled and closes the connection; without effect
   // on a call that has ended.
   void Cancel(CallId id);
+  // As Cancel, for all that is open.
+  void CancelAll();
   // Connections made since the start.
   uint64_t connections_made() const;
 
--- a/libs/transport/src/http_client.cc
+++ b/libs/transport/src/http_client.cc
@@ -21,6 +21,7 @@
   ~Worker() {
     // The client ends on its own thread, after all that was added before.
     loop_.Post([this] {
+      client_->CancelAll();  // Who waits for an answer is told.
       client_.reset();
       loop_.Stop();
     });
--- a/libs/transport/src/loop_client.cc
+++ b/libs/transport/src/loop_client.cc
@@ -52,10 +52,17 @@
   }
 
   ~Impl() {
+    for (auto& [id, transfer] : transfers_) {
+      transfer->call.on_done = nullptr;
+    }
+    CancelAll();
+    curl_multi_cleanup(multi_);
+  }
+
+  void CancelAll() {
     while (!transfers_.empty()) {
       Finish(transfers_.begin()->second.get(), CallResult::kCancelled);
     }
-    curl_multi_cleanup(multi_);
   }
 
   CallId NextId() { return ++last_id_; }
@@ -459,6 +466,8 @@
 
 void LoopClient::Cancel(CallId id) { impl_->Cancel(id); }
 
+void LoopClient::CancelAll() { impl_->CancelAll(); }
+
 uint64_t LoopClient::connections_made() const {
   return impl_->connections_made();
 }
--- a/libs/transport/test/loop_client_test.cc
+++ b/libs/transport/test/loop_client_test.cc
@@ -90,4 +90,25 @@
   REQUIRE(second.result == CallResult::kBroken);
 }
 
+// The gateway is destroyed before its client; its watch is always open.
+TEST_CASE("a client that ends does not call back", "[loop_client]") {
+  asio::io_context context;
+  asio::ip::tcp::acceptor silent(context,
+                                 {asio::ip::make_address("127.0.0.1"), 0});
+  EventLoop loop;
+  bool called = false;
+  {
+    LoopClient client(&loop);
+    HttpCall call;
+    call.address =
+        "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+    call.on_done = [&](const CallOutcome&) { called = true; };
+    client.Start(std::move(call));
+    Timer stop(&loop);
+    stop.Start(Millis(20), [&] { loop.Stop(); });
+    loop.Run();
+  }
+  REQUIRE_FALSE(called);
+}
+
 }  // namespace bilberrypitch
