Hold a crashing request back before its crashes are confirmed

Cause: crashes counted only once confirmed (the entry of a new start, a refused connection), and retries are faster than that; the other instances heard of confirmed crashes only. Ruled out: lost datagrams (the log shows each confirmation arriving, late). Now open suspicions count too: with three crashes and suspicions together a request waits (503, not run) until they are settled, and suspicions from the second on are told to the others. The question now carries the address and is answered to non-members too. - limits.bodyBytes and headerBytes of the configuration were read and never applied. They are now, with each version.

crash_suspicions is gone into crash_ledger (no I/O, module tests) and crash_service (telling the peers).

--- a/libs/gateway/include/gateway/freshness_service.h
+++ b/libs/gateway/include/gateway/freshness_service.h
@@ -24,6 +24,7 @@
 class StoreSync;
 namespace schema {
 class FreshnessAnswer;
+class FreshnessQuestion;
 class KnownState;
 }  // namespace schema
 
@@ -41,7 +42,8 @@
   // A configuration of this revision of the store was seen.
   void OnConfigRevision(int64_t revision);
 
-  void AnswerQuestion(const MachineId& from, uint64_t nonce);
+  // The sender need not be a member: its record may have lapsed.
+  void AnswerQuestion(const schema::FreshnessQuestion& question);
   void OnAnswer(const MachineId& from, const schema::FreshnessAnswer& answer);
   // A peer's call for all that is known here.
   HttpResponse OnStateRequest(const HttpRequest& request);
--- a/libs/gateway/include/gateway/peer_link.h
+++ b/libs/gateway/include/gateway/peer_link.h
@@ -18,7 +18,8 @@
 }  // namespace schema
 
 // On the loop's thread only. What is sent in one turn of the loop to one
-// machine goes in one datagram.
+// machine goes in one datagram. From senders that are not members only
+// questions about the store are received.
 class PeerLink {
  public:
   using Receiver =
@@ -30,9 +31,13 @@
 
   // Dropped when the machine is not known.
   void Send(const MachineId& to, schema::PeerItem item);
+  // To an instance whose record may have lapsed.
+  void SendTo(const std::string& address, schema::PeerItem item);
   void SendAll(const schema::PeerItem& item);
   void SetMember(const ClusterMember& member);
   void RemoveMember(const MachineId& machine);
+  // Of this instance.
+  const std::string& address() const { return self_.address; }
   const std::map<MachineId, ClusterMember>& peers() const { return peers_; }
 
  private:
@@ -43,7 +48,7 @@
   const ClusterMember self_;
   const Receiver receiver_;
   std::map<MachineId, ClusterMember> peers_;  // Without this instance.
-  std::map<MachineId, schema::PeerDatagram> queued_;
+  std::map<std::string, schema::PeerDatagram> queued_;  // By address.
   bool flush_posted_ = false;
   std::unique_ptr<DatagramSocket> socket_;
 };
--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -77,6 +77,7 @@
  private:
   bool Admit();
   bool AdmitCaller();
+  bool IsHeldBack();
   void AdmitRate();
   void OnRate(const RateVerdict& verdict);
   bool StillAllowed();
@@ -135,7 +136,9 @@
   std::vector<UpstreamId> tried_;
   uint32_t sends_ = 0;
   uint32_t upstreams_run_ = 0;
-  uint32_t misses_ = 0;  // Engines that did not hold the adapter.
+  uint32_t misses_ = 0;    // Engines that did not hold the adapter.
+  bool suspect_ = false;   // A connection broke under it.
+  UpstreamId suspect_at_;  // Where it counts as one.
   bool may_have_run_ = false;
   bool answer_begun_ = false;
   Millis first_event_after_;  // From arrival; zero: none yet.
--- /dev/null
+++ b/libs/gateway/src/crash_service.cc
@@ -0,0 +1,48 @@
+// Crashes and suspicions, told to the other instances.
+#include "gateway/crash_service.h"
+
+#include "base/log.h"
+#include "gateway/peer_link.h"
+#include "schema/cluster.pb.h"
+#include "transport/event_loop.h"
+
+namespace bilberrypitch {
+
+CrashService::CrashService(CrashLedger* ledger, PeerLink* peers)
+    : ledger_(ledger), peers_(peers) {}
+
+void CrashService::OnBroken(uint64_t fingerprint, const CrashId& id) {
+  if (ledger_->OnBroken(fingerprint, id, EventLoop::Now())) {
+    Tell(fingerprint, id, false);
+  }
+}
+
+void CrashService::OnDown(const UpstreamId& upstream) {
+  for (const CrashLedger::Crash& it :
+       ledger_->OnDown(upstream, EventLoop::Now())) {
+    LogInfo("crash", "Request fingerprint={:016x} ran when upstream={} ended.",
+            it.fingerprint, upstream.str());
+    Tell(it.fingerprint, it.id, true);
+  }
+}
+
+void CrashService::OnNotice(const schema::CrashNotice& notice) {
+  CrashId id{UpstreamId(notice.upstream()), notice.started_ms()};
+  if (notice.confirmed()) {
+    ledger_->OnCrash(notice.fingerprint(), id, EventLoop::Now());
+  } else {
+    ledger_->OnSuspected(notice.fingerprint(), id, EventLoop::Now());
+  }
+}
+
+void CrashService::Tell(uint64_t fingerprint, const CrashId& id,
+                        bool confirmed) {
+  schema::PeerItem item;
+  item.mutable_crash()->set_fingerprint(fingerprint);
+  item.mutable_crash()->set_upstream(id.upstream.str());
+  item.mutable_crash()->set_started_ms(id.started_ms);
+  item.mutable_crash()->set_confirmed(confirmed);
+  peers_->SendAll(item);
+}
+
+}  // namespace bilberrypitch
--- a/libs/gateway/src/freshness_service.cc
+++ b/libs/gateway/src/freshness_service.cc
@@ -69,6 +69,7 @@
   question_sent_ = now;
   schema::PeerItem item;
   item.mutable_question()->set_nonce(question_);
+  item.mutable_question()->set_address(peers_->address());
   size_t n = peers_->peers().size();
   size_t skip = n == 0 ? 0 : (question_ * kPeersAsked) % n;
   size_t i = 0;
@@ -79,17 +80,18 @@
   }
 }
 
-void FreshnessService::AnswerQuestion(const MachineId& from, uint64_t nonce) {
+void FreshnessService::AnswerQuestion(
+    const schema::FreshnessQuestion& question) {
   if (!freshness_->ever_confirmed() || config_revision_ == 0) {
     return;
   }
   schema::PeerItem item;
   auto* answer = item.mutable_answer();
-  answer->set_nonce(nonce);
+  answer->set_nonce(question.nonce());
   answer->set_age_ms(freshness_->Age(EventLoop::Now()).count());
   answer->set_config_revision(config_revision_);
   answer->set_store_revision(sync_->revision());
-  peers_->Send(from, std::move(item));
+  peers_->SendTo(question.address(), std::move(item));
 }
 
 void FreshnessService::OnAnswer(const MachineId& from,
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -10,7 +10,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "gateway/adapter_service.h"
-#include "gateway/crash_suspicions.h"
+#include "gateway/crash_service.h"
 #include "gateway/freshness_service.h"
 #include "gateway/load_teller.h"
 #include "gateway/membership.h"
@@ -46,6 +46,8 @@
 // For the last answers to leave.
 constexpr Millis kFlushTime{150};
 constexpr Millis kStoppingRetry{50};
+// Longer than any limit that a configuration states for callers.
+constexpr Millis kCallerIdle{120 * 1000};
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -108,9 +110,7 @@
         loads_(loop_, &state_.upstreams, &peers_),
         rates_(loop_, self_.machine, RateMarginOf(settings.bounds),
                membership_.ownership(), membership_.lease(), &peers_),
-        suspicions_([this](uint64_t fingerprint, const CrashId& crash) {
-          OnCrash(fingerprint, crash, true);
-        }),
+        crashes_(&state_.crashes, &peers_),
         expire_timer_(loop_),
         stop_timer_(loop_) {
     fresh_ = std::make_unique<FreshnessService>(
@@ -222,10 +222,10 @@
     };
     deps_.hooks.broken = [this](uint64_t fingerprint, const UpstreamId& id,
                                 int64_t started_ms) {
-      suspicions_.OnBroken(fingerprint, {id, started_ms}, EventLoop::Now());
+      crashes_.OnBroken(fingerprint, {id, started_ms});
     };
     deps_.hooks.unreachable = [this](const UpstreamId& id) {
-      suspicions_.OnDown(id, EventLoop::Now());
+      crashes_.OnDown(id);
     };
     deps_.hooks.take_rate = [this](const WorkspaceId& workspace, double cost,
                                    std::function<void(RateVerdict)> done) {
@@ -252,6 +252,7 @@
     HttpServerOptions options = OptionsFor(state_.settings.caller_address);
     options.max_body_bytes = CallerLimits().body_bytes;
     options.max_header_bytes = CallerLimits().header_bytes;
+    options.idle_limit = kCallerIdle;
     options.on_closed = [this](uint64_t connection) {
       OnCallerClosed(connection);
     };
@@ -361,6 +362,8 @@
     LogInfo("config", "Version {} in force, revision={}, routes={}.",
             config.version, revision, config.routes.size());
     state_.config = std::make_shared<const ActiveConfig>(std::move(config));
+    const CallerLimits& limits = state_.config->config().limits;
+    callers_->SetLimits(limits.header_bytes, limits.body_bytes);
     ApplyRates();
     for (const DutyId& duty : membership_.ownership()->Duties()) {
       OnDuty(duty);
@@ -413,7 +416,7 @@
     LogInfo("upstream", "Started id={} service={} address={} zone={}.",
             it.entry.id.str(), it.entry.service.str(), it.entry.address,
             it.entry.zone.str());
-    suspicions_.OnDown(it.entry.id, EventLoop::Now());
+    crashes_.OnDown(it.entry.id);
     state_.residency.OnEngineReset(it.entry.id);
     orders_.OnEngineStarted(it.entry.id);
   }
@@ -423,7 +426,7 @@
     bool drains = it != nullptr && it->entry.draining && !it->gone;
     LogInfo("upstream", "Leaves id={} draining={}.", id.str(), drains);
     if (!drains) {
-      suspicions_.OnDown(id, EventLoop::Now());
+      crashes_.OnDown(id);
       membership_.RemoveDuty(EngineDuty(id));
     }
     orders_.OnEngineLeft(id);
@@ -560,13 +563,10 @@
       case schema::PeerItem::kAlive:
         break;  // Hearing the sender was its purpose.
       case schema::PeerItem::kCrash:
-        OnCrash(
-            item.crash().fingerprint(),
-            {UpstreamId(item.crash().upstream()), item.crash().started_ms()},
-            false);
+        crashes_.OnNotice(item.crash());
         break;
       case schema::PeerItem::kQuestion:
-        fresh_->AnswerQuestion(from, item.question().nonce());
+        fresh_->AnswerQuestion(item.question());
         break;
       case schema::PeerItem::kAnswer:
         fresh_->OnAnswer(from, item.answer());
@@ -577,20 +577,6 @@
     }
   }
 
-  void OnCrash(uint64_t fingerprint, const CrashId& crash, bool tell) {
-    state_.crashes.OnCrash(fingerprint, crash, EventLoop::Now());
-    LogInfo("crash", "Request fingerprint={:016x} ran when upstream={} ended.",
-            fingerprint, crash.upstream.str());
-    if (!tell) {
-      return;
-    }
-    schema::PeerItem item;
-    item.mutable_crash()->set_fingerprint(fingerprint);
-    item.mutable_crash()->set_upstream(crash.upstream.str());
-    item.mutable_crash()->set_started_ms(crash.started_ms);
-    peers_.SendAll(item);
-  }
-
   // ---- Readiness, metrics and stop.
 
   bool Ready() const {
@@ -663,7 +649,7 @@
   AdapterService adapters_;
   LoadTeller loads_;
   RateService rates_;
-  CrashSuspicions suspicions_;
+  CrashService crashes_;
   std::unique_ptr<FreshnessService> fresh_;
   RequestDeps deps_;
   // By connection; one may carry several requests.
--- a/libs/gateway/src/peer_link.cc
+++ b/libs/gateway/src/peer_link.cc
@@ -32,16 +32,17 @@
   }
 }
 
-void PeerLink::RemoveMember(const MachineId& machine) {
-  peers_.erase(machine);
-  queued_.erase(machine);
-}
+void PeerLink::RemoveMember(const MachineId& machine) { peers_.erase(machine); }
 
 void PeerLink::Send(const MachineId& to, schema::PeerItem item) {
-  if (peers_.count(to) == 0) {
-    return;
+  auto it = peers_.find(to);
+  if (it != peers_.end()) {
+    SendTo(it->second.address, std::move(item));
   }
-  schema::PeerDatagram& datagram = queued_[to];
+}
+
+void PeerLink::SendTo(const std::string& address, schema::PeerItem item) {
+  schema::PeerDatagram& datagram = queued_[address];
   *datagram.add_items() = std::move(item);
   if (datagram.items_size() >= kMostItems) {
     Flush();
@@ -61,14 +62,10 @@
 
 void PeerLink::Flush() {
   flush_posted_ = false;
-  for (auto& [machine, datagram] : queued_) {
-    auto it = peers_.find(machine);
-    if (it == peers_.end()) {
-      continue;
-    }
+  for (auto& [address, datagram] : queued_) {
     datagram.set_machine(self_.machine.str());
     datagram.set_boot(self_.boot.str());
-    socket_->Send(it->second.address, datagram.SerializeAsString());
+    socket_->Send(address, datagram.SerializeAsString());
   }
   queued_.clear();
 }
@@ -81,11 +78,12 @@
   }
   MachineId from(datagram.machine());
   auto it = peers_.find(from);
-  if (it == peers_.end() || it->second.boot.str() != datagram.boot()) {
-    return;  // Of a process that has ended, or not yet known.
-  }
+  bool member = it != peers_.end() && it->second.boot.str() == datagram.boot();
   for (const schema::PeerItem& item : datagram.items()) {
-    receiver_(from, item);
+    // Else of a process that has ended, or not yet known.
+    if (member || item.has_question()) {
+      receiver_(from, item);
+    }
   }
 }
 
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -252,6 +252,7 @@
     deps_->hooks.unreachable(upstream);
   }
   if (end == SendEnd::kBroken) {
+    suspect_ = true;
     deps_->hooks.broken(fingerprint_, upstream, upstream_started_ms_);
   }
   if (!unrun) {
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -26,6 +26,7 @@
 constexpr Millis kFullFor{250};
 constexpr Millis kNoUpstreamWait{120};
 constexpr Millis kRefusalRetry{400};
+constexpr Millis kSuspectRetry{1000};
 
 }  // namespace
 
@@ -84,11 +85,26 @@
   WorkspaceId id = workspace_ != nullptr ? workspace_->id : WorkspaceId();
   fingerprint_ =
       RequestFingerprint(request_.method, request_.target, id, request_.body);
-  if (!state_->crashes.MaySend(fingerprint_, arrived_)) {
+  return !IsHeldBack();
+}
+
+// Ends a request that upstreams crashed with.
+bool RequestRun::IsHeldBack() {
+  CrashVerdict verdict = state_->crashes.Check(fingerprint_, EventLoop::Now());
+  if (verdict == CrashVerdict::kSend) {
+    return false;
+  }
+  if (may_have_run_) {
+    Fail({ErrorKind::kOutcomeUnknown,
+          "Upstreams failed when they ran this request.", NotRun::kUnknown});
+  } else if (verdict == CrashVerdict::kWait) {
+    Refuse(ErrorKind::kUpstreamUnavailable,
+           "Connections broke when this request ran; why is not known yet.",
+           kSuspectRetry);
+  } else {
     Refuse(ErrorKind::kInternal,
            "Upstreams that ran this request crashed; it is not run again.",
            Millis(0));
-    return false;
   }
   return true;
 }
@@ -154,6 +170,9 @@
 
 // A newer configuration may have come while the request waited.
 bool RequestRun::StillAllowed() {
+  if (IsHeldBack()) {
+    return false;
+  }
   Millis now = EventLoop::Now();
   if (workspace_ != nullptr && !state_->freshness.MayServe(now)) {
     Refuse(ErrorKind::kStoreUnavailable,
@@ -188,6 +207,7 @@
     return;
   }
   waiting_engine_ = UpstreamId();
+  state_->upstreams.MoveSuspect(&suspect_at_, UpstreamId());
   Millis now = EventLoop::Now();
   ChoiceFacts facts;
   facts.model = request_.model;
@@ -202,6 +222,7 @@
   facts.zone = state_->settings.zone;
   facts.now = now;
   facts.tried = tried_;
+  facts.suspect = suspect_;
   std::optional<Choice> choice = ChooseUpstream(
       state_->upstreams.UsableOf(service_, now), state_->residency, facts);
   if (!choice) {
@@ -215,6 +236,9 @@
     wait_timer_.Start(kNoUpstreamWait, [self] { self->Dispatch(); });
     return;
   }
+  if (suspect_) {
+    state_->upstreams.MoveSuspect(&suspect_at_, choice->upstream->entry.id);
+  }
   if (choice->resident) {
     Send(choice->upstream);
   } else {
@@ -352,6 +376,7 @@
 
 void RequestRun::Finish(const char* outcome, int status) {
   finished_ = true;
+  state_->upstreams.MoveSuspect(&suspect_at_, UpstreamId());
   deadline_timer_.Cancel();
   wait_timer_.Cancel();
   LogInfo("request",
--- a/libs/serving/include/serving/crash_ledger.h
+++ b/libs/serving/include/serving/crash_ledger.h
@@ -1,8 +1,11 @@
 // Finds requests that crash each upstream that runs them.
 //
-// A request is known by the hash of its path, workspace and body. Each crash
-// at which it was running counts once, over all instances; a run to a good end
-// clears it. One with as many crashes as the limit is refused for a time.
+// A request is known by the hash of its path, workspace and body. A connection
+// that breaks while the request runs is a suspicion; it becomes a crash when
+// the upstream then turns out to have ended. Each start of an upstream counts
+// once, over all instances, and a run to a good end clears the request. With as
+// many crashes as the limit a request is refused for a time; with as many
+// crashes and open suspicions together it has to wait until they are settled.
 #pragma once
 
 #include <cstdint>
@@ -22,21 +25,46 @@
   auto operator<=>(const CrashId&) const = default;
 };
 
+enum class CrashVerdict : uint8_t {
+  kSend,
+  kWait,    // Too many suspicions are open.
+  kRefuse,  // It crashed as many upstreams as the limit.
+};
+
 class CrashLedger {
  public:
-  // Whether the request may be sent to an upstream.
-  bool MaySend(uint64_t fingerprint, Millis now);
-  // A crash with this request running, seen here or told by a peer.
-  void OnCrash(uint64_t fingerprint, const CrashId& crash, Millis now);
+  struct Crash {
+    uint64_t fingerprint = 0;
+    CrashId id;
+  };
+
+  CrashVerdict Check(uint64_t fingerprint, Millis now);
+  // A connection of this instance broke with the request running. True when
+  // other instances are to be told: it was not the first.
+  bool OnBroken(uint64_t fingerprint, const CrashId& id, Millis now);
+  // Another instance says the same.
+  void OnSuspected(uint64_t fingerprint, const CrashId& id, Millis now);
+  // An upstream ended or can't be reached. Returns the crashes of this
+  // instance's own suspicions, which other instances are to be told.
+  std::vector<Crash> OnDown(const UpstreamId& upstream, Millis now);
+  // Another instance tells of a crash.
+  void OnCrash(uint64_t fingerprint, const CrashId& id, Millis now);
   void OnSuccess(uint64_t fingerprint);
   size_t size() const { return suspects_.size(); }
 
  private:
+  struct Suspicion {
+    CrashId id;
+    Millis at;
+    bool own = false;
+  };
   struct Suspect {
     std::set<CrashId> crashes;
+    std::vector<Suspicion> open;  // None that `crashes` holds.
     Millis last;
   };
 
+  void AddSuspicion(uint64_t fingerprint, const Suspicion& suspicion);
   void Trim(Millis now);
 
   std::map<uint64_t, Suspect> suspects_;
--- a/libs/serving/include/serving/upstream_book.h
+++ b/libs/serving/include/serving/upstream_book.h
@@ -29,7 +29,10 @@
     Millis at;
   };
 
-  uint32_t in_flight = 0;     // Requests of this instance.
+  uint32_t in_flight = 0;  // Requests of this instance.
+  // Requests under which a connection broke before, running here or waiting
+  // for this upstream.
+  uint32_t suspects = 0;
   int64_t tokens_unread = 0;  // Prompt tokens of those without an event yet.
   UpstreamLoadReport load;    // As it last said, over all instances.
   Millis load_at;
@@ -88,6 +91,8 @@
   void OnFirstEvent(UpstreamState* it, int64_t prompt_tokens, Millis took,
                     Millis now);
   void OnEnd(UpstreamState* it, int64_t unread_tokens);
+  // A suspect that counted at `*at` counts at `to`; empty: nowhere.
+  void MoveSuspect(UpstreamId* at, const UpstreamId& to);
   void OnLoad(UpstreamState* it, const UpstreamLoadReport& load, Millis now);
   void OnConnectFailure(UpstreamState* it, Millis now);
   // An answer came (`failed`: of the upstream's own failure) or broke off.
--- a/libs/serving/include/serving/upstream_chooser.h
+++ b/libs/serving/include/serving/upstream_chooser.h
@@ -23,6 +23,7 @@
   int64_t prompt_tokens = 0;
   ZoneId zone;  // Of this instance.
   Millis now;
+  bool suspect = false;  // A connection broke under it before.
   // Upstreams that refused or failed this request already.
   std::vector<UpstreamId> tried;
 };
--- a/libs/serving/src/crash_ledger.cc
+++ b/libs/serving/src/crash_ledger.cc
@@ -1,36 +1,98 @@
 // Crashes by request.
 #include "serving/crash_ledger.h"
 
+#include <algorithm>
+
 #include "base/hash.h"
 
 namespace bilberrypitch {
 namespace {
 
 constexpr size_t kCrashLimit = 3;
+// Other instances hear of a suspicion from this one on: single broken
+// connections are common where links fail.
+constexpr size_t kToldFrom = 2;
+// A suspicion that is not confirmed in this time is dropped.
+constexpr Millis kOpenFor{6000};
 // A suspect is forgotten this long after its last crash.
 constexpr Millis kMemory{120 * 1000};
 constexpr size_t kMostSuspects = 4096;
 
 }  // namespace
 
-bool CrashLedger::MaySend(uint64_t fingerprint, Millis now) {
+CrashVerdict CrashLedger::Check(uint64_t fingerprint, Millis now) {
   auto it = suspects_.find(fingerprint);
   if (it == suspects_.end()) {
-    return true;
+    return CrashVerdict::kSend;
   }
-  if (now - it->second.last > kMemory) {
+  Suspect& suspect = it->second;
+  if (now - suspect.last > kMemory) {
     suspects_.erase(it);
-    return true;
+    return CrashVerdict::kSend;
+  }
+  if (suspect.crashes.size() >= kCrashLimit) {
+    return CrashVerdict::kRefuse;
+  }
+  std::erase_if(suspect.open, [now](const Suspicion& suspicion) {
+    return now - suspicion.at > kOpenFor;
+  });
+  bool waits = suspect.crashes.size() + suspect.open.size() >= kCrashLimit;
+  return waits ? CrashVerdict::kWait : CrashVerdict::kSend;
+}
+
+bool CrashLedger::OnBroken(uint64_t fingerprint, const CrashId& id,
+                           Millis now) {
+  AddSuspicion(fingerprint, {id, now, true});
+  const Suspect& it = suspects_[fingerprint];
+  return it.crashes.size() + it.open.size() >= kToldFrom;
+}
+
+void CrashLedger::OnSuspected(uint64_t fingerprint, const CrashId& id,
+                              Millis now) {
+  AddSuspicion(fingerprint, {id, now, false});
+}
+
+void CrashLedger::AddSuspicion(uint64_t fingerprint,
+                               const Suspicion& suspicion) {
+  Trim(suspicion.at);
+  Suspect& it = suspects_[fingerprint];
+  it.last = suspicion.at;
+  if (it.crashes.count(suspicion.id) > 0) {
+    return;
+  }
+  std::erase_if(it.open, [&](const Suspicion& other) {
+    return other.id == suspicion.id || suspicion.at - other.at > kOpenFor;
+  });
+  it.open.push_back(suspicion);
+}
+
+std::vector<CrashLedger::Crash> CrashLedger::OnDown(const UpstreamId& upstream,
+                                                    Millis now) {
+  std::vector<Crash> own;
+  for (auto& [fingerprint, it] : suspects_) {
+    std::erase_if(it.open, [&, f = fingerprint](const Suspicion& suspicion) {
+      bool late = now - suspicion.at > kOpenFor;
+      bool crashed = !late && suspicion.id.upstream == upstream;
+      if (crashed) {
+        it.crashes.insert(suspicion.id);
+        it.last = now;
+      }
+      if (crashed && suspicion.own) {
+        own.push_back({f, suspicion.id});
+      }
+      return late || crashed;
+    });
   }
-  return it->second.crashes.size() < kCrashLimit;
+  return own;
 }
 
-void CrashLedger::OnCrash(uint64_t fingerprint, const CrashId& crash,
-                          Millis now) {
+void CrashLedger::OnCrash(uint64_t fingerprint, const CrashId& id, Millis now) {
   Trim(now);
   Suspect& it = suspects_[fingerprint];
-  it.crashes.insert(crash);
+  it.crashes.insert(id);
   it.last = now;
+  std::erase_if(it.open,
+                [&](const Suspicion& other) { return other.id == id; });
 }
 
 void CrashLedger::OnSuccess(uint64_t fingerprint) {
@@ -42,7 +104,8 @@
     return;
   }
   std::erase_if(suspects_, [now](const auto& it) {
-    return now - it.second.last > kMemory || it.second.crashes.size() < 2;
+    return now - it.second.last > kMemory ||
+           (it.second.crashes.size() < kToldFrom && it.second.open.empty());
   });
 }
 
--- a/libs/serving/src/upstream_book.cc
+++ b/libs/serving/src/upstream_book.cc
@@ -76,6 +76,7 @@
     auto state = std::make_unique<UpstreamState>();
     if (it != upstreams_.end()) {
       state->in_flight = it->second->in_flight;
+      state->suspects = it->second->suspects;
       state->tokens_unread = it->second->tokens_unread;
       *it->second = std::move(*state);
     } else {
@@ -185,6 +186,17 @@
   hooks_.on_load(it->entry.id);
 }
 
+void UpstreamBook::MoveSuspect(UpstreamId* at, const UpstreamId& to) {
+  UpstreamState* before = Find(*at);
+  if (before != nullptr && before->suspects > 0) {
+    --before->suspects;
+  }
+  if (UpstreamState* after = Find(to)) {
+    ++after->suspects;
+  }
+  *at = to;
+}
+
 void UpstreamBook::OnLoad(UpstreamState* it, const UpstreamLoadReport& load,
                           Millis now) {
   it->load = load;
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -23,6 +23,9 @@
 constexpr double kAvoidedMs = 3000;
 constexpr double kTriedMs = 20000;
 constexpr double kStepMsPerRun = 0.6;
+// A request under which a connection broke keeps away from others like it: one
+// of them may crash the next upstream too.
+constexpr double kSuspectTogetherMs = 1500;
 constexpr double kFailureMs = 2500;  // Times the share of failures.
 
 double PromptCost(const UpstreamState& it, const ChoiceFacts& facts) {
@@ -47,6 +50,7 @@
   double cost = kFailureMs * it.failure_share;
   cost += it.entry.zone == facts.zone ? 0 : kOtherZoneMs;
   cost += facts.now < it.avoid_until ? kAvoidedMs : 0;
+  cost += facts.suspect ? kSuspectTogetherMs * it.suspects : 0;
   bool tried = std::find(facts.tried.begin(), facts.tried.end(), it.entry.id) !=
                facts.tried.end();
   return cost + (tried ? kTriedMs : 0);
--- a/libs/serving/test/decisions_test.cc
+++ b/libs/serving/test/decisions_test.cc
@@ -66,13 +66,13 @@
   CrashLedger it;
   Millis now(1000);
   for (int64_t start = 0; start < 3; ++start) {
-    REQUIRE(it.MaySend(7, now));
+    REQUIRE(it.Check(7, now) == CrashVerdict::kSend);
     it.OnCrash(7, {UpstreamId("u"), start}, now);
     it.OnCrash(7, {UpstreamId("u"), start}, now);  // Told twice.
   }
-  REQUIRE_FALSE(it.MaySend(7, now));
-  REQUIRE(it.MaySend(8, now));
-  REQUIRE(it.MaySend(7, now + Millis(200 * 1000)));
+  REQUIRE(it.Check(7, now) == CrashVerdict::kRefuse);
+  REQUIRE(it.Check(8, now) == CrashVerdict::kSend);
+  REQUIRE(it.Check(7, now + Millis(200 * 1000)) == CrashVerdict::kSend);
 }
 
 TEST_CASE("a good run clears a request that was near crashes", "[crashes]") {
@@ -82,7 +82,51 @@
   it.OnCrash(7, {UpstreamId("u"), 2}, now);
   it.OnSuccess(7);
   it.OnCrash(7, {UpstreamId("u"), 3}, now);
-  REQUIRE(it.MaySend(7, now));
+  REQUIRE(it.Check(7, now) == CrashVerdict::kSend);
+}
+
+TEST_CASE("a crashing request waits before its crashes are confirmed",
+          "[crashes]") {
+  // Retries are faster than the word that an upstream has ended.
+  CrashLedger it;
+  Millis now(1000);
+  REQUIRE_FALSE(it.OnBroken(7, {UpstreamId("a"), 1}, now));
+  REQUIRE(it.Check(7, now) == CrashVerdict::kSend);
+  REQUIRE(it.OnBroken(7, {UpstreamId("b"), 1}, now));
+  REQUIRE(it.Check(7, now) == CrashVerdict::kSend);
+  REQUIRE(it.OnBroken(7, {UpstreamId("c"), 1}, now));
+  REQUIRE(it.Check(7, now) == CrashVerdict::kWait);
+  SECTION("the upstreams turn out to have ended") {
+    for (const char* name : {"a", "b", "c"}) {
+      REQUIRE(it.OnDown(UpstreamId(name), now + Millis(500)).size() == 1);
+    }
+    REQUIRE(it.Check(7, now + Millis(60 * 1000)) == CrashVerdict::kRefuse);
+  }
+  SECTION("they have not: only answers were lost") {
+    REQUIRE(it.OnDown(UpstreamId("d"), now + Millis(500)).empty());
+    REQUIRE(it.Check(7, now + Millis(7000)) == CrashVerdict::kSend);
+  }
+  SECTION("a late end of one is no crash of this request") {
+    REQUIRE(it.OnDown(UpstreamId("a"), now + Millis(7000)).empty());
+    REQUIRE(it.Check(7, now + Millis(7000)) == CrashVerdict::kSend);
+  }
+}
+
+TEST_CASE("another instance's suspicions count until they are settled",
+          "[crashes]") {
+  CrashLedger it;
+  Millis now(1000);
+  it.OnSuspected(7, {UpstreamId("a"), 1}, now);
+  it.OnSuspected(7, {UpstreamId("b"), 1}, now);
+  it.OnSuspected(7, {UpstreamId("b"), 1}, now);  // Told twice.
+  REQUIRE(it.Check(7, now) == CrashVerdict::kSend);
+  it.OnBroken(7, {UpstreamId("c"), 1}, now);
+  REQUIRE(it.Check(7, now) == CrashVerdict::kWait);
+  // Only what this instance saw itself is told on.
+  REQUIRE(it.OnDown(UpstreamId("a"), now).empty());
+  REQUIRE(it.OnDown(UpstreamId("c"), now).size() == 1);
+  it.OnCrash(7, {UpstreamId("b"), 1}, now);
+  REQUIRE(it.Check(7, now + Millis(30 * 1000)) == CrashVerdict::kRefuse);
 }
 
 TEST_CASE("only whole events pass and the last id is kept", "[events]") {
@@ -210,4 +254,29 @@
   REQUIRE(ChooseUpstream(usable, residency, facts)->upstream == &second);
 }
 
+// Pattern: one request crashes its engine and breaks the others there.
+TEST_CASE("requests under which a connection broke are kept apart",
+          "[choice]") {
+  UpstreamState holder;
+  holder.entry.id = UpstreamId("one");
+  UpstreamState other;
+  other.entry.id = UpstreamId("two");
+  ModelRef target{ModelId("m"), AdapterId("a")};
+  ResidencyView residency;
+  LoadedModel base{ModelId("m"), 1, {}};
+  residency.SetBaseModels(holder.entry.id, {base});
+  residency.SetBaseModels(other.entry.id, {base});
+  residency.OnReady(holder.entry.id, target, 1);
+  ChoiceFacts facts;
+  facts.model = target;
+  facts.now = Millis(1000);
+  facts.suspect = true;
+  std::vector<UpstreamState*> usable = {&holder, &other};
+  REQUIRE(ChooseUpstream(usable, residency, facts)->upstream == &holder);
+  holder.suspects = 1;
+  REQUIRE(ChooseUpstream(usable, residency, facts)->upstream == &other);
+  facts.suspect = false;
+  REQUIRE(ChooseUpstream(usable, residency, facts)->upstream == &holder);
+}
+
 }  // namespace bilberrypitch
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -40,6 +40,8 @@
   // Throws std::exception when the port can't be bound.
   HttpServer(HttpServerOptions options, Handler handler);
   ~HttpServer();
+  // Sizes from now on. On a loop: call it on its thread.
+  void SetLimits(size_t max_header_bytes, size_t max_body_bytes);
   // Closes all connections. Idempotent. On a loop: call it on its thread.
   void Stop();
 
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -64,9 +64,9 @@
 
 namespace {
 
-// Bodies somewhat over the limit are still read, so that a typed answer can be
-// given; far over it the connection is closed.
-constexpr size_t kReadBeyondLimit = 16;
+// Bodies over the limit are still read up to this size, so that a typed answer
+// can be given; beyond it the connection is closed.
+constexpr size_t kLargestBody = 64 << 20;
 constexpr size_t kLargestField = 64 << 10;
 // Above 1, so that the end of a connection is seen while a request is handled.
 constexpr size_t kPipelined = 4;
@@ -247,7 +247,10 @@
 class HttpServer::Impl {
  public:
   Impl(HttpServerOptions options, Handler handler)
-      : options_(std::move(options)), handler_(std::move(handler)) {
+      : options_(std::move(options)),
+        handler_(std::move(handler)),
+        max_header_bytes_(options_.max_header_bytes),
+        max_body_bytes_(options_.max_body_bytes) {
     auto& context = options_.loop != nullptr ? options_.loop->context()
                                              : own_loop_.context();
     server_ = std::make_unique<Server>(
@@ -262,6 +265,11 @@
 
   ~Impl() { Stop(); }
 
+  void SetLimits(size_t max_header_bytes, size_t max_body_bytes) {
+    max_header_bytes_ = max_header_bytes;
+    max_body_bytes_ = max_body_bytes;
+  }
+
   void Stop() {
     if (stopped_.exchange(true)) {
       return;
@@ -287,11 +295,10 @@
   void Configure(restinio::server_settings_t<Traits>& settings) {
     settings.address(options_.bind_ip)
         .port(options_.port)
-        .incoming_http_msg_limits(
-            restinio::incoming_http_msg_limits_t{}
-                .max_url_size(kLargestField)
-                .max_field_value_size(kLargestField)
-                .max_body_size(options_.max_body_bytes * kReadBeyondLimit))
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_url_size(kLargestField)
+                                      .max_field_value_size(kLargestField)
+                                      .max_body_size(kLargestBody))
         .max_pipelined_requests(kPipelined)
         .read_next_http_message_timelimit(Duration(options_.idle_limit))
         .write_http_response_timelimit(Duration(options_.write_limit))
@@ -313,14 +320,13 @@
   restinio::request_handling_status_t Handle(restinio::request_handle_t from) {
     HttpRequest request = Convert(from);
     auto responder = std::make_shared<RestinioResponder>(std::move(from));
-    if (request.body.size() > options_.max_body_bytes) {
+    if (request.body.size() > max_body_bytes_) {
+      Refuse(*responder, ErrorKind::kBodyTooLarge,
+             fmt::format("The body exceeds {} bytes.", max_body_bytes_));
+    } else if (request.headers.ByteSize() > max_header_bytes_) {
       Refuse(
-          *responder, ErrorKind::kBodyTooLarge,
-          fmt::format("The body exceeds {} bytes.", options_.max_body_bytes));
-    } else if (request.headers.ByteSize() > options_.max_header_bytes) {
-      Refuse(*responder, ErrorKind::kHeadersTooLarge,
-             fmt::format("The header fields exceed {} bytes.",
-                         options_.max_header_bytes));
+          *responder, ErrorKind::kHeadersTooLarge,
+          fmt::format("The header fields exceed {} bytes.", max_header_bytes_));
     } else {
       handler_(std::move(request), std::move(responder));
     }
@@ -333,6 +339,8 @@
 
   const HttpServerOptions options_;
   const Handler handler_;
+  std::atomic<size_t> max_header_bytes_;
+  std::atomic<size_t> max_body_bytes_;
   std::atomic<bool> stopped_ = false;
   EventLoop own_loop_;  // Idle when the options name another loop.
   std::unique_ptr<Server> server_;
@@ -344,6 +352,10 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::SetLimits(size_t max_header_bytes, size_t max_body_bytes) {
+  impl_->SetLimits(max_header_bytes, max_body_bytes);
+}
+
 void HttpServer::Stop() { impl_->Stop(); }
 
 }  // namespace bilberrypitch
