--- /dev/null
+++ b/libs/base/include/base/base64.h
@@ -0,0 +1,13 @@
+// Base64 with padding (RFC 4648, section 4).
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace bilberrypitch {
+
+std::string ToBase64(const std::string& bytes);
+// Empty when `text` is no base64.
+std::string FromBase64(std::string_view text);
+
+}  // namespace bilberrypitch
--- a/libs/base/test/base_test.cc
+++ b/libs/base/test/base_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "base/base64.h"
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/strong.h"
@@ -29,6 +30,15 @@
   REQUIRE_FALSE(EqualInConstantTime("abc", "ab"));
 }
 
+TEST_CASE("base64 agrees with the published vectors and reads itself") {
+  REQUIRE(ToBase64("foobar") == "Zm9vYmFy");
+  REQUIRE(ToBase64("foob") == "Zm9vYg==");
+  REQUIRE(FromBase64("Zm9vYmE=") == "fooba");
+  REQUIRE(FromBase64("?").empty());
+  std::string bytes("\0\xff\x80", 3);
+  REQUIRE(FromBase64(ToBase64(bytes)) == bytes);
+}
+
 TEST_CASE("random ids differ") { REQUIRE(RandomHex(8) != RandomHex(8)); }
 
 }  // namespace bilberrypitch
