Remove the own edge that the platform made needless

Its store client, registrations, member tables, zone leaders, residency tables, slots, claims, documents and operators' interface served a platform of its own; on the users' platform the store's leases, orders and configuration take their place (docs/DESIGN.md has the table). What is kept: the callers' interface, as a codec and listener of its own before the same core (libs/completions, opened by the own settings), and replay of traces, rewritten on the decisions that serve now.

Tests: the deleted ones were of deleted code. SSE splitting is tested by the events of serving_test and the traces.

--- /dev/null
+++ b/apps/bilberrypitch/own_settings.cc
@@ -0,0 +1,38 @@
+// Reads and checks the program's own settings.
+#include "own_settings.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+
+#include "base/log.h"
+#include "schema/json_reader.h"
+#include "schema/settings.pb.h"
+
+namespace bilberrypitch {
+
+bool ReadOwnSettings(const std::string& path, schema::Settings* settings) {
+  if (path.empty()) {
+    return true;
+  }
+  std::ifstream in(path);
+  if (!in) {
+    fmt::print(stderr, "bilberrypitch: {} can't be read.\n", path);
+    return false;
+  }
+  std::string text(std::istreambuf_iterator<char>(in), {});
+  std::vector<FieldError> errors = ReadJson(text, settings);
+  LogLevel level = LogLevel::kInfo;
+  if (settings->has_log_level() &&
+      !ParseLogLevel(settings->log_level(), &level)) {
+    errors.push_back({"log_level", "must be debug, info, warning or error"});
+  }
+  for (const FieldError& it : errors) {
+    fmt::print(stderr, "{}: {}: {}\n", path, it.path, it.message);
+  }
+  return errors.empty();
+}
+
+}  // namespace bilberrypitch
--- a/apps/bilberrypitch/platform_serve.cc
+++ b/apps/bilberrypitch/platform_serve.cc
@@ -10,12 +10,15 @@
 #include <iterator>
 
 #include "base/log.h"
+#include "completions/completions_codec.h"
 #include "gateway/gateway.h"
+#include "own_settings.h"
 #include "platform/boot_file.h"
 #include "platform/engine_client.h"
 #include "platform/request_codec.h"
 #include "platform/store_client.h"
 #include "platform/store_records.h"
+#include "schema/settings.pb.h"
 #include "transport/event_loop.h"
 #include "transport/loop_client.h"
 
@@ -26,7 +29,7 @@
 constexpr int kFailed = 1;
 constexpr int kWrongUse = 2;
 
-bool ReadSettings(const std::string& path, InstanceSettings* settings) {
+bool ReadBootSettings(const std::string& path, InstanceSettings* settings) {
   std::ifstream in(path);
   if (!in) {
     fmt::print(stderr, "bilberrypitch: {} can't be read.\n", path);
@@ -40,8 +43,6 @@
   return errors.empty();
 }
 
-}  // namespace
-
 std::string BootFilePath(const std::string& path) {
   if (!path.empty()) {
     return path;
@@ -50,16 +51,24 @@
   return named != nullptr ? named : platform::kBootFilePath;
 }
 
-int CheckBootFile(const std::string& path) {
+}  // namespace
+
+bool CheckBootFile(const std::string& path) {
   InstanceSettings settings;
-  return ReadSettings(path, &settings) ? kDone : kWrongUse;
+  return ReadBootSettings(path, &settings);
 }
 
-int ServeOnPlatform(const std::string& path) {
+int ServeOnPlatform(const ServeFiles& files) {
   InstanceSettings settings;
-  if (!ReadSettings(path, &settings)) {
+  schema::Settings own;
+  std::string boot = BootFilePath(files.boot);
+  bool good = ReadOwnSettings(files.settings, &own);
+  if (!ReadBootSettings(boot, &settings) || !good) {
     return kWrongUse;
   }
+  LogLevel level = LogLevel::kInfo;
+  ParseLogLevel(own.log_level(), &level);
+  SetLogLevel(level);
   signal(SIGPIPE, SIG_IGN);
   try {
     EventLoop loop;
@@ -75,12 +84,17 @@
     ports.engines = &engines;
     ports.codec = &codec;
     ports.decode_record = platform::DecodeRecord;
+    CompletionsCodec completions(&codec);
+    if (own.has_completions_address()) {
+      ports.completions_codec = &completions;
+      ports.completions_address = own.completions_address();
+    }
     Gateway gateway(settings, ports);
     loop.HandleSignals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
       if (signal == SIGHUP) {
         // Addresses and bounds hold for the life of a process.
         InstanceSettings changed;
-        bool valid = ReadSettings(path, &changed);
+        bool valid = ReadBootSettings(boot, &changed);
         LogInfo("gateway", "Settings were read again, valid={}.", valid);
         return;
       }
--- a/apps/bilberrypitch/platform_serve.h
+++ b/apps/bilberrypitch/platform_serve.h
@@ -1,16 +1,19 @@
-// Runs an entry instance on the users' platform.
+// Runs an instance on the users' platform.
 #pragma once
 
 #include <string>
 
 namespace bilberrypitch {
 
-// Where the settings file of the platform is: `path` if given, else what the
-// environment names, else the usual place.
-std::string BootFilePath(const std::string& path);
-// Checks the file; prints each error. Returns the exit code.
-int CheckBootFile(const std::string& path);
-// Serves until SIGTERM or SIGINT. Returns the exit code.
-int ServeOnPlatform(const std::string& path);
+struct ServeFiles {
+  std::string boot;      // Empty: the environment names it.
+  std::string settings;  // Empty: none.
+};
+
+// Prints what is wrong with the boot file; true when nothing is.
+bool CheckBootFile(const std::string& path);
+
+// Serves until SIGTERM; the exit code.
+int ServeOnPlatform(const ServeFiles& files);
 
 }  // namespace bilberrypitch
--- a/build.sh
+++ b/build.sh
@@ -8,8 +8,8 @@
 cd "$(dirname "$0")"
 
 # The one list of packages, also CI's.
-PACKAGES=(librestinio-dev libasio-dev libhttp-parser-dev libzmq3-dev
-  cppzmq-dev libprotobuf-dev libcurl4-openssl-dev libfmt-dev catch2
+PACKAGES=(librestinio-dev libasio-dev libhttp-parser-dev libprotobuf-dev
+  libcurl4-openssl-dev libfmt-dev catch2
   libboost1.81-dev libboost-program-options1.81-dev librapidcheck-dev
   libxxhash-dev libssl-dev g++ cmake ninja-build ccache clang-format
   clang-tidy curl)
@@ -44,7 +44,7 @@
 
 case "${1:-build}" in
   build) build ;;
-  demo) build && exec tools/demo.sh build ;;
+  demo) build && exec build/tools/bilberrypitch_lab/bilberrypitch_lab demo ;;
   test)
     build
     ctest --test-dir build --output-on-failure -j "$(nproc)"
--- /dev/null
+++ b/libs/completions/include/completions/completions_codec.h
@@ -0,0 +1,36 @@
+// The program's own interface for callers, in the style of OpenAI's
+// completions: POST /v1/chat/completions and /v1/completions.
+//
+// The body's `model` names an adapter as MODEL/ADAPTER, or a base model; the
+// key comes as `Authorization: Bearer KEY`, the request's id as `X-Request-Id`
+// (one is made when there is none), the time that the caller waits as
+// `X-Deadline-Ms`. Host and path choose the route as on the other edge, and
+// method, path and body reach the upstream unchanged.
+#pragma once
+
+#include "serving/edge_codec.h"
+
+namespace bilberrypitch {
+
+class CompletionsCodec : public EdgeCodec {
+ public:
+  // `upstreams` speaks with the upstreams; it outlives this.
+  explicit CompletionsCodec(const EdgeCodec* upstreams)
+      : upstreams_(upstreams) {}
+
+  std::optional<ServingRequest> DecodeRequest(HttpRequest request,
+                                              Error* error) const override;
+  RequestId RequestIdOf(const HttpRequest& request) const override;
+  void EncodeCall(const ServingRequest& request,
+                  const UpstreamInstructions& instructions,
+                  HttpCall* call) const override;
+  AnswerFacts DecodeAnswer(const ServingRequest& request, int status,
+                           const HttpHeaders& headers) const override;
+  HttpResponse EncodeError(const Error& error, const RequestId& request,
+                           Millis retry_after) const override;
+
+ private:
+  const EdgeCodec* const upstreams_;
+};
+
+}  // namespace bilberrypitch
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "serving/instance_settings.h"
 #include "serving/store_record.h"
@@ -23,6 +24,9 @@
   ClusterStore* store = nullptr;
   EngineApi* engines = nullptr;
   const EdgeCodec* codec = nullptr;
+  // A second edge with a listener of its own. Null: none.
+  const EdgeCodec* completions_codec = nullptr;
+  std::string completions_address;  // IP:port of that edge.
   DecodeStoreRecord decode_record;
 };
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -48,6 +48,8 @@
 constexpr Millis kStoppingRetry{50};
 // Longer than any limit that a configuration states for callers.
 constexpr Millis kCallerIdle{120 * 1000};
+// Numbers of the completions edge's connections begin here.
+constexpr uint64_t kOtherEdge = uint64_t{1} << 62;
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -127,6 +129,9 @@
 
   ~Impl() {
     callers_->Stop();
+    if (completions_) {
+      completions_->Stop();
+    }
     ready_->Stop();
     peer_server_->Stop();
   }
@@ -203,6 +208,7 @@
     return hooks;
   }
 
+  // The two edges differ in their codec only.
   void SetRequestDeps() {
     deps_.loop = loop_;
     deps_.client = ports_.client;
@@ -232,6 +238,8 @@
       rates_.Take(workspace, cost, std::move(done));
     };
     deps_.hooks.ended = [this](uint64_t connection) { OnEnded(connection); };
+    completions_deps_ = deps_;
+    completions_deps_.codec = ports_.completions_codec;
   }
 
   static Millis AskPeersAge(const ClusterBounds& bounds) {
@@ -248,19 +256,30 @@
     return options;
   }
 
-  void Listen() {
-    HttpServerOptions options = OptionsFor(state_.settings.caller_address);
+  std::unique_ptr<HttpServer> ListenForCallers(const std::string& address,
+                                               const RequestDeps* deps,
+                                               uint64_t first_connection) {
+    HttpServerOptions options = OptionsFor(address);
+    options.first_connection = first_connection;
     options.max_body_bytes = CallerLimits().body_bytes;
     options.max_header_bytes = CallerLimits().header_bytes;
     options.idle_limit = kCallerIdle;
     options.on_closed = [this](uint64_t connection) {
       OnCallerClosed(connection);
     };
-    callers_ = std::make_unique<HttpServer>(
-        options,
-        [this](HttpRequest request, std::shared_ptr<Responder> responder) {
-          OnRequest(std::move(request), std::move(responder));
+    return std::make_unique<HttpServer>(
+        options, [this, deps](HttpRequest request,
+                              std::shared_ptr<Responder> responder) {
+          OnRequest(*deps, std::move(request), std::move(responder));
         });
+  }
+
+  void Listen() {
+    callers_ = ListenForCallers(state_.settings.caller_address, &deps_, 0);
+    if (ports_.completions_codec != nullptr) {
+      completions_ = ListenForCallers(ports_.completions_address,
+                                      &completions_deps_, kOtherEdge);
+    }
     ready_ = std::make_unique<HttpServer>(
         OptionsFor(state_.settings.ready_address),
         [this](HttpRequest request, std::shared_ptr<Responder> responder) {
@@ -275,7 +294,8 @@
 
   // ---- Requests.
 
-  void OnRequest(HttpRequest request, std::shared_ptr<Responder> responder) {
+  void OnRequest(const RequestDeps& deps, HttpRequest request,
+                 std::shared_ptr<Responder> responder) {
     uint64_t connection = request.connection;
     Error error;
     if (state_.stopping &&
@@ -284,25 +304,28 @@
       error = {ErrorKind::kStopping, "This instance is stopping.",
                NotRun::kTrue};
       ++state_.counters.refused;
-      Refuse(error, ports_.codec->RequestIdOf(request), kStoppingRetry,
-             responder.get());
+      Refuse(*deps.codec, error, deps.codec->RequestIdOf(request),
+             kStoppingRetry, responder.get());
       return;
     }
+    RequestId id = deps.codec->RequestIdOf(request);
     std::optional<ServingRequest> decoded =
-        ports_.codec->DecodeRequest(std::move(request), &error);
+        deps.codec->DecodeRequest(std::move(request), &error);
     if (!decoded) {
-      Refuse(error, RequestId(), Millis(0), responder.get());
+      LogInfo("request", "Refused id={} kind={} detail={}", id.str(),
+              AnswerFor(error.kind).name, error.detail);
+      Refuse(*deps.codec, error, id, Millis(0), responder.get());
       return;
     }
-    auto run = std::make_shared<RequestRun>(&deps_, std::move(*decoded),
+    auto run = std::make_shared<RequestRun>(&deps, std::move(*decoded),
                                             std::move(responder), connection);
     active_.emplace(connection, run);
     run->Begin();
   }
 
-  void Refuse(const Error& error, const RequestId& id, Millis retry_after,
-              Responder* responder) {
-    HttpResponse response = ports_.codec->EncodeError(error, id, retry_after);
+  void Refuse(const EdgeCodec& codec, const Error& error, const RequestId& id,
+              Millis retry_after, Responder* responder) {
+    HttpResponse response = codec.EncodeError(error, id, retry_after);
     response.close_connection = state_.stopping;
     responder->Send(std::move(response));
   }
@@ -364,6 +387,9 @@
     state_.config = std::make_shared<const ActiveConfig>(std::move(config));
     const CallerLimits& limits = state_.config->config().limits;
     callers_->SetLimits(limits.header_bytes, limits.body_bytes);
+    if (completions_) {
+      completions_->SetLimits(limits.header_bytes, limits.body_bytes);
+    }
     ApplyRates();
     for (const DutyId& duty : membership_.ownership()->Duties()) {
       OnDuty(duty);
@@ -652,6 +678,7 @@
   CrashService crashes_;
   std::unique_ptr<FreshnessService> fresh_;
   RequestDeps deps_;
+  RequestDeps completions_deps_;
   // By connection; one may carry several requests.
   std::unordered_multimap<uint64_t, std::shared_ptr<RequestRun>> active_;
   std::map<UpstreamId, std::string> upstream_keys_;
@@ -660,6 +687,7 @@
   Millis stop_begun_;
   std::function<void()> stop_done_;
   std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<HttpServer> completions_;  // Null: no such edge.
   std::unique_ptr<HttpServer> ready_;
   std::unique_ptr<HttpServer> peer_server_;
 };
--- a/libs/replay/src/replay.cc
+++ b/libs/replay/src/replay.cc
@@ -20,6 +20,14 @@
 
 }  // namespace
 
+std::optional<TraceOutcome> TracePart::Run(const schema::TraceStep& step) {
+  auto it = actions_.find(step.action());
+  if (it == actions_.end()) {
+    return std::nullopt;
+  }
+  return it->second(step);
+}
+
 ReplayResult ReplayTrace(std::string_view text) {
   ReplayResult result;
   schema::Trace trace;
@@ -32,7 +40,8 @@
   result.name = trace.name();
   result.point = trace.point();
   std::vector<std::unique_ptr<TracePart>> parts;
-  parts.push_back(MakeResidencyTracePart());
+  parts.push_back(MakeClusterTracePart());
+  parts.push_back(MakeEngineTracePart());
   parts.push_back(MakeRequestTracePart());
   for (const schema::TraceStep& step : trace.steps()) {
     ++result.steps;
--- a/libs/replay/src/replay_requests.cc
+++ b/libs/replay/src/replay_requests.cc
@@ -1,227 +1,143 @@
-// Actions of traces about requests, tokens, documents and queues.
-#include <fmt/format.h>
-
-#include <map>
-
-#include "config/config_tracker.h"
-#include "config/proposal.h"
-#include "dispatch/claim.h"
-#include "dispatch/fair_queue.h"
-#include "dispatch/quarantine.h"
-#include "dispatch/retry_policy.h"
-#include "dispatch/upstream_health.h"
-#include "limits/token_account.h"
-#include "schema/document.pb.h"
-#include "schema/peer.pb.h"
+// Replay of the decisions about single requests.
+#include "base/hash.h"
 #include "schema/trace.pb.h"
+#include "serving/attempt_policy.h"
+#include "serving/crash_ledger.h"
+#include "serving/event_splitter.h"
+#include "serving/freshness.h"
 #include "trace_part.h"
 
 namespace bilberrypitch {
 namespace {
 
-constexpr size_t kQueueLength = 8;
-constexpr uint32_t kMostAllowed = 16;
-
-AttemptFailure FailureNamed(const std::string& name) {
-  if (name == "not_sent") return AttemptFailure::kNotSent;
-  if (name == "refused") return AttemptFailure::kRefusedUnrun;
-  if (name == "silent") return AttemptFailure::kSilent;
-  if (name == "too_long") return AttemptFailure::kTooLong;
-  if (name == "wrong_answer") return AttemptFailure::kWrongAnswer;
-  return AttemptFailure::kBroken;
+Millis At(const schema::TraceStep& step) { return Millis(step.at_ms()); }
+
+SendEnd EndOf(const std::string& name) {
+  static const std::map<std::string, SendEnd> ends = {
+      {"not_sent", SendEnd::kNotSent},
+      {"refused_unrun", SendEnd::kRefusedUnrun},
+      {"failed_answer", SendEnd::kFailedAnswer},
+      {"wrong_answer", SendEnd::kWrongAnswer},
+      {"broken", SendEnd::kBroken},
+      {"silent", SendEnd::kSilent},
+      {"time_up", SendEnd::kTimeUp},
+  };
+  auto it = ends.find(name);
+  return it == ends.end() ? SendEnd::kTimeUp : it->second;
 }
 
-std::string VerdictName(QuarantineVerdict verdict) {
-  switch (verdict) {
-    case QuarantineVerdict::kFree:
-      return "free";
-    case QuarantineVerdict::kAlone:
-      return "alone";
-    case QuarantineVerdict::kBusy:
-      return "wait";
-    case QuarantineVerdict::kQuarantined:
-      return "quarantined";
+RequestKind KindOf(const std::string& name) {
+  if (name == "idempotent") {
+    return RequestKind::kIdempotent;
   }
-  return "";
+  bool stream = name == "stream" || name == "resumable";
+  return stream ? RequestKind::kStream : RequestKind::kRunOnce;
 }
 
-std::string VerdictName(ClaimVerdict verdict) {
+const char* NameOf(CrashVerdict verdict) {
   switch (verdict) {
-    case ClaimVerdict::kAbsent:
-      return "absent";
-    case ClaimVerdict::kOwn:
-      return "own";
-    case ClaimVerdict::kFinished:
-      return "finished";
-    case ClaimVerdict::kInUse:
-      return "in use";
-    case ClaimVerdict::kReused:
-      return "reused";
+    case CrashVerdict::kSend:
+      return "send";
+    case CrashVerdict::kWait:
+      return "wait";
+    case CrashVerdict::kRefuse:
+      return "refuse";
   }
-  return "";
+  return "unknown";
 }
 
 class RequestTracePart : public TracePart {
  public:
-  std::optional<TraceOutcome> Run(const schema::TraceStep& step) override {
-    now_ = Millis(step.at_ms());
-    const std::string& action = step.action();
-    if (action == "attempt_failed") return AttemptFailed(step);
-    if (action == "claim") return Claim(step);
-    if (action == "crash" || action == "judge" || action == "gossip") {
-      return RunQuarantine(step);
-    }
-    if (action == "push" || action == "pop" || action == "expire") {
-      return RunQueue(step);
-    }
-    if (action == "connect_failed" || action == "answered" ||
-        action == "broke" || action == "allowed") {
-      return RunHealth(step);
-    }
-    if (action == "head") return Head(step);
-    return RunTokens(step);
+  RequestTracePart() {
+    AddCrashActions();
+    actions_["attempt"] = [this](const auto& step) { return Attempt(step); };
+    actions_["new_request"] = [this](const auto&) {
+      facts_ = SendFacts();
+      events_ = EventSplitter();
+      return TraceOutcome{"ok"};
+    };
+    actions_["feed"] = [this](const auto& step) {
+      return TraceOutcome{events_.Feed(step.name()), events_.last_id()};
+    };
+    actions_["confirmed"] = [this](const auto& step) {
+      freshness_.OnConfirmed(At(step));
+      return TraceOutcome{"ok"};
+    };
+    actions_["may_serve_keys"] = [this](const auto& step) {
+      return TraceOutcome{freshness_.MayServe(At(step)) ? "yes" : "no"};
+    };
   }
 
  private:
-  TraceOutcome AttemptFailed(const schema::TraceStep& step) {
-    AttemptFacts facts;
-    facts.failure = FailureNamed(step.failure());
-    facts.idempotent = step.idempotent();
-    facts.answer_begun = step.answer_begun();
-    facts.ran_before = step.ran_before();
-    facts.remaining = Millis(10000);
-    RetryDecision decision = DecideRetry(facts, &retries_);
-    if (decision.retry) return {"retried"};
-    return {"told",
-            fmt::format("not run: {}", NotRunName(decision.error.not_run))};
-  }
-
-  // `who` claims key `to` for the request `name`; a first claim stands.
-  TraceOutcome Claim(const schema::TraceStep& step) {
-    auto it = claims_.find(step.to());
-    const schema::Claim* stands = it == claims_.end() ? nullptr : &it->second;
-    ClaimVerdict verdict = JudgeClaim(stands, step.who(), step.name());
-    if (verdict == ClaimVerdict::kAbsent) {
-      claims_[step.to()].set_claim_id(step.who());
-      claims_[step.to()].set_fingerprint(step.name());
-    }
-    return {VerdictName(verdict)};
-  }
-
-  TraceOutcome RunQuarantine(const schema::TraceStep& step) {
-    Quarantine& it =
-        quarantines_.try_emplace(step.who(), InstanceId(step.who()))
-            .first->second;
-    if (step.action() == "crash") {
-      std::vector<Fingerprint> running;
-      for (const std::string& name : step.names()) {
-        running.push_back(Fingerprint(name));
-      }
-      it.OnCrash(running, now_);
-      return {"counted"};
-    }
-    if (step.action() == "gossip") {
-      Quarantine& to =
-          quarantines_.try_emplace(step.to(), InstanceId(step.to()))
-              .first->second;
-      for (const QuarantineRecord& record : it.Records(now_)) {
-        to.OnGossip(record);
-      }
-      return {"told"};
-    }
-    return {VerdictName(it.Judge(Fingerprint(step.name()), now_))};
-  }
-
-  TraceOutcome RunQueue(const schema::TraceStep& step) {
-    if (step.action() == "push") {
-      QueuedRequest it;
-      it.id = RequestId(step.name());
-      it.workspace = WorkspaceId(step.who());
-      it.cost_tokens = step.tokens();
-      it.enqueued = now_;
-      it.deadline = now_ + Millis(step.duration_ms());
-      PushOutcome outcome = queue_.Push(std::move(it));
-      if (outcome.shed) return {"queued", "shed " + outcome.shed->str()};
-      return {outcome.accepted ? "queued" : "refused"};
-    }
-    TraceOutcome outcome;
-    if (step.action() == "pop") {
-      auto it = queue_.Pop([](const QueuedRequest&) { return true; });
-      outcome.push_back(it ? it->id.str() : "nothing");
-      return outcome;
-    }
-    for (const QueuedRequest& it : queue_.TakeExpired(now_)) {
-      outcome.push_back(it.id.str());
-    }
-    return outcome;
+  void AddCrashActions() {
+    actions_["check"] = [this](const auto& step) {
+      return TraceOutcome{NameOf(
+          ledgers_[step.who()].Check(StableHash(step.name()), At(step)))};
+    };
+    actions_["broken"] = [this](const auto& step) {
+      bool told = ledgers_[step.who()].OnBroken(StableHash(step.name()),
+                                                IdOf(step), At(step));
+      return TraceOutcome{told ? "told" : "kept"};
+    };
+    actions_["suspected"] = [this](const auto& step) {
+      ledgers_[step.who()].OnSuspected(StableHash(step.name()), IdOf(step),
+                                       At(step));
+      return TraceOutcome{"ok"};
+    };
+    actions_["crashed"] = [this](const auto& step) {
+      ledgers_[step.who()].OnCrash(StableHash(step.name()), IdOf(step),
+                                   At(step));
+      return TraceOutcome{"ok"};
+    };
+    actions_["down"] = [this](const auto& step) {
+      auto crashes =
+          ledgers_[step.who()].OnDown(UpstreamId(step.name()), At(step));
+      return TraceOutcome{std::to_string(crashes.size())};
+    };
+    actions_["succeeded"] = [this](const auto& step) {
+      ledgers_[step.who()].OnSuccess(StableHash(step.name()));
+      return TraceOutcome{"ok"};
+    };
   }
 
-  TraceOutcome RunHealth(const schema::TraceStep& step) {
-    UpstreamHealth& it = health_[step.who()];
-    if (step.action() == "connect_failed") it.OnConnectFailure(now_);
-    if (step.action() == "answered") it.OnAnswer(now_);
-    if (step.action() == "broke") it.OnBroken();
-    return {std::to_string(it.Allowed(kMostAllowed, now_))};
+  // The upstream is the first of `names`, its start `number`.
+  static CrashId IdOf(const schema::TraceStep& step) {
+    std::string name = step.names().empty() ? "" : step.names(0);
+    return {UpstreamId(name), step.number()};
   }
 
-  // A head of generation `number` with a schema version of `version`.
-  TraceOutcome Head(const schema::TraceStep& step) {
-    schema::Document document;
-    document.mutable_fleet()->add_zones()->set_name("zone");
-    Proposal proposal =
-        MakeProposal(nullptr, "", {}, document, {}, "attempt", 0);
-    schema::Head head;
-    head.ParseFromString(proposal.head_bytes);
-    head.set_generation(step.number());
-    head.set_schema_version(step.version());
-    tracker_.OnHead(step.name() == "damaged" ? "\xff"
-                                             : head.SerializeAsString());
-    for (const ChunkWrite& it : proposal.chunks) {
-      tracker_.OnChunk(it.key.substr(it.key.rfind('/') + 1), it.bytes);
-    }
-    return {fmt::format("generation {}", tracker_.generation())};
-  }
-
-  std::optional<TraceOutcome> RunTokens(const schema::TraceStep& step) {
-    const std::string& action = step.action();
-    TokenAccount& account = accounts_[step.who()];
-    if (action == "part") {
-      account.SetPart(step.rate(), step.burst(), now_);
-      return TraceOutcome{"set"};
-    }
-    if (action == "reserve") {
-      bool done = account.Reserve(step.tokens(), now_);
-      return TraceOutcome{done ? "reserved" : "lacks"};
-    }
-    if (action == "want") {
-      account.SetWanted(step.tokens());
-      return TraceOutcome{"wanted"};
-    }
-    if (action == "move") {
-      double moved = account.Move(BootId(step.to()), step.tokens(), now_);
-      return TraceOutcome{fmt::format("{:.0f} moved", moved)};
-    }
-    if (action == "deliver") {
-      accounts_[step.to()].OnTotals(BootId(step.who()),
-                                    account.TotalsFor(BootId(step.to())),
-                                    Millis(step.duration_ms()), now_);
-      return TraceOutcome{"delivered"};
-    }
-    if (action == "tick_tokens") {
-      account.Tick(now_);
-      return TraceOutcome{fmt::format("{:.0f} held", account.Tokens(now_))};
-    }
-    return std::nullopt;
+  // Attempts of one request add up until `new_request`.
+  TraceOutcome Attempt(const schema::TraceStep& step) {
+    facts_.end = EndOf(step.end());
+    facts_.kind = KindOf(step.kind());
+    facts_.resumable = step.kind() == "resumable";
+    facts_.answer_begun = facts_.answer_begun || step.begun();
+    bool unrun =
+        facts_.end == SendEnd::kNotSent || facts_.end == SendEnd::kRefusedUnrun;
+    facts_.may_have_run = facts_.may_have_run || !unrun;
+    facts_.upstreams_run += unrun ? 0 : 1;
+    facts_.max_upstreams = static_cast<uint32_t>(step.number());
+    facts_.time_left = Millis(5000);
+    ++facts_.sends;
+    SendDecision decision = DecideNext(facts_);
+    switch (decision.step) {
+      case NextStep::kSendAgain:
+        return {"send_again"};
+      case NextStep::kResume:
+        return {"resume"};
+      case NextStep::kPassAnswer:
+        return {"pass_answer"};
+      case NextStep::kFail:
+        break;
+    }
+    return {"fail", std::string(AnswerFor(decision.error.kind).name),
+            std::string(NotRunName(decision.error.not_run))};
   }
 
-  Millis now_;
-  RetryBudget retries_;
-  std::map<std::string, schema::Claim> claims_;
-  std::map<std::string, Quarantine> quarantines_;
-  std::map<std::string, UpstreamHealth> health_;
-  std::map<std::string, TokenAccount> accounts_;
-  FairQueue queue_{kQueueLength};
-  ConfigTracker tracker_;
+  std::map<std::string, CrashLedger> ledgers_;  // By instance.
+  SendFacts facts_;
+  EventSplitter events_;
+  Freshness freshness_{Millis(5000)};
 };
 
 }  // namespace
--- a/libs/transport/include/transport/http_message.h
+++ b/libs/transport/include/transport/http_message.h
@@ -26,6 +26,13 @@
   std::vector<HttpHeader> all_;
 };
 
+bool SameFieldName(std::string_view first, std::string_view second);
+
+// The fields to pass on: none of one connection's, none that `Connection`
+// names, and none of `dropped`.
+HttpHeaders EndToEnd(const HttpHeaders& headers,
+                     const std::vector<std::string_view>& dropped);
+
 struct HttpRequest {
   std::string method;
   std::string target;  // Path and query as they came.
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -22,6 +22,8 @@
   // When set, the server runs on this loop and starts no threads; the handler
   // and `on_closed` are called there. The loop outlives the server.
   EventLoop* loop = nullptr;
+  // Numbers of connections begin here, so that two servers' differ.
+  uint64_t first_connection = 0;
   // Called with the number of a connection that has ended, whoever closed it.
   std::function<void(uint64_t connection)> on_closed;
   size_t max_body_bytes = 1 << 20;
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -2,7 +2,6 @@
 #include "transport/http_server.h"
 
 #include <fmt/format.h>
-#include <strings.h>
 
 #include <atomic>
 #include <mutex>
@@ -16,28 +15,6 @@
 
 namespace bilberrypitch {
 
-void HttpHeaders::Add(std::string name, std::string value) {
-  all_.push_back({std::move(name), std::move(value)});
-}
-
-std::string_view HttpHeaders::Get(std::string_view name) const {
-  for (const HttpHeader& it : all_) {
-    if (it.name.size() == name.size() &&
-        strncasecmp(it.name.data(), name.data(), name.size()) == 0) {
-      return it.value;
-    }
-  }
-  return {};
-}
-
-size_t HttpHeaders::ByteSize() const {
-  size_t n = 0;
-  for (const HttpHeader& it : all_) {
-    n += it.name.size() + it.value.size() + 4;
-  }
-  return n;
-}
-
 std::string ErrorBody(const Error& error, const std::string& request_id) {
   const ErrorAnswer& answer = AnswerFor(error.kind);
   json::object body;
@@ -74,19 +51,20 @@
 // Tells when connections end.
 class ConnectionListener {
  public:
-  explicit ConnectionListener(std::function<void(uint64_t)> on_closed)
-      : on_closed_(std::move(on_closed)) {}
+  ConnectionListener(std::function<void(uint64_t)> on_closed, uint64_t first)
+      : on_closed_(std::move(on_closed)), first_(first) {}
 
   void state_changed(const restinio::connection_state::notice_t& it) noexcept {
     if (on_closed_ &&
         restinio::holds_alternative<restinio::connection_state::closed_t>(
             it.cause())) {
-      on_closed_(it.connection_id());
+      on_closed_(first_ + it.connection_id());
     }
   }
 
  private:
   const std::function<void(uint64_t)> on_closed_;
+  const uint64_t first_;
 };
 
 struct Traits : restinio::default_traits_t {
@@ -310,8 +288,8 @@
           it.set_option(
               restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
         })
-        .connection_state_listener(
-            std::make_shared<ConnectionListener>(options_.on_closed))
+        .connection_state_listener(std::make_shared<ConnectionListener>(
+            options_.on_closed, options_.first_connection))
         .request_handler([this](restinio::request_handle_t request) {
           return Handle(std::move(request));
         });
@@ -319,6 +297,7 @@
 
   restinio::request_handling_status_t Handle(restinio::request_handle_t from) {
     HttpRequest request = Convert(from);
+    request.connection += options_.first_connection;
     auto responder = std::make_shared<RestinioResponder>(std::move(from));
     if (request.body.size() > max_body_bytes_) {
       Refuse(*responder, ErrorKind::kBodyTooLarge,
