Hold prompts while an engine has as much to read as a pause allows

Engines read prompts between the tokens of running streams, and the logged sends show several thousand tokens sent to one engine within 50 ms. Ruled out: adapter loads at the engine (no order near most pauses), network (both zones). Change: a prompt waits at the instance while the engine's unread tokens, over all instances, would take longer than a part of the route's longest pause. The end of a request now logs its longest pause and its upstream. What is left: instances that see the same free engine send at the same time, and the reading time is underestimated where prompts were cached.

--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -82,6 +82,7 @@
   void OnRate(const RateVerdict& verdict);
   bool StillAllowed();
   void Dispatch();
+  void SendOrWait(UpstreamState* upstream);
   void WaitForAdapter(const Choice& choice);
   void Send(UpstreamState* upstream);
   HttpCall NewCall(const UpstreamState& upstream) const;
@@ -133,6 +134,7 @@
   bool attempt_streams_ = false;
   AnswerFacts facts_;
 
+  UpstreamId last_upstream_;  // Of the last attempt; for the log.
   std::vector<UpstreamId> tried_;
   uint32_t sends_ = 0;
   uint32_t upstreams_run_ = 0;
@@ -142,6 +144,8 @@
   bool may_have_run_ = false;
   bool answer_begun_ = false;
   Millis first_event_after_;  // From arrival; zero: none yet.
+  Millis last_event_at_;
+  Millis longest_pause_;  // Between two events, up to now.
   EventSplitter events_;
   bool finished_ = false;
 };
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -635,6 +635,7 @@
     add("requests_rate_limited_total", it.rate_limited);
     add("request_repeats_total", it.repeats);
     add("adapter_waits_total", it.adapter_waits);
+    add("reading_waits_total", it.reading_waits);
     add("adapter_misses_total", it.adapter_misses);
     add("orders_total", orders_.orders());
     add("reports_total", orders_.reports());
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -77,6 +77,7 @@
   }
   deps_->codec->EncodeCall(request_, instructions, &call);
   upstream_ = upstream->entry.id;
+  last_upstream_ = upstream_;
   upstream_started_ms_ = upstream->entry.started_ms;
   sent_at_ = now;
   first_event_seen_ = false;
@@ -132,18 +133,22 @@
   if (events.empty()) {
     return;
   }
+  Millis now = EventLoop::Now();
+  if (answer_begun_) {
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  }
+  last_event_at_ = now;
   if (!first_event_seen_) {
     first_event_seen_ = true;
     UpstreamState* upstream = state_->upstreams.Find(upstream_);
     if (upstream != nullptr) {
-      Millis now = EventLoop::Now();
       state_->upstreams.OnFirstEvent(upstream, PromptTokens(), now - sent_at_,
                                      now);
     }
   }
   if (!answer_begun_) {
     answer_begun_ = true;
-    first_event_after_ = EventLoop::Now() - arrived_;
+    first_event_after_ = now - arrived_;
     responder_->StartStream(200, facts_.forward);
   }
   responder_->WriteChunk(std::move(events), {});
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -24,6 +24,10 @@
 // After a word that the engine is full another one is asked so soon.
 constexpr Millis kFullPause{15};
 constexpr Millis kFullFor{250};
+// How often it is looked whether the engine has read enough.
+constexpr Millis kReadAgain{20};
+// A request with less than this part of its time left does not wait for that.
+constexpr int64_t kPressingParts = 3;
 constexpr Millis kNoUpstreamWait{120};
 constexpr Millis kRefusalRetry{400};
 constexpr Millis kSuspectRetry{1000};
@@ -240,12 +244,26 @@
     state_->upstreams.MoveSuspect(&suspect_at_, choice->upstream->entry.id);
   }
   if (choice->resident) {
-    Send(choice->upstream);
+    SendOrWait(choice->upstream);
   } else {
     WaitForAdapter(*choice);
   }
 }
 
+// A request whose time runs out waits no longer.
+void RequestRun::SendOrWait(UpstreamState* upstream) {
+  Millis now = EventLoop::Now();
+  Millis allowed = deadline_ - arrived_;
+  bool pressing = TimeLeft().count() * kPressingParts < allowed.count();
+  if (pressing || MayRead(*upstream, PromptTokens(), route_->pause_goal, now)) {
+    Send(upstream);
+    return;
+  }
+  ++state_->counters.reading_waits;
+  auto self = shared_from_this();
+  wait_timer_.Start(kReadAgain, [self] { self->Dispatch(); });
+}
+
 void RequestRun::WaitForAdapter(const Choice& choice) {
   if (asked_ == 0) {
     ++state_->counters.adapter_waits;
@@ -292,7 +310,7 @@
     return;
   }
   if (StillAllowed()) {
-    Send(upstream);
+    SendOrWait(upstream);
   }
 }
 
@@ -381,13 +399,15 @@
   wait_timer_.Cancel();
   LogInfo("request",
           "Ended id={} outcome={} status={} ms={} sends={} model={} "
-          "workspace={} route={} first_ms={} asked={} misses={} config={}.",
+          "workspace={} route={} first_ms={} pause_ms={} asked={} misses={} "
+          "upstream={} config={}.",
           request_.id.str(), outcome, status,
           (EventLoop::Now() - arrived_).count(), sends_,
           ToString(request_.model),
           workspace_ != nullptr ? workspace_->id.str() : "-",
           route_ != nullptr ? route_->name : "-", first_event_after_.count(),
-          asked_, misses_, config_ != nullptr ? config_->version() : 0);
+          longest_pause_.count(), asked_, misses_, last_upstream_.str(),
+          config_ != nullptr ? config_->version() : 0);
   responder_.reset();
   deps_->hooks.ended(connection_);
 }
--- a/libs/serving/include/serving/upstream_chooser.h
+++ b/libs/serving/include/serving/upstream_chooser.h
@@ -40,4 +40,10 @@
                                      const ResidencyView& residency,
                                      const ChoiceFacts& facts);
 
+// Whether the engine may be given the prompt now. It reads prompts between the
+// tokens of the streams that run there, so what it has yet to read is kept
+// below what it reads in `longest_pause` (zero: no bound).
+bool MayRead(const UpstreamState& engine, int64_t prompt_tokens,
+             Millis longest_pause, Millis now);
+
 }  // namespace bilberrypitch
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -26,12 +26,17 @@
 // A request under which a connection broke keeps away from others like it: one
 // of them may crash the next upstream too.
 constexpr double kSuspectTogetherMs = 1500;
+// Of the longest pause; the rest is for the tokens themselves.
+constexpr double kReadingPart = 0.85;
 constexpr double kFailureMs = 2500;  // Times the share of failures.
 
+double ReadingMsPerToken(const UpstreamState& it) {
+  return it.first_event_ms_per_token > 0 ? it.first_event_ms_per_token
+                                         : kFirstGuessMsPerToken;
+}
+
 double PromptCost(const UpstreamState& it, const ChoiceFacts& facts) {
-  double per_token = it.first_event_ms_per_token > 0
-                         ? it.first_event_ms_per_token
-                         : kFirstGuessMsPerToken;
+  double per_token = ReadingMsPerToken(it);
   double tokens =
       static_cast<double>(it.AllTokensUnread(facts.now) + facts.prompt_tokens);
   return per_token * tokens + kStepMsPerRun * it.AllInFlight(facts.now);
@@ -73,6 +78,17 @@
 
 }  // namespace
 
+bool MayRead(const UpstreamState& engine, int64_t prompt_tokens,
+             Millis longest_pause, Millis now) {
+  int64_t unread = engine.AllTokensUnread(now);
+  if (longest_pause == Millis(0) || unread == 0) {
+    return true;
+  }
+  auto tokens = static_cast<double>(unread + prompt_tokens);
+  auto bound = kReadingPart * static_cast<double>(longest_pause.count());
+  return ReadingMsPerToken(engine) * tokens <= bound;
+}
+
 std::optional<Choice> ChooseUpstream(const std::vector<UpstreamState*>& usable,
                                      const ResidencyView& residency,
                                      const ChoiceFacts& facts) {
--- a/libs/serving/test/decisions_test.cc
+++ b/libs/serving/test/decisions_test.cc
@@ -279,4 +279,21 @@
   REQUIRE(ChooseUpstream(usable, residency, facts)->upstream == &holder);
 }
 
+// Pattern: a burst of long prompts at an engine that runs streams.
+TEST_CASE(
+    "prompts are held while an engine has as much to read as a pause allows",
+    "[choice]") {
+  UpstreamState engine;
+  engine.first_event_ms_per_token = 0.06;
+  Millis pause(400);
+  Millis now(1000);
+  REQUIRE(MayRead(engine, 9000, pause, now));  // Alone it is read at once.
+  engine.tokens_unread = 3000;
+  REQUIRE(MayRead(engine, 2000, pause, now));
+  REQUIRE_FALSE(MayRead(engine, 3000, pause, now));
+  REQUIRE(MayRead(engine, 3000, Millis(0), now));  // No pause is stated.
+  engine.peer_loads[MachineId("m2")] = {1, 2000, now};
+  REQUIRE_FALSE(MayRead(engine, 2000, pause, now));
+}
+
 }  // namespace bilberrypitch
