Let prompts go to an engine in turn, granted by its owner

Cause: instances that saw the same free engine sent at the same moment (the logged sends show six prompts within 50 ms, each seeing 1,952 tokens unread), and the reading time that each estimated alone fell to half of the truth where prompts were cached. Change: the owner of an engine keeps a queue of prompts (ReadingQueue, no I/O), lets as many go as the engine reads within the shortest stated pause, the most urgent and oldest first, and learns the reading time from its own grants. Two datagrams a prompt; without an owner, or when it is silent for 120 ms, the instance decides as before. Lost words expire.

--- /dev/null
+++ b/libs/gateway/include/gateway/reading_service.h
@@ -0,0 +1,87 @@
+// Asks the owner of an engine whether a prompt may go there, or answers as the
+// owner. See serving/reading_queue.h.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "serving/reading_queue.h"
+
+namespace bilberrypitch {
+
+class EventLoop;
+class Ownership;
+class PeerLink;
+class UpstreamBook;
+namespace schema {
+class ReadingAnswer;
+class ReadingDone;
+class ReadingQuestion;
+}  // namespace schema
+
+// On the loop's thread only.
+class ReadingService {
+ public:
+  struct Hooks {
+    // Zero: no pause is stated for the engine's service.
+    std::function<Millis(const UpstreamId& engine)> longest_pause;
+  };
+
+  ReadingService(EventLoop* loop, MachineId self, Ownership* ownership,
+                 UpstreamBook* upstreams, PeerLink* peers, Hooks hooks);
+  ~ReadingService();
+
+  // Asks; `granted` is called once, after the return. Returns the number
+  // of the question; 0: the engine has no owner to ask.
+  uint64_t Ask(const UpstreamId& engine, int64_t tokens, int urgency,
+               std::function<void()> granted);
+  // Asks once more, so that the place is kept and a lost answer comes again.
+  void AskAgain(uint64_t number);
+  // Whether the owner has answered since the last (repeated) question.
+  bool Heard(uint64_t number) const;
+  // The prompt was read, or the request ended or goes elsewhere.
+  void Done(uint64_t number, bool read);
+
+  void OnQuestion(const MachineId& from,
+                  const schema::ReadingQuestion& question);
+  void OnAnswer(const schema::ReadingAnswer& answer);
+  void OnDone(const MachineId& from, const schema::ReadingDone& done);
+  void OnMachineGone(const MachineId& machine);
+  void OnEngineLeft(const UpstreamId& engine);
+
+ private:
+  struct Queue;
+  struct Open {
+    UpstreamId engine;
+    MachineId owner;
+    int64_t tokens = 0;
+    int urgency = 0;
+    bool heard = false;
+    std::function<void()> granted;  // Empty once it was called.
+  };
+
+  void Send(uint64_t number, Open* open);
+  void Grant(uint64_t number);
+  void Enqueue(const UpstreamId& engine, const ReadingAsk& ask);
+  void Release(const UpstreamId& engine, const ReadingTicket& ticket,
+               bool read);
+  Queue* QueueOf(const UpstreamId& engine);
+  void Run(const UpstreamId& engine);
+  void Answer(const UpstreamId& engine, const ReadingTicket& ticket,
+              bool granted, int64_t waiting_tokens);
+  void NoteWaiting(const UpstreamId& engine, int64_t tokens);
+
+  EventLoop* const loop_;
+  const MachineId self_;
+  Ownership* const ownership_;
+  UpstreamBook* const upstreams_;
+  PeerLink* const peers_;
+  const Hooks hooks_;
+  std::map<UpstreamId, std::unique_ptr<Queue>> queues_;  // As the owner.
+  std::map<uint64_t, Open> open_;  // Questions of this instance.
+  uint64_t last_number_ = 0;
+};
+
+}  // namespace bilberrypitch
--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -42,6 +42,13 @@
       broken;
   // No connection could be made to the upstream.
   std::function<void(const UpstreamId&)> unreachable;
+  // Asks the engine's owner whether the prompt may go there; 0: no owner.
+  std::function<uint64_t(const UpstreamId&, int64_t tokens, int urgency,
+                         std::function<void()> granted)>
+      ask_reading;
+  std::function<void(uint64_t number)> ask_reading_again;
+  std::function<bool(uint64_t number)> reading_heard;
+  std::function<void(uint64_t number, bool read)> reading_done;
   std::function<void(uint64_t connection)> ended;
   // Takes tokens of a workspace's rate; `done` may come before the return.
   std::function<void(const WorkspaceId&, double cost,
@@ -82,7 +89,12 @@
   void OnRate(const RateVerdict& verdict);
   bool StillAllowed();
   void Dispatch();
-  void SendOrWait(UpstreamState* upstream);
+  void SendWhenRead(UpstreamState* upstream);
+  void AskReading(const UpstreamId& engine);
+  void OnReadingGranted();
+  void OnReadingSilence();
+  void EndReading(bool read);
+  int Urgency() const;
   void WaitForAdapter(const Choice& choice);
   void Send(UpstreamState* upstream);
   HttpCall NewCall(const UpstreamState& upstream) const;
@@ -121,6 +133,9 @@
   Timer deadline_timer_;
   Timer wait_timer_;
 
+  // The question whether an engine may read the prompt; 0: none is open.
+  uint64_t reading_ = 0;
+  UpstreamId reading_engine_;
   UpstreamId waiting_engine_;  // While the adapter is awaited there.
   Millis waiting_since_;
   uint32_t asked_ = 0;  // Times that the adapter was asked for.
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -26,7 +26,7 @@
   uint64_t rate_limited = 0;
   uint64_t repeats = 0;         // Sends after the first.
   uint64_t adapter_waits = 0;   // Requests that waited for an adapter.
-  uint64_t reading_waits = 0;   // Looks at an engine with too much to read.
+  uint64_t reading_waits = 0;   // Questions about prompts asked again.
   uint64_t adapter_misses = 0;  // Engines that said an adapter isn't there.
 };
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -17,6 +17,7 @@
 #include "gateway/order_service.h"
 #include "gateway/peer_link.h"
 #include "gateway/rate_service.h"
+#include "gateway/reading_service.h"
 #include "gateway/request_run.h"
 #include "gateway/serving_state.h"
 #include "gateway/store_sync.h"
@@ -112,6 +113,8 @@
         loads_(loop_, &state_.upstreams, &peers_),
         rates_(loop_, self_.machine, RateMarginOf(settings.bounds),
                membership_.ownership(), membership_.lease(), &peers_),
+        reading_(loop_, self_.machine, membership_.ownership(),
+                 &state_.upstreams, &peers_, ReadingHooks()),
         crashes_(&state_.crashes, &peers_),
         expire_timer_(loop_),
         stop_timer_(loop_) {
@@ -172,6 +175,7 @@
     };
     hooks.on_gone = [this](const MachineId& machine) {
       orders_.OnMachineGone(machine);
+      reading_.OnMachineGone(machine);
     };
     return hooks;
   }
@@ -208,6 +212,17 @@
     return hooks;
   }
 
+  ReadingService::Hooks ReadingHooks() {
+    ReadingService::Hooks hooks;
+    hooks.longest_pause = [this](const UpstreamId& engine) {
+      UpstreamState* it = state_.upstreams.Find(engine);
+      bool known = it != nullptr && state_.config != nullptr;
+      return known ? state_.config->LongestPauseOf(it->entry.service)
+                   : Millis(0);
+    };
+    return hooks;
+  }
+
   // The two edges differ in their codec only.
   void SetRequestDeps() {
     deps_.loop = loop_;
@@ -237,6 +252,20 @@
                                    std::function<void(RateVerdict)> done) {
       rates_.Take(workspace, cost, std::move(done));
     };
+    deps_.hooks.ask_reading = [this](const UpstreamId& engine, int64_t tokens,
+                                     int urgency,
+                                     std::function<void()> granted) {
+      return reading_.Ask(engine, tokens, urgency, std::move(granted));
+    };
+    deps_.hooks.ask_reading_again = [this](uint64_t number) {
+      reading_.AskAgain(number);
+    };
+    deps_.hooks.reading_heard = [this](uint64_t number) {
+      return reading_.Heard(number);
+    };
+    deps_.hooks.reading_done = [this](uint64_t number, bool read) {
+      reading_.Done(number, read);
+    };
     deps_.hooks.ended = [this](uint64_t connection) { OnEnded(connection); };
     completions_deps_ = deps_;
     completions_deps_.codec = ports_.completions_codec;
@@ -445,6 +474,7 @@
     crashes_.OnDown(it.entry.id);
     state_.residency.OnEngineReset(it.entry.id);
     orders_.OnEngineStarted(it.entry.id);
+    reading_.OnEngineLeft(it.entry.id);
   }
 
   void OnLeft(const UpstreamId& id) {
@@ -456,6 +486,7 @@
       membership_.RemoveDuty(EngineDuty(id));
     }
     orders_.OnEngineLeft(id);
+    reading_.OnEngineLeft(id);
     state_.residency.OnEngineReset(id);
   }
 
@@ -586,6 +617,15 @@
             {item.load().in_flight(), item.load().tokens_unread(),
              EventLoop::Now()});
         break;
+      case schema::PeerItem::kReadingQuestion:
+        reading_.OnQuestion(from, item.reading_question());
+        break;
+      case schema::PeerItem::kReadingAnswer:
+        reading_.OnAnswer(item.reading_answer());
+        break;
+      case schema::PeerItem::kReadingDone:
+        reading_.OnDone(from, item.reading_done());
+        break;
       case schema::PeerItem::kAlive:
         break;  // Hearing the sender was its purpose.
       case schema::PeerItem::kCrash:
@@ -676,6 +716,7 @@
   AdapterService adapters_;
   LoadTeller loads_;
   RateService rates_;
+  ReadingService reading_;
   CrashService crashes_;
   std::unique_ptr<FreshnessService> fresh_;
   RequestDeps deps_;
--- /dev/null
+++ b/libs/gateway/src/reading_service.cc
@@ -0,0 +1,219 @@
+// Questions about prompts between instances.
+#include "gateway/reading_service.h"
+
+#include "base/hash.h"
+#include "gateway/peer_link.h"
+#include "schema/cluster.pb.h"
+#include "serving/ownership.h"
+#include "serving/upstream_book.h"
+#include "transport/event_loop.h"
+#include "transport/timer.h"
+
+namespace bilberrypitch {
+
+struct ReadingService::Queue {
+  explicit Queue(EventLoop* loop) : timer(loop) {}
+  ReadingQueue queue;
+  Timer timer;
+};
+
+ReadingService::ReadingService(EventLoop* loop, MachineId self,
+                               Ownership* ownership, UpstreamBook* upstreams,
+                               PeerLink* peers, Hooks hooks)
+    : loop_(loop),
+      self_(std::move(self)),
+      ownership_(ownership),
+      upstreams_(upstreams),
+      peers_(peers),
+      hooks_(std::move(hooks)),
+      // Another process of this machine used other numbers.
+      last_number_(StableHash(RandomHex(8)) >> 1) {}
+
+ReadingService::~ReadingService() = default;
+
+uint64_t ReadingService::Ask(const UpstreamId& engine, int64_t tokens,
+                             int urgency, std::function<void()> granted) {
+  const OwnerRecord* owner = ownership_->OwnerOf(EngineDuty(engine));
+  if (owner == nullptr) {
+    return 0;
+  }
+  uint64_t number = ++last_number_;
+  Open& it = open_[number];
+  it.engine = engine;
+  it.owner = owner->machine;
+  it.tokens = tokens;
+  it.urgency = urgency;
+  it.granted = std::move(granted);
+  Send(number, &it);
+  return number;
+}
+
+void ReadingService::AskAgain(uint64_t number) {
+  auto it = open_.find(number);
+  if (it != open_.end()) {
+    Send(number, &it->second);
+  }
+}
+
+void ReadingService::Send(uint64_t number, Open* open) {
+  open->heard = false;
+  if (open->owner == self_) {
+    open->heard = true;
+    Enqueue(open->engine, {{self_, number}, open->tokens, open->urgency});
+    return;
+  }
+  schema::PeerItem item;
+  auto* question = item.mutable_reading_question();
+  question->set_engine(open->engine.str());
+  question->set_number(number);
+  question->set_tokens(open->tokens);
+  question->set_urgency(static_cast<uint32_t>(open->urgency));
+  peers_->Send(open->owner, std::move(item));
+}
+
+bool ReadingService::Heard(uint64_t number) const {
+  auto it = open_.find(number);
+  return it != open_.end() && it->second.heard;
+}
+
+void ReadingService::Done(uint64_t number, bool read) {
+  auto it = open_.find(number);
+  if (it == open_.end()) {
+    return;
+  }
+  Open open = std::move(it->second);
+  open_.erase(it);
+  if (open.owner == self_) {
+    Release(open.engine, {self_, number}, read);
+    return;
+  }
+  schema::PeerItem item;
+  item.mutable_reading_done()->set_engine(open.engine.str());
+  item.mutable_reading_done()->set_number(number);
+  item.mutable_reading_done()->set_read(read);
+  peers_->Send(open.owner, std::move(item));
+}
+
+void ReadingService::OnAnswer(const schema::ReadingAnswer& answer) {
+  NoteWaiting(UpstreamId(answer.engine()), answer.waiting_tokens());
+  auto it = open_.find(answer.number());
+  if (it == open_.end()) {
+    return;
+  }
+  it->second.heard = true;
+  if (answer.granted()) {
+    Grant(answer.number());
+  }
+}
+
+void ReadingService::Grant(uint64_t number) {
+  auto it = open_.find(number);
+  if (it == open_.end() || !it->second.granted) {
+    return;
+  }
+  std::function<void()> granted = std::move(it->second.granted);
+  it->second.granted = nullptr;
+  granted();
+}
+
+void ReadingService::NoteWaiting(const UpstreamId& engine, int64_t tokens) {
+  if (UpstreamState* it = upstreams_->Find(engine)) {
+    it->tokens_waiting = tokens;
+    it->tokens_waiting_at = EventLoop::Now();
+  }
+}
+
+void ReadingService::OnQuestion(const MachineId& from,
+                                const schema::ReadingQuestion& question) {
+  Enqueue(UpstreamId(question.engine()),
+          {{from, question.number()},
+           question.tokens(),
+           static_cast<int>(question.urgency())});
+}
+
+void ReadingService::OnDone(const MachineId& from,
+                            const schema::ReadingDone& done) {
+  Release(UpstreamId(done.engine()), {from, done.number()}, done.read());
+}
+
+ReadingService::Queue* ReadingService::QueueOf(const UpstreamId& engine) {
+  auto it = queues_.find(engine);
+  if (it == queues_.end()) {
+    it = queues_.emplace(engine, std::make_unique<Queue>(loop_)).first;
+  }
+  it->second->queue.SetLongestPause(hooks_.longest_pause(engine));
+  return it->second.get();
+}
+
+void ReadingService::Enqueue(const UpstreamId& engine, const ReadingAsk& ask) {
+  QueueOf(engine)->queue.OnAsk(ask, EventLoop::Now());
+  Run(engine);
+  auto it = queues_.find(engine);
+  if (it != queues_.end() && it->second->queue.Waits(ask.ticket)) {
+    Answer(engine, ask.ticket, false, it->second->queue.waiting_tokens());
+  }
+}
+
+void ReadingService::Release(const UpstreamId& engine,
+                             const ReadingTicket& ticket, bool read) {
+  auto it = queues_.find(engine);
+  if (it != queues_.end()) {
+    it->second->queue.OnDone(ticket, read, EventLoop::Now());
+    Run(engine);
+  }
+}
+
+void ReadingService::Run(const UpstreamId& engine) {
+  auto it = queues_.find(engine);
+  if (it == queues_.end()) {
+    return;
+  }
+  Queue* queue = it->second.get();
+  Millis now = EventLoop::Now();
+  std::vector<ReadingTicket> grants = queue->queue.Next(now);
+  int64_t waiting = queue->queue.waiting_tokens();
+  Millis due = queue->queue.NextDue(now);
+  if (due != Millis(0)) {
+    queue->timer.Start(due - now, [this, engine] { Run(engine); });
+  }
+  for (const ReadingTicket& ticket : grants) {
+    Answer(engine, ticket, true, waiting);
+  }
+}
+
+void ReadingService::Answer(const UpstreamId& engine,
+                            const ReadingTicket& ticket, bool granted,
+                            int64_t waiting_tokens) {
+  if (ticket.machine == self_) {
+    NoteWaiting(engine, waiting_tokens);
+    if (granted) {
+      // Not within Ask: its caller has no number yet.
+      loop_->Post([this, number = ticket.number] { Grant(number); });
+    }
+    return;
+  }
+  schema::PeerItem item;
+  auto* answer = item.mutable_reading_answer();
+  answer->set_number(ticket.number);
+  answer->set_granted(granted);
+  answer->set_engine(engine.str());
+  answer->set_waiting_tokens(waiting_tokens);
+  peers_->Send(ticket.machine, std::move(item));
+}
+
+void ReadingService::OnMachineGone(const MachineId& machine) {
+  std::vector<UpstreamId> engines;
+  for (auto& [engine, it] : queues_) {
+    it->queue.OnMachineGone(machine);
+    engines.push_back(engine);
+  }
+  for (const UpstreamId& it : engines) {
+    Run(it);
+  }
+}
+
+void ReadingService::OnEngineLeft(const UpstreamId& engine) {
+  queues_.erase(engine);
+}
+
+}  // namespace bilberrypitch
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -27,6 +27,14 @@
 
 }  // namespace
 
+int RequestRun::Urgency() const {
+  int urgency = route_->priority;
+  if (workspace_ != nullptr && workspace_->priority) {
+    urgency += *workspace_->priority * kUrgencyPerWorkspace;
+  }
+  return std::clamp(urgency, 0, kLeastUrgent);
+}
+
 HttpCall RequestRun::NewCall(const UpstreamState& upstream) const {
   HttpCall call;
   call.address = upstream.entry.address;
@@ -59,13 +67,9 @@
     instructions.workspace = workspace_->id;
   }
   instructions.time_left = std::max(Millis(1), TimeLeft() - kDeadlineMargin);
-  int urgency = route_->priority;
-  if (workspace_ != nullptr && workspace_->priority) {
-    urgency += *workspace_->priority * kUrgencyPerWorkspace;
-  }
   const Service* service = config_->FindService(service_);
   if (service != nullptr && service->engine) {
-    instructions.urgency = std::clamp(urgency, 0, kLeastUrgent);
+    instructions.urgency = Urgency();
     auto named = state_->named_versions.find(request_.model);
     if (named != state_->named_versions.end()) {
       instructions.minimum_version = named->second;
@@ -140,6 +144,7 @@
   last_event_at_ = now;
   if (!first_event_seen_) {
     first_event_seen_ = true;
+    EndReading(true);
     UpstreamState* upstream = state_->upstreams.Find(upstream_);
     if (upstream != nullptr) {
       state_->upstreams.OnFirstEvent(upstream, PromptTokens(), now - sent_at_,
@@ -229,6 +234,7 @@
 }
 
 void RequestRun::CloseAttempt(bool failed) {
+  EndReading(false);
   if (upstream_.empty()) {
     return;
   }
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -24,7 +24,10 @@
 // After a word that the engine is full another one is asked so soon.
 constexpr Millis kFullPause{15};
 constexpr Millis kFullFor{250};
-// How often it is looked whether the engine has read enough.
+// The owner of an engine answers within this time; a prompt that waits is
+// asked for again as often.
+constexpr Millis kReadingAnswer{120};
+// Without an owner: how often it is looked whether the engine has read enough.
 constexpr Millis kReadAgain{20};
 // A request with less than this part of its time left does not wait for that.
 constexpr int64_t kPressingParts = 3;
@@ -244,26 +247,96 @@
     state_->upstreams.MoveSuspect(&suspect_at_, choice->upstream->entry.id);
   }
   if (choice->resident) {
-    SendOrWait(choice->upstream);
+    SendWhenRead(choice->upstream);
   } else {
+    EndReading(false);
     WaitForAdapter(*choice);
   }
 }
 
-// A request whose time runs out waits no longer.
-void RequestRun::SendOrWait(UpstreamState* upstream) {
+// Sends at once, or when the engine's owner lets the prompt go there. A request
+// whose time runs out waits no longer.
+void RequestRun::SendWhenRead(UpstreamState* upstream) {
   Millis now = EventLoop::Now();
+  Millis pause = config_->LongestPauseOf(service_);
   Millis allowed = deadline_ - arrived_;
   bool pressing = TimeLeft().count() * kPressingParts < allowed.count();
-  if (pressing || MayRead(*upstream, PromptTokens(), route_->pause_goal, now)) {
+  if (pause == Millis(0) || PromptTokens() == 0 || pressing) {
+    Send(upstream);
+    return;
+  }
+  AskReading(upstream->entry.id);
+  if (reading_ != 0) {
+    auto self = shared_from_this();
+    wait_timer_.Start(kReadingAnswer, [self] { self->OnReadingSilence(); });
+    return;
+  }
+  // Without an owner it goes by what this instance knows.
+  if (MayRead(*upstream, PromptTokens(), pause, now)) {
     Send(upstream);
     return;
   }
-  ++state_->counters.reading_waits;
   auto self = shared_from_this();
   wait_timer_.Start(kReadAgain, [self] { self->Dispatch(); });
 }
 
+void RequestRun::AskReading(const UpstreamId& engine) {
+  if (reading_ != 0 && reading_engine_ == engine) {
+    deps_->hooks.ask_reading_again(reading_);
+    return;
+  }
+  EndReading(false);
+  auto self = shared_from_this();
+  reading_engine_ = engine;
+  reading_ = deps_->hooks.ask_reading(engine, PromptTokens(), Urgency(),
+                                      [self] { self->OnReadingGranted(); });
+}
+
+void RequestRun::OnReadingGranted() {
+  if (finished_ || call_ != 0 || reading_ == 0) {
+    return;
+  }
+  wait_timer_.Cancel();
+  UpstreamState* upstream = state_->upstreams.Find(reading_engine_);
+  bool usable = upstream != nullptr && upstream->Usable(EventLoop::Now());
+  if (!usable) {
+    EndReading(false);
+    Dispatch();
+    return;
+  }
+  if (StillAllowed()) {
+    Send(upstream);
+  }
+}
+
+// The prompt was not let go yet: another engine may be better by now.
+void RequestRun::OnReadingSilence() {
+  if (finished_ || call_ != 0) {
+    return;
+  }
+  if (deps_->hooks.reading_heard(reading_)) {
+    ++state_->counters.reading_waits;
+    Dispatch();
+    return;
+  }
+  EndReading(false);
+  UpstreamState* upstream = state_->upstreams.Find(reading_engine_);
+  bool usable = upstream != nullptr && upstream->Usable(EventLoop::Now());
+  if (!usable) {
+    Dispatch();
+  } else if (StillAllowed()) {
+    Send(upstream);
+  }
+}
+
+void RequestRun::EndReading(bool read) {
+  uint64_t number = reading_;
+  reading_ = 0;
+  if (number != 0) {
+    deps_->hooks.reading_done(number, read);
+  }
+}
+
 void RequestRun::WaitForAdapter(const Choice& choice) {
   if (asked_ == 0) {
     ++state_->counters.adapter_waits;
@@ -310,7 +383,7 @@
     return;
   }
   if (StillAllowed()) {
-    SendOrWait(upstream);
+    SendWhenRead(upstream);
   }
 }
 
@@ -394,6 +467,7 @@
 
 void RequestRun::Finish(const char* outcome, int status) {
   finished_ = true;
+  EndReading(false);
   state_->upstreams.MoveSuspect(&suspect_at_, UpstreamId());
   deadline_timer_.Cancel();
   wait_timer_.Cancel();
--- a/libs/serving/include/serving/active_config.h
+++ b/libs/serving/include/serving/active_config.h
@@ -1,6 +1,7 @@
 // A configuration with the indexes that requests need.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -24,10 +25,16 @@
   const Workspace* FindWorkspace(const std::string& key) const;
   const Service* FindService(const ServiceId& id) const;
 
+  // The shortest of the longest pauses that the routes to this service state;
+  // zero: none does.
+  Millis LongestPauseOf(const ServiceId& id) const;
+
   const ServingConfig& config() const { return config_; }
   int64_t version() const { return config_.version; }
 
  private:
+  void NotePause(const Route& route);
+
   using RoutesByPrefix = std::unordered_map<std::string, const Route*>;
 
   const ServingConfig config_;
@@ -35,6 +42,7 @@
   std::unordered_map<std::string, RoutesByPrefix> routes_by_host_;
   std::unordered_map<std::string, const Workspace*> workspaces_by_key_;
   std::unordered_map<std::string, const Service*> services_;
+  std::map<ServiceId, Millis> longest_pauses_;
 };
 
 // The service of a route's split for one request; the same `draw` (from the
--- a/libs/serving/include/serving/upstream_book.h
+++ b/libs/serving/include/serving/upstream_book.h
@@ -44,11 +44,15 @@
   Millis avoid_until;                   // No connection could be made.
   int keep_idle_s = 0;                  // It keeps idle connections this long.
   std::map<MachineId, PeerLoad> peer_loads;
+  // Prompts that wait for it at its owner, as it last said.
+  int64_t tokens_waiting = 0;
+  Millis tokens_waiting_at;
   Millis full_until;  // Its owner said that it has no place for adapters.
 
   // Over this instance and the peers heard of lately.
   uint32_t AllInFlight(Millis now) const;
   int64_t AllTokensUnread(Millis now) const;
+  int64_t TokensWaiting(Millis now) const;
   bool Usable(Millis now) const {
     return !gone && !entry.draining && (gone_at == Millis(0) || now < gone_at);
   }
--- a/libs/serving/src/active_config.cc
+++ b/libs/serving/src/active_config.cc
@@ -26,6 +26,7 @@
 ActiveConfig::ActiveConfig(ServingConfig config) : config_(std::move(config)) {
   for (const Route& it : config_.routes) {
     routes_by_host_[LowerCase(it.host)][it.path_prefix] = &it;
+    NotePause(it);
   }
   for (const Workspace& it : config_.workspaces) {
     for (const std::string& key : it.keys) {
@@ -59,6 +60,22 @@
   return it == workspaces_by_key_.end() ? nullptr : it->second;
 }
 
+void ActiveConfig::NotePause(const Route& route) {
+  if (route.pause_goal == Millis(0)) {
+    return;
+  }
+  for (const ServiceShare& share : route.services) {
+    Millis& pause = longest_pauses_.try_emplace(share.service, route.pause_goal)
+                        .first->second;
+    pause = std::min(pause, route.pause_goal);
+  }
+}
+
+Millis ActiveConfig::LongestPauseOf(const ServiceId& id) const {
+  auto it = longest_pauses_.find(id);
+  return it == longest_pauses_.end() ? Millis(0) : it->second;
+}
+
 const Service* ActiveConfig::FindService(const ServiceId& id) const {
   auto it = services_.find(id.str());
   return it == services_.end() ? nullptr : it->second;
--- a/libs/serving/src/upstream_book.cc
+++ b/libs/serving/src/upstream_book.cc
@@ -32,6 +32,8 @@
 
 // A peer's word about its load holds for so long.
 constexpr Millis kPeerLoadLife{2500};
+// The owner's word about prompts that wait.
+constexpr Millis kWaitingLife{500};
 
 }  // namespace
 
@@ -51,6 +53,10 @@
   return sum;
 }
 
+int64_t UpstreamState::TokensWaiting(Millis now) const {
+  return now - tokens_waiting_at < kWaitingLife ? tokens_waiting : 0;
+}
+
 void UpstreamBook::OnPeerLoad(const UpstreamId& id, const MachineId& peer,
                               const UpstreamState::PeerLoad& load) {
   if (UpstreamState* it = Find(id)) {
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -38,7 +38,8 @@
 double PromptCost(const UpstreamState& it, const ChoiceFacts& facts) {
   double per_token = ReadingMsPerToken(it);
   double tokens =
-      static_cast<double>(it.AllTokensUnread(facts.now) + facts.prompt_tokens);
+      static_cast<double>(it.AllTokensUnread(facts.now) +
+                          it.TokensWaiting(facts.now) + facts.prompt_tokens);
   return per_token * tokens + kStepMsPerRun * it.AllInFlight(facts.now);
 }
 
