End wants when their requests go elsewhere, and take what comes first

Ruled out: full engines (at most 3 of 12 had all places in use while 30 to 90 requests waited). Change: a request keeps the list of engines that it asked, is sent to whichever is ready first, and tells the others' owners that it waits no longer; an engine that was asked is preferred to another. What is left: requests leave the queue of prompts of an engine that holds their adapter, since the queue's length counts what stands behind them.

--- a/libs/gateway/include/gateway/adapter_service.h
+++ b/libs/gateway/include/gateway/adapter_service.h
@@ -26,6 +26,9 @@
 
   // Requests wait for an adapter in that version at least.
   void Want(const UpstreamId& engine, const ModelRef& target, int64_t version);
+  // A request begins (+1) or ends (-1) to wait for the adapter there. When the
+  // last one ends the owner is told.
+  void CountWait(const UpstreamId& engine, const ModelRef& target, int change);
   // An engine said that it does not hold the adapter.
   void Missing(const UpstreamId& engine, const ModelRef& target);
   // A request began (+1) or ended (-1) on an adapter.
@@ -44,8 +47,9 @@
   Ownership* const ownership_;
   OrderService* const orders_;
   PeerLink* const peers_;
-  std::map<Place, int> running_;  // No zeros.
-  std::set<Place> changed_;       // Not told yet.
+  std::map<Place, int> running_;  // No zeros, here and in `waiting_`.
+  std::map<Place, int> waiting_;
+  std::set<Place> changed_;  // Not told yet.
   Timer changed_timer_;
   Timer again_timer_;
 };
--- a/libs/gateway/include/gateway/order_service.h
+++ b/libs/gateway/include/gateway/order_service.h
@@ -50,6 +50,8 @@
   void OnEngineLeft(const UpstreamId& engine);
   void OnWant(const MachineId& machine, const UpstreamId& engine,
               const ModelRef& target, int64_t version);
+  void OnWantEnded(const MachineId& machine, const UpstreamId& engine,
+                   const ModelRef& target);
   void OnUse(const MachineId& machine, const UpstreamId& engine,
              const ModelRef& target, uint32_t running);
   void OnMissing(const UpstreamId& engine, const ModelRef& target);
--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
   // An adapter is wanted on an engine: tell its owner.
   std::function<void(const UpstreamId&, const ModelRef&, int64_t version)>
       want_adapter;
+  // A request begins or ends to wait for an adapter there.
+  std::function<void(const UpstreamId&, const ModelRef&, int change)>
+      adapter_wait;
   std::function<void(const UpstreamId&, const ModelRef&)> adapter_missing;
   // A request on an adapter began or ended.
   std::function<void(const UpstreamId&, const ModelRef&, int change)>
@@ -90,6 +94,8 @@
   bool StillAllowed();
   void Dispatch();
   void SendWhenRead(UpstreamState* upstream);
+  void EndWaits();
+  bool WaitsFor(const UpstreamId& engine, const ModelRef& target) const;
   void AskReading(const UpstreamId& engine);
   void OnReadingGranted();
   void OnReadingSilence();
@@ -136,7 +142,8 @@
   // The question whether an engine may read the prompt; 0: none is open.
   uint64_t reading_ = 0;
   UpstreamId reading_engine_;
-  UpstreamId waiting_engine_;  // While the adapter is awaited there.
+  UpstreamId waiting_engine_;  // Asked last for the adapter; empty: not now.
+  std::set<UpstreamId> wanted_at_;  // Engines that may be loading it.
   Millis waiting_since_;
   uint32_t asked_ = 0;  // Times that the adapter was asked for.
 
--- a/libs/gateway/src/adapter_service.cc
+++ b/libs/gateway/src/adapter_service.cc
@@ -53,6 +53,26 @@
   peers_->Send(owner, std::move(item));
 }
 
+void AdapterService::CountWait(const UpstreamId& engine, const ModelRef& target,
+                               int change) {
+  Place place(engine, target);
+  int left = waiting_[place] += change;
+  if (left > 0) {
+    return;
+  }
+  waiting_.erase(place);
+  MachineId owner = OwnerOf(engine);
+  if (owner == self_) {
+    orders_->OnWantEnded(self_, engine, target);
+    return;
+  }
+  schema::PeerItem item;
+  item.mutable_want()->set_engine(engine.str());
+  SetName(item.mutable_want()->mutable_target(), target);
+  item.mutable_want()->set_ended(true);
+  peers_->Send(owner, std::move(item));
+}
+
 void AdapterService::Missing(const UpstreamId& engine, const ModelRef& target) {
   MachineId owner = OwnerOf(engine);
   if (owner == self_) {
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -233,6 +233,10 @@
                                       const ModelRef& target, int64_t version) {
       adapters_.Want(engine, target, version);
     };
+    deps_.hooks.adapter_wait = [this](const UpstreamId& engine,
+                                      const ModelRef& target, int change) {
+      adapters_.CountWait(engine, target, change);
+    };
     deps_.hooks.adapter_missing = [this](const UpstreamId& engine,
                                          const ModelRef& target) {
       adapters_.Missing(engine, target);
@@ -588,9 +592,7 @@
     rates_.OnHeard(from);
     switch (item.body_case()) {
       case schema::PeerItem::kWant:
-        orders_.OnWant(from, UpstreamId(item.want().engine()),
-                       RefOf(item.want().target()),
-                       item.want().minimum_version());
+        OnWant(from, item.want());
         break;
       case schema::PeerItem::kState:
         OnAdapterState(UpstreamId(item.state().engine()),
@@ -643,6 +645,15 @@
     }
   }
 
+  void OnWant(const MachineId& from, const schema::WantAdapter& want) {
+    UpstreamId engine(want.engine());
+    if (want.ended()) {
+      orders_.OnWantEnded(from, engine, RefOf(want.target()));
+      return;
+    }
+    orders_.OnWant(from, engine, RefOf(want.target()), want.minimum_version());
+  }
+
   // ---- Readiness, metrics and stop.
 
   bool Ready() const {
--- a/libs/gateway/src/order_service.cc
+++ b/libs/gateway/src/order_service.cc
@@ -81,6 +81,14 @@
   }
 }
 
+void OrderService::OnWantEnded(const MachineId& machine,
+                               const UpstreamId& engine,
+                               const ModelRef& target) {
+  if (Placed* it = Find(engine)) {
+    it->placement.OnWantEnded(machine, target, EventLoop::Now());
+  }
+}
+
 void OrderService::OnUse(const MachineId& machine, const UpstreamId& engine,
                          const ModelRef& target, uint32_t running) {
   if (Placed* it = Find(engine)) {
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -95,6 +95,7 @@
   if (request_.model.is_adapter()) {
     deps_->hooks.adapter_use(upstream_, request_.model, 1);
   }
+  EndWaits();
   auto self = shared_from_this();
   call.on_head = [self](int status, const HttpHeaders& headers) {
     return self->OnHead(status, headers);
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -230,6 +230,7 @@
   facts.now = now;
   facts.tried = tried_;
   facts.suspect = suspect_;
+  facts.wanted_at = &wanted_at_;
   std::optional<Choice> choice = ChooseUpstream(
       state_->upstreams.UsableOf(service_, now), state_->residency, facts);
   if (!choice) {
@@ -344,6 +345,9 @@
   }
   ++asked_;
   waiting_engine_ = choice.upstream->entry.id;
+  if (wanted_at_.insert(waiting_engine_).second) {
+    deps_->hooks.adapter_wait(waiting_engine_, request_.model, 1);
+  }
   auto named = state_->named_versions.find(request_.model);
   deps_->hooks.want_adapter(
       waiting_engine_, request_.model,
@@ -369,10 +373,22 @@
   wait_timer_.Start(kFullPause, [self] { self->Dispatch(); });
 }
 
+bool RequestRun::WaitsFor(const UpstreamId& engine,
+                          const ModelRef& target) const {
+  return !finished_ && call_ == 0 && reading_ == 0 &&
+         target == request_.model && wanted_at_.count(engine) > 0;
+}
+
+void RequestRun::EndWaits() {
+  for (const UpstreamId& engine : wanted_at_) {
+    deps_->hooks.adapter_wait(engine, request_.model, -1);
+  }
+  wanted_at_.clear();
+}
+
 void RequestRun::OnAdapterReady(const UpstreamId& engine,
                                 const ModelRef& target) {
-  if (finished_ || call_ != 0 || engine != waiting_engine_ ||
-      target != request_.model) {
+  if (!WaitsFor(engine, target)) {
     return;
   }
   UpstreamState* upstream = state_->upstreams.Find(engine);
@@ -468,6 +484,7 @@
 void RequestRun::Finish(const char* outcome, int status) {
   finished_ = true;
   EndReading(false);
+  EndWaits();
   state_->upstreams.MoveSuspect(&suspect_at_, UpstreamId());
   deadline_timer_.Cancel();
   wait_timer_.Cancel();
--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -52,6 +52,9 @@
   // A machine has requests that need this adapter, of that version at least.
   void OnWant(const MachineId& machine, const ModelRef& target, int64_t version,
               Millis now);
+  // The machine's requests have gone elsewhere or ended.
+  void OnWantEnded(const MachineId& machine, const ModelRef& target,
+                   Millis now);
   // How many requests of a machine run on the adapter here.
   void OnUse(const MachineId& machine, const ModelRef& target, uint32_t running,
              Millis now);
--- a/libs/serving/include/serving/upstream_chooser.h
+++ b/libs/serving/include/serving/upstream_chooser.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "serving/residency_view.h"
@@ -24,6 +25,8 @@
   ZoneId zone;  // Of this instance.
   Millis now;
   bool suspect = false;  // A connection broke under it before.
+  // Engines that may be loading the adapter for this request; null: none.
+  const std::set<UpstreamId>* wanted_at = nullptr;
   // Upstreams that refused or failed this request already.
   std::vector<UpstreamId> tried;
 };
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -109,6 +109,25 @@
   it->second.machines.insert(machine);
 }
 
+void EnginePlacement::OnWantEnded(const MachineId& machine,
+                                  const ModelRef& target, Millis now) {
+  auto it = wanted_.find(target);
+  if (it != wanted_.end()) {
+    it->second.machines.erase(machine);
+    if (it->second.machines.empty()) {
+      wanted_.erase(it);
+    }
+  }
+  auto demand = demand_.find(target);
+  if (demand == demand_.end()) {
+    return;
+  }
+  auto use = demand->second.uses.find(machine);
+  if (use != demand->second.uses.end() && use->second.running == 0) {
+    use->second.at = now - kGrace;
+  }
+}
+
 // Whether a load could begin at once, or after those that are wanted already.
 bool EnginePlacement::HasPlaceFor(const ModelRef& target, Millis now) const {
   if (resident_.count(target) > 0 || loading_.count(target) > 0) {
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -17,6 +17,8 @@
 constexpr double kFartherMs = 90;
 // Against a second copy: it takes a place and a load that others need.
 constexpr double kSecondCopyMs = 60;
+// It was asked to load the adapter for this request.
+constexpr double kWantedMs = 120;
 // Its owner has just said that all places are in use.
 constexpr double kFullMs = 450;
 constexpr double kOtherZoneMs = 6;
@@ -121,6 +123,9 @@
         choice.cost_ms += kLoadMs + kFartherMs * static_cast<double>(order[i]);
         choice.cost_ms += facts.now < it->full_until ? kFullMs : 0;
         choice.cost_ms += held ? kSecondCopyMs : 0;
+        bool wanted = facts.wanted_at != nullptr &&
+                      facts.wanted_at->count(it->entry.id) > 0;
+        choice.cost_ms -= wanted ? kWantedMs : 0;
       }
     }
     if (!best || choice.cost_ms < best->cost_ms) {
