Give the next place to requests that have waited long

Change: a request that has waited a third of its caller's patience (for streams: what callers wait for a first event) insists; the owner keeps it for the next place that gets free and tells later ones that it is full.

--- a/libs/gateway/include/gateway/adapter_service.h
+++ b/libs/gateway/include/gateway/adapter_service.h
@@ -24,8 +24,10 @@
   AdapterService(EventLoop* loop, MachineId self, Ownership* ownership,
                  OrderService* orders, PeerLink* peers);
 
-  // Requests wait for an adapter in that version at least.
-  void Want(const UpstreamId& engine, const ModelRef& target, int64_t version);
+  // Requests wait for an adapter in that version at least; `insists`: they get
+  // the next place.
+  void Want(const UpstreamId& engine, const ModelRef& target, int64_t version,
+            bool insists);
   // A request begins (+1) or ends (-1) to wait for the adapter there. When the
   // last one ends the owner is told.
   void CountWait(const UpstreamId& engine, const ModelRef& target, int change);
--- a/libs/gateway/include/gateway/order_service.h
+++ b/libs/gateway/include/gateway/order_service.h
@@ -49,7 +49,7 @@
   void OnEngineStarted(const UpstreamId& engine);
   void OnEngineLeft(const UpstreamId& engine);
   void OnWant(const MachineId& machine, const UpstreamId& engine,
-              const ModelRef& target, int64_t version);
+              const ModelRef& target, int64_t version, bool insists);
   void OnWantEnded(const MachineId& machine, const UpstreamId& engine,
                    const ModelRef& target);
   void OnUse(const MachineId& machine, const UpstreamId& engine,
--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -30,8 +30,10 @@
 
 // What a request asks of the rest of the instance.
 struct RequestHooks {
-  // An adapter is wanted on an engine: tell its owner.
-  std::function<void(const UpstreamId&, const ModelRef&, int64_t version)>
+  // An adapter is wanted on an engine: tell its owner. One that insists is to
+  // get the next place.
+  std::function<void(const UpstreamId&, const ModelRef&, int64_t version,
+                     bool insists)>
       want_adapter;
   // A request begins or ends to wait for an adapter there.
   std::function<void(const UpstreamId&, const ModelRef&, int change)>
@@ -95,6 +97,8 @@
   void Dispatch();
   void SendWhenRead(UpstreamState* upstream);
   void EndWaits();
+  bool Insists() const;
+  Millis Patience() const;
   bool WaitsFor(const UpstreamId& engine, const ModelRef& target) const;
   void AskReading(const UpstreamId& engine);
   void OnReadingGranted();
--- a/libs/gateway/src/adapter_service.cc
+++ b/libs/gateway/src/adapter_service.cc
@@ -40,16 +40,17 @@
 }
 
 void AdapterService::Want(const UpstreamId& engine, const ModelRef& target,
-                          int64_t version) {
+                          int64_t version, bool insists) {
   MachineId owner = OwnerOf(engine);
   if (owner == self_) {
-    orders_->OnWant(self_, engine, target, version);
+    orders_->OnWant(self_, engine, target, version, insists);
     return;
   }
   schema::PeerItem item;
   item.mutable_want()->set_engine(engine.str());
   SetName(item.mutable_want()->mutable_target(), target);
   item.mutable_want()->set_minimum_version(version);
+  item.mutable_want()->set_insists(insists);
   peers_->Send(owner, std::move(item));
 }
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -230,8 +230,9 @@
     deps_.codec = ports_.codec;
     deps_.state = &state_;
     deps_.hooks.want_adapter = [this](const UpstreamId& engine,
-                                      const ModelRef& target, int64_t version) {
-      adapters_.Want(engine, target, version);
+                                      const ModelRef& target, int64_t version,
+                                      bool insists) {
+      adapters_.Want(engine, target, version, insists);
     };
     deps_.hooks.adapter_wait = [this](const UpstreamId& engine,
                                       const ModelRef& target, int change) {
@@ -651,7 +652,8 @@
       orders_.OnWantEnded(from, engine, RefOf(want.target()));
       return;
     }
-    orders_.OnWant(from, engine, RefOf(want.target()), want.minimum_version());
+    orders_.OnWant(from, engine, RefOf(want.target()), want.minimum_version(),
+                   want.insists());
   }
 
   // ---- Readiness, metrics and stop.
--- a/libs/gateway/src/order_service.cc
+++ b/libs/gateway/src/order_service.cc
@@ -72,11 +72,12 @@
 }
 
 void OrderService::OnWant(const MachineId& machine, const UpstreamId& engine,
-                          const ModelRef& target, int64_t version) {
+                          const ModelRef& target, int64_t version,
+                          bool insists) {
   if (Placed* it = Find(engine)) {
     int64_t named = hooks_.named_version(target);
     it->placement.OnWant(machine, target, std::max(version, named),
-                         EventLoop::Now());
+                         EventLoop::Now(), insists);
     Run(it);
   }
 }
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -23,13 +23,16 @@
 constexpr Millis kAskAgain{150};
 // After a word that the engine is full another one is asked so soon.
 constexpr Millis kFullPause{15};
+// From this part of its patience on a request insists on the next place.
+constexpr int64_t kInsistParts = 3;
 constexpr Millis kFullFor{250};
 // The owner of an engine answers within this time; a prompt that waits is
 // asked for again as often.
 constexpr Millis kReadingAnswer{120};
 // Without an owner: how often it is looked whether the engine has read enough.
 constexpr Millis kReadAgain{20};
-// A request with less than this part of its time left does not wait for that.
+// A request with less than this part of its patience left does not wait for
+// that.
 constexpr int64_t kPressingParts = 3;
 constexpr Millis kNoUpstreamWait{120};
 constexpr Millis kRefusalRetry{400};
@@ -260,8 +263,8 @@
 void RequestRun::SendWhenRead(UpstreamState* upstream) {
   Millis now = EventLoop::Now();
   Millis pause = config_->LongestPauseOf(service_);
-  Millis allowed = deadline_ - arrived_;
-  bool pressing = TimeLeft().count() * kPressingParts < allowed.count();
+  Millis left = Patience() - (now - arrived_);
+  bool pressing = left.count() * kPressingParts < Patience().count();
   if (pause == Millis(0) || PromptTokens() == 0 || pressing) {
     Send(upstream);
     return;
@@ -351,7 +354,7 @@
   auto named = state_->named_versions.find(request_.model);
   deps_->hooks.want_adapter(
       waiting_engine_, request_.model,
-      named != state_->named_versions.end() ? named->second : 0);
+      named != state_->named_versions.end() ? named->second : 0, Insists());
   if (finished_ || waiting_engine_.empty() || call_ != 0) {
     return;  // The owner, this instance, has answered at once.
   }
@@ -379,6 +382,19 @@
          target == request_.model && wanted_at_.count(engine) > 0;
 }
 
+// Others that came later would take the places before it.
+bool RequestRun::Insists() const {
+  Millis waited = EventLoop::Now() - arrived_;
+  return waited.count() * kInsistParts > Patience().count();
+}
+
+// How long the caller waits for the answer to begin.
+Millis RequestRun::Patience() const {
+  Millis allowed = deadline_ - arrived_;
+  Millis patience = route_->StreamPatience();
+  return patience == Millis(0) ? allowed : std::min(allowed, patience);
+}
+
 void RequestRun::EndWaits() {
   for (const UpstreamId& engine : wanted_at_) {
     deps_->hooks.adapter_wait(engine, request_.model, -1);
--- a/libs/serving/include/serving/config.h
+++ b/libs/serving/include/serving/config.h
@@ -1,6 +1,7 @@
 // The configuration in force: routes, services, workspaces and limits.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -37,6 +38,16 @@
   Millis pause_goal;  // Longest pause between two events; 0: none stated.
   int priority = 0;   // 0 is the most urgent.
 
+  // How long a caller waits for the first event of a stream, and between two,
+  // before it gives up; zero for other kinds: their time is the deadline.
+  Millis StreamPatience() const {
+    constexpr Millis kLeast{2000};
+    constexpr int64_t kGoals = 4;
+    constexpr int64_t kPauses = 8;
+    bool stream = kind == RequestKind::kStream;
+    return stream ? std::max({kLeast, goal * kGoals, pause_goal * kPauses})
+                  : Millis(0);
+  }
   bool MayRunTwice() const { return kind == RequestKind::kIdempotent; }
 };
 
--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -50,8 +50,10 @@
 
   void SetEngine(const EngineProfile& spec);
   // A machine has requests that need this adapter, of that version at least.
+  // One that insists takes the next place that gets free; others are told when
+  // there is none.
   void OnWant(const MachineId& machine, const ModelRef& target, int64_t version,
-              Millis now);
+              Millis now, bool insists = false);
   // The machine's requests have gone elsewhere or ended.
   void OnWantEnded(const MachineId& machine, const ModelRef& target,
                    Millis now);
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -78,7 +78,7 @@
 }
 
 void EnginePlacement::OnWant(const MachineId& machine, const ModelRef& target,
-                             int64_t version, Millis now) {
+                             int64_t version, Millis now, bool insists) {
   Touch(target, 1, now);
   Use& use = demand_[target].uses[machine];
   use.at = now;
@@ -92,7 +92,8 @@
     pending_tells_.push_back(std::move(tell));
     return;
   }
-  if (synced_ && wanted_.count(target) == 0 && !HasPlaceFor(target, now)) {
+  bool waits = insists || wanted_.count(target) > 0;
+  if (synced_ && !waits && !HasPlaceFor(target, now)) {
     PlacementAction tell;
     tell.kind = PlacementAction::Kind::kTellFull;
     tell.target = target;
--- a/libs/serving/test/engine_placement_test.cc
+++ b/libs/serving/test/engine_placement_test.cc
@@ -161,6 +161,51 @@
   REQUIRE(actions[0].machine == kSelf);
 }
 
+// Pattern: more adapters wanted than places, for longer than callers wait.
+TEST_CASE("who insists gets the next place before those that came later",
+          "[placement]") {
+  Millis now(1000);
+  EnginePlacement it;
+  it.SetEngine(Spec());
+  it.Reset(now);
+  it.Next(true, now);
+  it.OnReport(true, ReportOf(6, {1, 2, 3, 4, 5, 6}), now);
+  for (int n = 1; n <= 6; ++n) {
+    it.OnUse(kPeer, Adapter(n), 1, now);
+  }
+  it.OnWant(kSelf, Adapter(7), 0, now, true);
+  REQUIRE(it.Next(true, now).empty());
+  it.OnUse(kPeer, Adapter(1), 0, now);
+  // The place that got free is taken.
+  it.OnWant(kPeer, Adapter(8), 0, now);
+  auto actions = it.Next(true, now);
+  REQUIRE(Of(actions, PlacementAction::Kind::kTellFull).size() == 1);
+  auto orders = Of(actions, PlacementAction::Kind::kOrder);
+  REQUIRE(orders.size() == 1);
+  REQUIRE(orders[0].verb == OrderVerb::kUnload);
+  REQUIRE(orders[0].target == Adapter(1));
+  it.OnOrder(OrderOutcome::kHolds, now);
+  orders = Of(it.Next(true, now), PlacementAction::Kind::kOrder);
+  REQUIRE(orders.size() == 1);
+  REQUIRE(orders[0].target == Adapter(7));
+}
+
+// Pattern: a request that asked two engines is served by one of them.
+TEST_CASE("nothing is loaded for a want that has ended", "[placement]") {
+  Millis now(1000);
+  EnginePlacement it = Synced(now);
+  it.OnWant(kSelf, Adapter(1), 0, now);
+  it.OnWant(kPeer, Adapter(1), 0, now);
+  it.OnWantEnded(kPeer, Adapter(1), now);
+  it.OnWant(kPeer, Adapter(2), 0, now);
+  it.OnWantEnded(kPeer, Adapter(2), now);
+  auto orders = Of(it.Next(true, now), PlacementAction::Kind::kOrder);
+  REQUIRE(orders.size() == 1);
+  REQUIRE(orders[0].target == Adapter(1));
+  it.OnOrder(OrderOutcome::kStarted, now);
+  REQUIRE(Of(it.Next(true, now), PlacementAction::Kind::kOrder).empty());
+}
+
 // Found on scale-1: adapters were unloaded before their first request came.
 TEST_CASE("an adapter is not unloaded just after the word that it is ready",
           "[placement]") {
