Explain a request from logs, serve histograms, split the gateway further

- bilberrypitch explain ID LOG...: the request's lines of several logs in order of time, with words for numbers and what was logged of its upstreams, configurations and dependencies while it was open.
- Log lines had whole seconds only: the format's sub-second part is not printed by the distribution's fmt.
Now milliseconds.

--- a/apps/bilberrypitch/main.cc
+++ b/apps/bilberrypitch/main.cc
@@ -3,10 +3,12 @@
 
 #include <boost/program_options.hpp>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <optional>
 
+#include "explain/explain.h"
 #include "own_settings.h"
 #include "platform_serve.h"
 #include "replay/replay.h"
@@ -29,6 +31,7 @@
     "errors\n"
     "  replay TRACE...                         compare traces with their "
     "outcomes\n"
+    "  explain REQUEST-ID LOG...               story of a request from logs\n"
     "--boot is the platform's file; without it BILBERRYPITCH_BOOT names it.\n"
     "--settings is the program's own file, in JSON; it may be left out.\n"
     "--help and --version print and exit.\n";
@@ -72,15 +75,47 @@
   return files ? ServeOnPlatform(*files) : kWrongUse;
 }
 
+bool ReadFile(const std::string& path, std::string* text) {
+  std::ifstream in(path);
+  if (!in) {
+    fmt::print(stderr, "bilberrypitch: {} can't be read.\n", path);
+    return false;
+  }
+  text->assign(std::istreambuf_iterator<char>(in), {});
+  return true;
+}
+
+int Explain(const std::vector<std::string>& words) {
+  if (words.size() < 2) {
+    fmt::print(stderr, "bilberrypitch: explain takes an id and logs.\n");
+    return kWrongUse;
+  }
+  std::vector<NamedLog> logs;
+  for (size_t i = 1; i < words.size(); ++i) {
+    NamedLog log;
+    log.name = std::filesystem::path(words[i]).stem().string();
+    if (!ReadFile(words[i], &log.text)) {
+      return kWrongUse;
+    }
+    logs.push_back(std::move(log));
+  }
+  std::vector<std::string> story = ExplainRequest(words[0], logs);
+  for (const std::string& line : story) {
+    fmt::print("{}\n", line);
+  }
+  if (story.empty()) {
+    fmt::print(stderr, "bilberrypitch: no log names {}.\n", words[0]);
+  }
+  return story.empty() ? kFailed : kDone;
+}
+
 int Replay(const std::vector<std::string>& files) {
   bool same = !files.empty();
   for (const std::string& file : files) {
-    std::ifstream in(file);
-    if (!in) {
-      fmt::print(stderr, "bilberrypitch: {} can't be read.\n", file);
+    std::string text;
+    if (!ReadFile(file, &text)) {
       return kWrongUse;
     }
-    std::string text(std::istreambuf_iterator<char>(in), {});
     ReplayResult result = ReplayTrace(text);
     bool differs = !result.differences.empty();
     fmt::print("{}: {} steps, {}\n", file, result.steps,
@@ -113,6 +148,9 @@
   if (command == "check") {
     return Check(words);
   }
+  if (command == "explain") {
+    return Explain(words);
+  }
   if (command == "replay") {
     return Replay(words);
   }
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -121,7 +121,9 @@
   }
   auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
-  TheWriter().Add(fmt::format("{:%FT%T}Z {} {}: {}\n", now,
+  auto second = std::chrono::floor<std::chrono::seconds>(now);
+  TheWriter().Add(fmt::format("{:%FT%T}.{:03}Z {} {}: {}\n", second,
+                              (now - second).count(),
                               kNames[static_cast<size_t>(level)], part, text));
 }
 
--- a/libs/gateway/include/gateway/adapter_service.h
+++ b/libs/gateway/include/gateway/adapter_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <utility>
@@ -16,13 +17,34 @@
 class OrderService;
 class Ownership;
 class PeerLink;
+enum class AdapterPlace : uint8_t;
+namespace schema {
+class AdapterMissing;
+class AdapterState;
+class AdapterUse;
+class WantAdapter;
+}  // namespace schema
 
 // On the loop's thread only.
 class AdapterService {
  public:
+  // An owner's word about one of its engines.
+  using OnPlace =
+      std::function<void(const UpstreamId& engine, const ModelRef& target,
+                         int64_t version, AdapterPlace place)>;
+
   // Tells what runs every now and then from the start on.
   AdapterService(EventLoop* loop, MachineId self, Ownership* ownership,
-                 OrderService* orders, PeerLink* peers);
+                 OrderService* orders, PeerLink* peers, OnPlace on_place);
+
+  // As the owner: tells a machine, this one too.
+  void Tell(const MachineId& machine, const UpstreamId& engine,
+            const ModelRef& target, int64_t version, AdapterPlace place);
+  // What other instances say.
+  void OnWant(const MachineId& from, const schema::WantAdapter& want);
+  void OnUse(const MachineId& from, const schema::AdapterUse& use);
+  void OnMissing(const schema::AdapterMissing& missing);
+  void OnState(const schema::AdapterState& state);
 
   // Requests wait for an adapter in that version at least; `insists`: they get
   // the next place.
@@ -49,6 +71,7 @@
   Ownership* const ownership_;
   OrderService* const orders_;
   PeerLink* const peers_;
+  const OnPlace on_place_;
   std::map<Place, int> running_;  // No zeros, here and in `waiting_`.
   std::map<Place, int> waiting_;
   std::set<Place> changed_;  // Not told yet.
--- a/libs/gateway/include/gateway/freshness_service.h
+++ b/libs/gateway/include/gateway/freshness_service.h
@@ -54,7 +54,6 @@
   void Fetch(const MachineId& from);
   void OnState(const schema::KnownState& known, Millis asked);
 
-  EventLoop* const loop_;
   LoopClient* const client_;
   PeerLink* const peers_;
   StoreSync* const sync_;
--- a/libs/gateway/include/gateway/lease_keeper.h
+++ b/libs/gateway/include/gateway/lease_keeper.h
@@ -40,7 +40,6 @@
   void OnGranted(const StoreLease& it, Millis sent);
   void OnRenewed(const StoreLease& it, Millis sent);
 
-  EventLoop* const loop_;
   ClusterStore* const store_;
   const Millis time_to_live_;
   const Hooks hooks_;
--- a/libs/gateway/include/gateway/membership.h
+++ b/libs/gateway/include/gateway/membership.h
@@ -55,7 +55,6 @@
   void Schedule();
   void Write(const DutyClaim& claim);
 
-  EventLoop* const loop_;
   ClusterStore* const store_;
   const ClusterMember self_;
   PeerLink* const peers_;
--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/error.h"
@@ -121,6 +122,7 @@
   void Refuse(ErrorKind kind, std::string detail, Millis retry_after);
   void Fail(const Error& error);
   void Answer(HttpResponse response);
+  void Measure(std::string_view outcome);
   void Finish(const char* outcome, int status);
   Millis TimeLeft() const;
   bool IsStream() const;
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "gateway/latency_histogram.h"
 #include "serving/active_config.h"
 #include "serving/crash_ledger.h"
 #include "serving/freshness.h"
@@ -54,6 +55,12 @@
   size_t instances = 1;   // Live ones, this one included.
   bool stopping = false;  // Answers end their connections.
   RequestCounters counters;
+  // Of answered requests: to the first event, to the end, the longest pause of
+  // a stream; and of those that waited for an adapter, the wait.
+  LatencyHistogram first_event;
+  LatencyHistogram answer;
+  LatencyHistogram pause;
+  LatencyHistogram adapter_wait;
 };
 
 }  // namespace bilberrypitch
--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -43,8 +43,6 @@
         on_listed;
     // What is known was the store's state at `at`.
     std::function<void(Millis at)> on_confirmed;
-    std::function<void()> on_lost;
-    std::function<void()> on_regained;
   };
 
   StoreSync(EventLoop* loop, ClusterStore* store, StoreSyncPace pace,
--- a/libs/gateway/src/adapter_service.cc
+++ b/libs/gateway/src/adapter_service.cc
@@ -15,6 +15,34 @@
 // Owners forget a use that is not told again.
 constexpr Millis kAgainPeriod{1500};
 
+ModelRef RefOf(const schema::ModelName& it) {
+  return ModelRef{ModelId(it.model()), AdapterId(it.adapter())};
+}
+
+schema::AdapterPlace ToWire(AdapterPlace place) {
+  switch (place) {
+    case AdapterPlace::kReady:
+      return schema::PLACE_READY;
+    case AdapterPlace::kEvicted:
+      return schema::PLACE_EVICTED;
+    case AdapterPlace::kFull:
+      return schema::PLACE_FULL;
+  }
+  return schema::PLACE_UNKNOWN;
+}
+
+// What is not known is treated as gone: it is asked for again.
+AdapterPlace FromWire(schema::AdapterPlace place) {
+  switch (place) {
+    case schema::PLACE_READY:
+      return AdapterPlace::kReady;
+    case schema::PLACE_FULL:
+      return AdapterPlace::kFull;
+    default:
+      return AdapterPlace::kEvicted;
+  }
+}
+
 void SetName(schema::ModelName* to, const ModelRef& from) {
   to->set_model(from.model.str());
   to->set_adapter(from.adapter.str());
@@ -24,11 +52,12 @@
 
 AdapterService::AdapterService(EventLoop* loop, MachineId self,
                                Ownership* ownership, OrderService* orders,
-                               PeerLink* peers)
+                               PeerLink* peers, OnPlace on_place)
     : self_(std::move(self)),
       ownership_(ownership),
       orders_(orders),
       peers_(peers),
+      on_place_(std::move(on_place)),
       changed_timer_(loop),
       again_timer_(loop) {
   TellAgain();
@@ -74,6 +103,47 @@
   peers_->Send(owner, std::move(item));
 }
 
+void AdapterService::Tell(const MachineId& machine, const UpstreamId& engine,
+                          const ModelRef& target, int64_t version,
+                          AdapterPlace place) {
+  if (machine == self_) {
+    on_place_(engine, target, version, place);
+    return;
+  }
+  schema::PeerItem item;
+  item.mutable_state()->set_engine(engine.str());
+  SetName(item.mutable_state()->mutable_target(), target);
+  item.mutable_state()->set_version(version);
+  item.mutable_state()->set_place(ToWire(place));
+  peers_->Send(machine, std::move(item));
+}
+
+void AdapterService::OnState(const schema::AdapterState& state) {
+  on_place_(UpstreamId(state.engine()), RefOf(state.target()), state.version(),
+            FromWire(state.place()));
+}
+
+void AdapterService::OnWant(const MachineId& from,
+                            const schema::WantAdapter& want) {
+  UpstreamId engine(want.engine());
+  if (want.ended()) {
+    orders_->OnWantEnded(from, engine, RefOf(want.target()));
+    return;
+  }
+  orders_->OnWant(from, engine, RefOf(want.target()), want.minimum_version(),
+                  want.insists());
+}
+
+void AdapterService::OnUse(const MachineId& from,
+                           const schema::AdapterUse& use) {
+  orders_->OnUse(from, UpstreamId(use.engine()), RefOf(use.target()),
+                 use.running());
+}
+
+void AdapterService::OnMissing(const schema::AdapterMissing& missing) {
+  orders_->OnMissing(UpstreamId(missing.engine()), RefOf(missing.target()));
+}
+
 void AdapterService::Missing(const UpstreamId& engine, const ModelRef& target) {
   MachineId owner = OwnerOf(engine);
   if (owner == self_) {
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -1,19 +1,18 @@
 // Wires listeners, store, peers, orders and requests of one instance.
 #include "gateway/gateway.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <set>
-#include <unordered_map>
 
 #include "base/hash.h"
 #include "base/log.h"
 #include "gateway/adapter_service.h"
+#include "gateway/caller_edges.h"
 #include "gateway/crash_service.h"
 #include "gateway/freshness_service.h"
 #include "gateway/load_teller.h"
 #include "gateway/membership.h"
+#include "gateway/metrics_page.h"
 #include "gateway/order_service.h"
 #include "gateway/peer_link.h"
 #include "gateway/rate_service.h"
@@ -39,54 +38,9 @@
 constexpr Millis kAskPeersAge{2400};
 // at the latest at this part of the withdrawal bound.
 constexpr int64_t kAskPeersParts = 2;
-// The balancer takes an instance out after two misses, one a second.
-constexpr Millis kNoticedByBalancer{2600};
-// Before the platform's kill.
-constexpr Millis kStopMargin{700};
-constexpr Millis kStopCheck{50};
-// For the last answers to leave.
-constexpr Millis kFlushTime{150};
-constexpr Millis kStoppingRetry{50};
-// Longer than any limit that a configuration states for callers.
-constexpr Millis kCallerIdle{120 * 1000};
-// Numbers of the completions edge's connections begin here.
-constexpr uint64_t kOtherEdge = uint64_t{1} << 62;
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
-ModelRef RefOf(const schema::ModelName& it) {
-  return ModelRef{ModelId(it.model()), AdapterId(it.adapter())};
-}
-
-schema::AdapterPlace ToWire(AdapterPlace place) {
-  switch (place) {
-    case AdapterPlace::kReady:
-      return schema::PLACE_READY;
-    case AdapterPlace::kEvicted:
-      return schema::PLACE_EVICTED;
-    case AdapterPlace::kFull:
-      return schema::PLACE_FULL;
-  }
-  return schema::PLACE_UNKNOWN;
-}
-
-// What is not known is treated as gone: it is asked for again.
-AdapterPlace FromWire(schema::AdapterPlace place) {
-  switch (place) {
-    case schema::PLACE_READY:
-      return AdapterPlace::kReady;
-    case schema::PLACE_FULL:
-      return AdapterPlace::kFull;
-    default:
-      return AdapterPlace::kEvicted;
-  }
-}
-
-void SetName(schema::ModelName* to, const ModelRef& from) {
-  to->set_model(from.model.str());
-  to->set_adapter(from.adapter.str());
-}
-
 }  // namespace
 
 class Gateway::Impl {
@@ -109,15 +63,19 @@
                 membership_.lease(), &state_.upstreams, ports_.engines,
                 OrderHooks()),
         adapters_(loop_, self_.machine, membership_.ownership(), &orders_,
-                  &peers_),
+                  &peers_,
+                  [this](const UpstreamId& engine, const ModelRef& target,
+                         int64_t version, AdapterPlace place) {
+                    OnAdapterState(engine, target, version, place);
+                  }),
         loads_(loop_, &state_.upstreams, &peers_),
         rates_(loop_, self_.machine, RateMarginOf(settings.bounds),
                membership_.ownership(), membership_.lease(), &peers_),
         reading_(loop_, self_.machine, membership_.ownership(),
                  &state_.upstreams, &peers_, ReadingHooks()),
         crashes_(&state_.crashes, &peers_),
-        expire_timer_(loop_),
-        stop_timer_(loop_) {
+        callers_(loop_, &state_),
+        expire_timer_(loop_) {
     fresh_ = std::make_unique<FreshnessService>(
         loop_, ports_.client, &peers_, &sync_, &state_.freshness,
         AskPeersAge(settings.bounds),
@@ -131,10 +89,6 @@
   }
 
   ~Impl() {
-    callers_->Stop();
-    if (completions_) {
-      completions_->Stop();
-    }
     ready_->Stop();
     peer_server_->Stop();
   }
@@ -145,10 +99,7 @@
     }
     state_.stopping = true;
     membership_.StopClaiming();
-    stop_begun_ = EventLoop::Now();
-    stop_done_ = std::move(done);
-    LogInfo("gateway", "Stopping with {} open requests.", active_.size());
-    CheckStop();
+    callers_.BeginStop(std::move(done));
   }
 
  private:
@@ -192,8 +143,6 @@
     hooks.on_confirmed = [this](Millis at) {
       state_.freshness.OnConfirmed(at);
     };
-    hooks.on_lost = [] {};
-    hooks.on_regained = [] {};
     return hooks;
   }
 
@@ -202,7 +151,7 @@
     hooks.tell = [this](const MachineId& machine, const UpstreamId& engine,
                         const ModelRef& target, int64_t version,
                         AdapterPlace place) {
-      TellAdapter(machine, engine, target, version, place);
+      adapters_.Tell(machine, engine, target, version, place);
     };
     hooks.spec_of = [this](const UpstreamId& engine) { return SpecOf(engine); };
     hooks.named_version = [this](const ModelRef& target) {
@@ -271,7 +220,9 @@
     deps_.hooks.reading_done = [this](uint64_t number, bool read) {
       reading_.Done(number, read);
     };
-    deps_.hooks.ended = [this](uint64_t connection) { OnEnded(connection); };
+    deps_.hooks.ended = [this](uint64_t connection) {
+      callers_.OnRunEnded(connection);
+    };
     completions_deps_ = deps_;
     completions_deps_.codec = ports_.completions_codec;
   }
@@ -290,29 +241,10 @@
     return options;
   }
 
-  std::unique_ptr<HttpServer> ListenForCallers(const std::string& address,
-                                               const RequestDeps* deps,
-                                               uint64_t first_connection) {
-    HttpServerOptions options = OptionsFor(address);
-    options.first_connection = first_connection;
-    options.max_body_bytes = CallerLimits().body_bytes;
-    options.max_header_bytes = CallerLimits().header_bytes;
-    options.idle_limit = kCallerIdle;
-    options.on_closed = [this](uint64_t connection) {
-      OnCallerClosed(connection);
-    };
-    return std::make_unique<HttpServer>(
-        options, [this, deps](HttpRequest request,
-                              std::shared_ptr<Responder> responder) {
-          OnRequest(*deps, std::move(request), std::move(responder));
-        });
-  }
-
   void Listen() {
-    callers_ = ListenForCallers(state_.settings.caller_address, &deps_, 0);
+    callers_.Listen(state_.settings.caller_address, &deps_);
     if (ports_.completions_codec != nullptr) {
-      completions_ = ListenForCallers(ports_.completions_address,
-                                      &completions_deps_, kOtherEdge);
+      callers_.Listen(ports_.completions_address, &completions_deps_);
     }
     ready_ = std::make_unique<HttpServer>(
         OptionsFor(state_.settings.ready_address),
@@ -326,67 +258,6 @@
         });
   }
 
-  // ---- Requests.
-
-  void OnRequest(const RequestDeps& deps, HttpRequest request,
-                 std::shared_ptr<Responder> responder) {
-    uint64_t connection = request.connection;
-    Error error;
-    if (state_.stopping &&
-        EventLoop::Now() - stop_begun_ > kNoticedByBalancer) {
-      // Who still comes here keeps an old connection: it is to use another.
-      error = {ErrorKind::kStopping, "This instance is stopping.",
-               NotRun::kTrue};
-      ++state_.counters.refused;
-      Refuse(*deps.codec, error, deps.codec->RequestIdOf(request),
-             kStoppingRetry, responder.get());
-      return;
-    }
-    RequestId id = deps.codec->RequestIdOf(request);
-    std::optional<ServingRequest> decoded =
-        deps.codec->DecodeRequest(std::move(request), &error);
-    if (!decoded) {
-      LogInfo("request", "Refused id={} kind={} detail={}", id.str(),
-              AnswerFor(error.kind).name, error.detail);
-      Refuse(*deps.codec, error, id, Millis(0), responder.get());
-      return;
-    }
-    auto run = std::make_shared<RequestRun>(&deps, std::move(*decoded),
-                                            std::move(responder), connection);
-    active_.emplace(connection, run);
-    run->Begin();
-  }
-
-  void Refuse(const EdgeCodec& codec, const Error& error, const RequestId& id,
-              Millis retry_after, Responder* responder) {
-    HttpResponse response = codec.EncodeError(error, id, retry_after);
-    response.close_connection = state_.stopping;
-    responder->Send(std::move(response));
-  }
-
-  void OnEnded(uint64_t connection) {
-    // Called from within the run: it goes after this turn of the loop.
-    loop_->Post([this, connection] {
-      auto [from, to] = active_.equal_range(connection);
-      for (auto it = from; it != to;) {
-        it = it->second->finished() ? active_.erase(it) : std::next(it);
-      }
-    });
-  }
-
-  void OnCallerClosed(uint64_t connection) {
-    loop_->Post([this, connection] {
-      std::vector<std::shared_ptr<RequestRun>> left;
-      auto [from, to] = active_.equal_range(connection);
-      for (auto it = from; it != to; ++it) {
-        left.push_back(it->second);
-      }
-      for (const auto& run : left) {
-        run->OnCallerLeft();
-      }
-    });
-  }
-
   // ---- What the store says.
 
   void OnItem(const StoreItem& item, bool settling) {
@@ -420,10 +291,7 @@
             config.version, revision, config.routes.size());
     state_.config = std::make_shared<const ActiveConfig>(std::move(config));
     const CallerLimits& limits = state_.config->config().limits;
-    callers_->SetLimits(limits.header_bytes, limits.body_bytes);
-    if (completions_) {
-      completions_->SetLimits(limits.header_bytes, limits.body_bytes);
-    }
+    callers_.SetLimits(limits);
     ApplyRates();
     for (const DutyId& duty : membership_.ownership()->Duties()) {
       OnDuty(duty);
@@ -550,21 +418,6 @@
 
   // ---- Adapters.
 
-  void TellAdapter(const MachineId& machine, const UpstreamId& engine,
-                   const ModelRef& target, int64_t version,
-                   AdapterPlace place) {
-    if (machine == self_.machine) {
-      OnAdapterState(engine, target, version, place);
-      return;
-    }
-    schema::PeerItem item;
-    item.mutable_state()->set_engine(engine.str());
-    SetName(item.mutable_state()->mutable_target(), target);
-    item.mutable_state()->set_version(version);
-    item.mutable_state()->set_place(ToWire(place));
-    peers_.Send(machine, std::move(item));
-  }
-
   void OnAdapterState(const UpstreamId& engine, const ModelRef& target,
                       int64_t version, AdapterPlace place) {
     if (place == AdapterPlace::kEvicted) {
@@ -574,11 +427,7 @@
     if (place == AdapterPlace::kReady) {
       state_.residency.OnReady(engine, target, version);
     }
-    std::vector<std::shared_ptr<RequestRun>> runs;
-    for (const auto& [connection, run] : active_) {
-      runs.push_back(run);
-    }
-    for (const auto& run : runs) {
+    for (const auto& run : callers_.open()) {
       if (place == AdapterPlace::kReady) {
         run->OnAdapterReady(engine, target);
       } else {
@@ -593,20 +442,16 @@
     rates_.OnHeard(from);
     switch (item.body_case()) {
       case schema::PeerItem::kWant:
-        OnWant(from, item.want());
+        adapters_.OnWant(from, item.want());
         break;
       case schema::PeerItem::kState:
-        OnAdapterState(UpstreamId(item.state().engine()),
-                       RefOf(item.state().target()), item.state().version(),
-                       FromWire(item.state().place()));
+        adapters_.OnState(item.state());
         break;
       case schema::PeerItem::kUse:
-        orders_.OnUse(from, UpstreamId(item.use().engine()),
-                      RefOf(item.use().target()), item.use().running());
+        adapters_.OnUse(from, item.use());
         break;
       case schema::PeerItem::kMissing:
-        orders_.OnMissing(UpstreamId(item.missing().engine()),
-                          RefOf(item.missing().target()));
+        adapters_.OnMissing(item.missing());
         break;
       case schema::PeerItem::kRateQuestion:
         rates_.OnQuestion(from, item.rate_question());
@@ -646,16 +491,6 @@
     }
   }
 
-  void OnWant(const MachineId& from, const schema::WantAdapter& want) {
-    UpstreamId engine(want.engine());
-    if (want.ended()) {
-      orders_.OnWantEnded(from, engine, RefOf(want.target()));
-      return;
-    }
-    orders_.OnWant(from, engine, RefOf(want.target()), want.minimum_version(),
-                   want.insists());
-  }
-
   // ---- Readiness, metrics and stop.
 
   bool Ready() const {
@@ -667,55 +502,22 @@
     HttpResponse response;
     if (request.path == "/metrics") {
       response.headers.Add("Content-Type", "text/plain; version=0.0.4");
-      response.body = Metrics();
+      response.body = MetricsPage(state_, Facts());
       return response;
     }
     response.status = Ready() ? kOk : kUnavailable;
     return response;
   }
 
-  std::string Metrics() const {
-    const RequestCounters& it = state_.counters;
-    std::string text;
-    auto add = [&text](const char* name, uint64_t value) {
-      text += fmt::format("bilberrypitch_{} {}\n", name, value);
-    };
-    add("requests_received_total", it.received);
-    add("requests_answered_total", it.answered);
-    add("requests_refused_total", it.refused);
-    add("requests_failed_total", it.failed);
-    add("requests_caller_left_total", it.caller_left);
-    add("requests_rate_limited_total", it.rate_limited);
-    add("request_repeats_total", it.repeats);
-    add("adapter_waits_total", it.adapter_waits);
-    add("reading_waits_total", it.reading_waits);
-    add("adapter_misses_total", it.adapter_misses);
-    add("orders_total", orders_.orders());
-    add("reports_total", orders_.reports());
-    add("upstream_connections_total", ports_.client->connections_made());
-    add("requests_open", active_.size());
-    add("log_lines_dropped_total", DroppedLogLines());
-    return text;
-  }
-
-  void CheckStop() {
-    Millis spent = EventLoop::Now() - stop_begun_;
-    Millis grace = state_.settings.bounds.stop - kStopMargin;
-    bool done = spent >= kNoticedByBalancer && active_.empty();
-    if (!done && spent < grace) {
-      stop_timer_.Start(kStopCheck, [this] { CheckStop(); });
-      return;
-    }
-    LogInfo("gateway", "Stopped after {} ms with {} open requests.",
-            spent.count(), active_.size());
-    std::vector<std::shared_ptr<RequestRun>> open;
-    for (const auto& [connection, run] : active_) {
-      open.push_back(run);
-    }
-    for (const auto& run : open) {
-      run->OnStop();
-    }
-    stop_timer_.Start(kFlushTime, [this] { stop_done_(); });
+  InstanceFacts Facts() const {
+    InstanceFacts facts;
+    facts.orders = orders_.orders();
+    facts.reports = orders_.reports();
+    facts.upstream_connections = ports_.client->connections_made();
+    facts.open_requests = callers_.open().size();
+    facts.peers = peers_.peers().size();
+    facts.knowledge_age_ms = state_.freshness.Age(EventLoop::Now()).count();
+    return facts;
   }
 
   const GatewayPorts ports_;
@@ -734,15 +536,9 @@
   std::unique_ptr<FreshnessService> fresh_;
   RequestDeps deps_;
   RequestDeps completions_deps_;
-  // By connection; one may carry several requests.
-  std::unordered_multimap<uint64_t, std::shared_ptr<RequestRun>> active_;
+  CallerEdges callers_;
   std::map<UpstreamId, std::string> upstream_keys_;
   Timer expire_timer_;
-  Timer stop_timer_;
-  Millis stop_begun_;
-  std::function<void()> stop_done_;
-  std::unique_ptr<HttpServer> callers_;
-  std::unique_ptr<HttpServer> completions_;  // Null: no such edge.
   std::unique_ptr<HttpServer> ready_;
   std::unique_ptr<HttpServer> peer_server_;
 };
--- a/libs/gateway/src/lease_keeper.cc
+++ b/libs/gateway/src/lease_keeper.cc
@@ -17,8 +17,7 @@
 
 LeaseKeeper::LeaseKeeper(EventLoop* loop, ClusterStore* store,
                          Millis time_to_live, Hooks hooks)
-    : loop_(loop),
-      store_(store),
+    : store_(store),
       time_to_live_(time_to_live),
       hooks_(std::move(hooks)),
       timer_(loop) {}
--- a/libs/gateway/src/membership.cc
+++ b/libs/gateway/src/membership.cc
@@ -20,8 +20,7 @@
 Membership::Membership(EventLoop* loop, ClusterStore* store,
                        const ClusterMember& self, Millis lease_time,
                        Millis turn, PeerLink* peers, Hooks hooks)
-    : loop_(loop),
-      store_(store),
+    : store_(store),
       self_(self),
       peers_(peers),
       hooks_(std::move(hooks)),
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -497,6 +497,20 @@
   responder_->Send(std::move(response));
 }
 
+void RequestRun::Measure(std::string_view outcome) {
+  if (outcome != "answered") {
+    return;
+  }
+  state_->answer.Add(EventLoop::Now() - arrived_);
+  if (first_event_after_ > Millis(0)) {
+    state_->first_event.Add(first_event_after_);
+    state_->pause.Add(longest_pause_);
+  }
+  if (asked_ > 0) {
+    state_->adapter_wait.Add(sent_at_ - waiting_since_);
+  }
+}
+
 void RequestRun::Finish(const char* outcome, int status) {
   finished_ = true;
   EndReading(false);
@@ -504,6 +518,7 @@
   state_->upstreams.MoveSuspect(&suspect_at_, UpstreamId());
   deadline_timer_.Cancel();
   wait_timer_.Cancel();
+  Measure(outcome);
   LogInfo("request",
           "Ended id={} outcome={} status={} ms={} sends={} model={} "
           "workspace={} route={} first_ms={} pause_ms={} asked={} misses={} "
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -139,7 +139,6 @@
     away_ = true;
     away_since_ = EventLoop::Now();
     LogWarning("store", "Lost while {}, revision={}.", what, revision_);
-    hooks_.on_lost();
   }
   Millis wait = std::min(kLongestRetry, kFirstRetry * failures_);
   retry_.Start(wait, [this] {
@@ -158,7 +157,6 @@
     back_at_ = now;
     LogInfo("store", "Regained after {} ms, revision={}.",
             (now - away_since_).count(), revision_);
-    hooks_.on_regained();
   }
 }
 
--- /dev/null
+++ b/libs/gateway/test/metrics_test.cc
@@ -0,0 +1,50 @@
+// Tests of the metrics page.
+#include <catch2/catch.hpp>
+
+#include "gateway/latency_histogram.h"
+#include "gateway/metrics_page.h"
+#include "gateway/serving_state.h"
+
+namespace bilberrypitch {
+
+TEST_CASE("a histogram counts up to each bound, the bound included",
+          "[metrics]") {
+  LatencyHistogram it;
+  for (int64_t ms : {0, 100, 101, 1000, 40000}) {
+    it.Add(Millis(ms));
+  }
+  std::string text = it.Text("wait_seconds");
+  INFO(text);
+  auto has = [&](const char* line) {
+    return text.find(line) != std::string::npos;
+  };
+  REQUIRE(has("# TYPE wait_seconds histogram\n"));
+  REQUIRE(has("wait_seconds_bucket{le=\"0.1\"} 2\n"));
+  REQUIRE(has("wait_seconds_bucket{le=\"0.2\"} 3\n"));
+  REQUIRE(has("wait_seconds_bucket{le=\"1\"} 4\n"));
+  REQUIRE(has("wait_seconds_bucket{le=\"30\"} 4\n"));
+  REQUIRE(has("wait_seconds_bucket{le=\"+Inf\"} 5\n"));
+  REQUIRE(has("wait_seconds_sum 41.201\n"));
+  REQUIRE(has("wait_seconds_count 5\n"));
+}
+
+TEST_CASE("the page names what was counted", "[metrics]") {
+  UpstreamBook::Hooks hooks;
+  hooks.on_load = [](const UpstreamId&) {};
+  ServingState state(InstanceSettings(), hooks);
+  state.counters.received = 7;
+  state.first_event.Add(Millis(300));
+  InstanceFacts facts;
+  facts.orders = 3;
+  std::string text = MetricsPage(state, facts);
+  for (const char* line :
+       {"bilberrypitch_requests_received_total 7\n",
+        "bilberrypitch_orders_total 3\n", "bilberrypitch_config_version 0\n",
+        "bilberrypitch_first_event_seconds_bucket{le=\"0.4\"} 1\n",
+        "bilberrypitch_longest_pause_seconds_count 0\n"}) {
+    INFO(line);
+    REQUIRE(text.find(line) != std::string::npos);
+  }
+}
+
+}  // namespace bilberrypitch
