--- a/libs/serving/src/crash_ledger.cc
+++ b/libs/serving/src/crash_ledger.cc
@@ -69,8 +69,10 @@
 std::vector<CrashLedger::Crash> CrashLedger::OnDown(const UpstreamId& upstream,
                                                     Millis now) {
   std::vector<Crash> own;
-  for (auto& [fingerprint, it] : suspects_) {
-    std::erase_if(it.open, [&, f = fingerprint](const Suspicion& suspicion) {
+  for (auto& entry : suspects_) {
+    uint64_t fingerprint = entry.first;
+    Suspect& it = entry.second;
+    std::erase_if(it.open, [&](const Suspicion& suspicion) {
       bool late = now - suspicion.at > kOpenFor;
       bool crashed = !late && suspicion.id.upstream == upstream;
       if (crashed) {
@@ -78,7 +80,7 @@
         it.last = now;
       }
       if (crashed && suspicion.own) {
-        own.push_back({f, suspicion.id});
+        own.push_back({fingerprint, suspicion.id});
       }
       return late || crashed;
     });
--- a/libs/serving/test/reading_queue_test.cc
+++ b/libs/serving/test/reading_queue_test.cc
@@ -26,6 +26,7 @@
 
 std::vector<uint64_t> Numbers(const std::vector<ReadingTicket>& tickets) {
   std::vector<uint64_t> numbers;
+  numbers.reserve(tickets.size());
   for (const ReadingTicket& it : tickets) {
     numbers.push_back(it.number);
   }
