Wait where the adapter is on its way

Change: an owner tells who wants an adapter that its load has begun; the request waits there and ends its wants elsewhere. The process tests keep their logs with BP_LAB_KEEP.

--- a/libs/gateway/include/gateway/order_service.h
+++ b/libs/gateway/include/gateway/order_service.h
@@ -22,6 +22,7 @@
   kReady,    // It is there.
   kEvicted,  // It leaves.
   kFull,     // It is not there, and no place is free.
+  kLoading,  // It is on its way.
 };
 
 // On the loop's thread only.
--- a/libs/gateway/include/gateway/request_run.h
+++ b/libs/gateway/include/gateway/request_run.h
@@ -82,6 +82,8 @@
   void OnCallerLeft();
   // An adapter that this request waits for is on an engine.
   void OnAdapterReady(const UpstreamId& engine, const ModelRef& target);
+  // It is on its way to an engine that this request asked.
+  void OnAdapterLoading(const UpstreamId& engine, const ModelRef& target);
   // The engine has no place for an adapter that this request waits for.
   void OnEngineFull(const UpstreamId& engine, const ModelRef& target);
   // The process ends now: answers what is open.
--- a/libs/gateway/src/adapter_service.cc
+++ b/libs/gateway/src/adapter_service.cc
@@ -27,6 +27,8 @@
       return schema::PLACE_EVICTED;
     case AdapterPlace::kFull:
       return schema::PLACE_FULL;
+    case AdapterPlace::kLoading:
+      return schema::PLACE_LOADING;
   }
   return schema::PLACE_UNKNOWN;
 }
@@ -38,6 +40,8 @@
       return AdapterPlace::kReady;
     case schema::PLACE_FULL:
       return AdapterPlace::kFull;
+    case schema::PLACE_LOADING:
+      return AdapterPlace::kLoading;
     default:
       return AdapterPlace::kEvicted;
   }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -430,6 +430,8 @@
     for (const auto& run : callers_.open()) {
       if (place == AdapterPlace::kReady) {
         run->OnAdapterReady(engine, target);
+      } else if (place == AdapterPlace::kLoading) {
+        run->OnAdapterLoading(engine, target);
       } else {
         run->OnEngineFull(engine, target);
       }
--- a/libs/gateway/src/order_service.cc
+++ b/libs/gateway/src/order_service.cc
@@ -169,6 +169,10 @@
       hooks_.tell(action.machine, it->engine, action.target, 0,
                   AdapterPlace::kFull);
       break;
+    case PlacementAction::Kind::kTellLoading:
+      hooks_.tell(action.machine, it->engine, action.target, 0,
+                  AdapterPlace::kLoading);
+      break;
   }
 }
 
--- a/libs/gateway/src/request_run.cc
+++ b/libs/gateway/src/request_run.cc
@@ -21,6 +21,8 @@
 constexpr Millis kLongestRateWait{600};
 // How often the adapter is asked for, and when another engine is looked at.
 constexpr Millis kAskAgain{150};
+// An adapter that is on its way is there in this time, or asked for again.
+constexpr Millis kLoadTime{400};
 // After a word that the engine is full another one is asked so soon.
 constexpr Millis kFullPause{15};
 // From this part of its patience on a request insists on the next place.
@@ -402,6 +404,20 @@
   wanted_at_.clear();
 }
 
+// Other engines need not load it too.
+void RequestRun::OnAdapterLoading(const UpstreamId& engine,
+                                  const ModelRef& target) {
+  if (!WaitsFor(engine, target)) {
+    return;
+  }
+  wanted_at_.erase(engine);
+  EndWaits();
+  wanted_at_.insert(engine);
+  waiting_engine_ = engine;
+  auto self = shared_from_this();
+  wait_timer_.Start(kLoadTime, [self] { self->Dispatch(); });
+}
+
 void RequestRun::OnAdapterReady(const UpstreamId& engine,
                                 const ModelRef& target) {
   if (!WaitsFor(engine, target)) {
--- a/libs/replay/src/replay_engine.cc
+++ b/libs/replay/src/replay_engine.cc
@@ -49,6 +49,8 @@
       return "ready " + target + " to " + it.machine.str();
     case PlacementAction::Kind::kTellEvicted:
       return "evicted " + target + " to " + it.machine.str();
+    case PlacementAction::Kind::kTellLoading:
+      return "loading " + target + " to " + it.machine.str();
     case PlacementAction::Kind::kTellFull:
       return "full " + target + " to " + it.machine.str();
   }
--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -29,6 +29,7 @@
     kTellReady,    // Tell `machine` that `target` is there.
     kTellEvicted,  // Tell `machine` that `target` leaves.
     kTellFull,     // Tell `machine` that there is no place for `target` now.
+    kTellLoading,  // Tell `machine` that `target` is on its way.
   };
   Kind kind = Kind::kReport;
   OrderVerb verb = OrderVerb::kLoad;
@@ -113,6 +114,8 @@
   };
 
   void FinishLoads(Millis now);
+  void TellLater(PlacementAction::Kind kind, const ModelRef& target,
+                 const MachineId& machine);
   void TellReady(const ModelRef& target, Millis now,
                  std::vector<PlacementAction>* actions);
   std::optional<PlacementAction> NextOrder(Millis now);
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -94,13 +94,12 @@
   }
   bool waits = insists || wanted_.count(target) > 0;
   if (synced_ && !waits && !HasPlaceFor(target, now)) {
-    PlacementAction tell;
-    tell.kind = PlacementAction::Kind::kTellFull;
-    tell.target = target;
-    tell.machine = machine;
-    pending_tells_.push_back(std::move(tell));
+    TellLater(PlacementAction::Kind::kTellFull, target, machine);
     return;
   }
+  if (loading_.count(target) > 0) {
+    TellLater(PlacementAction::Kind::kTellLoading, target, machine);
+  }
   auto [it, added] = wanted_.try_emplace(target);
   if (added) {
     it->second.since = now;
@@ -318,6 +317,22 @@
   }
   ++orders_accepted_;
   loading_[order.target] = {order.version, now + LoadEstimate(order.target)};
+  auto wanted = wanted_.find(order.target);
+  if (wanted != wanted_.end()) {
+    for (const MachineId& machine : wanted->second.machines) {
+      TellLater(PlacementAction::Kind::kTellLoading, order.target, machine);
+    }
+  }
+}
+
+void EnginePlacement::TellLater(PlacementAction::Kind kind,
+                                const ModelRef& target,
+                                const MachineId& machine) {
+  PlacementAction tell;
+  tell.kind = kind;
+  tell.target = target;
+  tell.machine = machine;
+  pending_tells_.push_back(std::move(tell));
 }
 
 void EnginePlacement::ApplyUnload(const ModelRef& target) {
@@ -326,11 +341,7 @@
     return;
   }
   for (const MachineId& machine : it->second.told) {
-    PlacementAction tell;
-    tell.kind = PlacementAction::Kind::kTellEvicted;
-    tell.target = target;
-    tell.machine = machine;
-    pending_tells_.push_back(std::move(tell));
+    TellLater(PlacementAction::Kind::kTellEvicted, target, machine);
   }
   RememberHeld(target);
   resident_.erase(it);
--- a/tools/bilberrypitch_lab/process_group.cc
+++ b/tools/bilberrypitch_lab/process_group.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -24,6 +25,8 @@
 // Below the range from which connections get their ports.
 constexpr uint16_t kFirstPort = 12000;
 constexpr uint16_t kPortRange = 18000;
+// When it is set, folders with logs stay.
+constexpr char kKeepVariable[] = "BP_LAB_KEEP";
 constexpr int kStopMs = 30000;
 constexpr std::chrono::milliseconds kPoll{20};
 
@@ -64,6 +67,9 @@
       waitpid(it.pid, nullptr, 0);
     }
   }
+  if (std::getenv(kKeepVariable) != nullptr) {
+    return;
+  }
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
--- a/tools/bilberrypitch_lab/process_group.h
+++ b/tools/bilberrypitch_lab/process_group.h
@@ -12,7 +12,8 @@
 
 namespace bilberrypitch::lab {
 
-// Not thread-safe. Its end kills what still runs and removes the folder.
+// Not thread-safe. Its end kills what still runs and removes the folder, unless
+// BP_LAB_KEEP is set in the environment.
 class ProcessGroup {
  public:
   ProcessGroup();
