Lock the ports of process tests; show logs when an adapter never comes

Not traced: that two programs took one port between looking and binding is possible, so ports are locked now; whether that was it is not shown. A failing Warm prints the instances' logs from now on.

--- a/tools/bilberrypitch_lab/process_group.cc
+++ b/tools/bilberrypitch_lab/process_group.cc
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -39,6 +40,22 @@
   return name;
 }
 
+// A lock that is held until this process ends, so that programs beside each
+// other don't take the same port between looking and binding; -1: is taken.
+int LockPort(uint16_t port) {
+  std::filesystem::path folder =
+      std::filesystem::temp_directory_path() / "bp-lab-ports";
+  std::error_code ignored;
+  std::filesystem::create_directories(folder, ignored);
+  std::string path = (folder / std::to_string(port)).string();
+  int it = open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+  if (it >= 0 && flock(it, LOCK_EX | LOCK_NB) != 0) {
+    close(it);
+    it = -1;
+  }
+  return it;
+}
+
 bool PortIsFree(uint16_t port) {
   int it = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -60,6 +77,9 @@
           static_cast<uint16_t>(kFirstPort + (getpid() * 97) % kPortRange)) {}
 
 ProcessGroup::~ProcessGroup() {
+  for (int it : port_locks_) {
+    close(it);
+  }
   for (auto& [name, it] : processes_) {
     if (it.running) {
       kill(it.pid, SIGCONT);
@@ -80,9 +100,15 @@
     if (next_port_ >= kFirstPort + kPortRange) {
       next_port_ = kFirstPort;
     }
+    int lock = LockPort(next_port_);
+    if (lock < 0) {
+      continue;
+    }
     if (PortIsFree(next_port_)) {
+      port_locks_.push_back(lock);
       return next_port_;
     }
+    close(lock);
   }
 }
 
--- a/tools/bilberrypitch_lab/process_group.h
+++ b/tools/bilberrypitch_lab/process_group.h
@@ -53,6 +53,7 @@
 
   const std::string folder_;
   uint16_t next_port_;
+  std::vector<int> port_locks_;  // Open files, one for each port given.
   std::map<std::string, Process> processes_;
 };
 
--- a/tools/bilberrypitch_lab/test/small_deployment.cc
+++ b/tools/bilberrypitch_lab/test/small_deployment.cc
@@ -55,9 +55,18 @@
 
 bool SmallDeployment::Warm(const std::string& instance,
                            const std::string& adapter) {
-  return ProcessGroup::WaitFor(20000, [&] {
-    return Infer(instance, "/ask/warm", adapter, 1).status == 200;
+  int status = 0;
+  bool warm = ProcessGroup::WaitFor(20000, [&] {
+    status = Infer(instance, "/ask/warm", adapter, 1).status;
+    return status == 200;
   });
+  if (!warm) {
+    fmt::print("{} was not warm, last status {}\n", adapter, status);
+    for (const std::string& it : instances()) {
+      fmt::print("log of {}\n{}\n", it, processes().Log(it));
+    }
+  }
+  return warm;
 }
 
 int64_t SmallDeployment::Runs(const std::string& upstream,
