--- /dev/null
+++ b/libs/gateway/src/request_waits.cc
@@ -0,0 +1,207 @@
+// What one request waits for before it is sent: its adapter on an engine, and
+// its turn among the prompts there.
+#include <algorithm>
+
+#include "gateway/request_run.h"
+#include "gateway/serving_state.h"
+#include "transport/event_loop.h"
+
+namespace bilberrypitch {
+namespace {
+
+// How often the adapter is asked for, and when another engine is looked at.
+constexpr Millis kAskAgain{150};
+// An adapter that is on its way is there in this time, or asked for again.
+constexpr Millis kLoadTime{400};
+// After a word that the engine is full another one is asked so soon.
+constexpr Millis kFullPause{15};
+// From this part of its patience on a request insists on the next place.
+constexpr int64_t kInsistParts = 3;
+constexpr Millis kFullFor{250};
+// The owner of an engine answers within this time; a prompt that waits is
+// asked for again as often.
+constexpr Millis kReadingAnswer{120};
+// Without an owner: how often it is looked whether the engine has read enough.
+constexpr Millis kReadAgain{20};
+// A request with less than this part of its patience left does not wait for
+// that.
+constexpr int64_t kPressingParts = 3;
+
+}  // namespace
+
+// Sends at once, or when the engine's owner lets the prompt go there. A request
+// whose time runs out waits no longer.
+void RequestRun::SendWhenRead(UpstreamState* upstream) {
+  Millis now = EventLoop::Now();
+  Millis pause = config_->LongestPauseOf(service_);
+  Millis left = Patience() - (now - arrived_);
+  bool pressing = left.count() * kPressingParts < Patience().count();
+  if (pause == Millis(0) || PromptTokens() == 0 || pressing) {
+    Send(upstream);
+    return;
+  }
+  AskReading(upstream->entry.id);
+  if (reading_ != 0) {
+    auto self = shared_from_this();
+    wait_timer_.Start(kReadingAnswer, [self] { self->OnReadingSilence(); });
+    return;
+  }
+  // Without an owner it goes by what this instance knows.
+  if (MayRead(*upstream, PromptTokens(), pause, now)) {
+    Send(upstream);
+    return;
+  }
+  auto self = shared_from_this();
+  wait_timer_.Start(kReadAgain, [self] { self->Dispatch(); });
+}
+
+void RequestRun::AskReading(const UpstreamId& engine) {
+  if (reading_ != 0 && reading_engine_ == engine) {
+    deps_->hooks.ask_reading_again(reading_);
+    return;
+  }
+  EndReading(false);
+  auto self = shared_from_this();
+  reading_engine_ = engine;
+  reading_ = deps_->hooks.ask_reading(engine, PromptTokens(), Urgency(),
+                                      [self] { self->OnReadingGranted(); });
+}
+
+void RequestRun::OnReadingGranted() {
+  if (finished_ || call_ != 0 || reading_ == 0) {
+    return;
+  }
+  wait_timer_.Cancel();
+  UpstreamState* upstream = state_->upstreams.Find(reading_engine_);
+  bool usable = upstream != nullptr && upstream->Usable(EventLoop::Now());
+  if (!usable) {
+    EndReading(false);
+    Dispatch();
+    return;
+  }
+  if (StillAllowed()) {
+    Send(upstream);
+  }
+}
+
+// The prompt was not let go yet: another engine may be better by now.
+void RequestRun::OnReadingSilence() {
+  if (finished_ || call_ != 0) {
+    return;
+  }
+  if (deps_->hooks.reading_heard(reading_)) {
+    ++state_->counters.reading_waits;
+    Dispatch();
+    return;
+  }
+  EndReading(false);
+  UpstreamState* upstream = state_->upstreams.Find(reading_engine_);
+  bool usable = upstream != nullptr && upstream->Usable(EventLoop::Now());
+  if (!usable) {
+    Dispatch();
+  } else if (StillAllowed()) {
+    Send(upstream);
+  }
+}
+
+void RequestRun::EndReading(bool read) {
+  uint64_t number = reading_;
+  reading_ = 0;
+  if (number != 0) {
+    deps_->hooks.reading_done(number, read);
+  }
+}
+
+void RequestRun::WaitForAdapter(const Choice& choice) {
+  if (asked_ == 0) {
+    ++state_->counters.adapter_waits;
+    waiting_since_ = EventLoop::Now();
+  }
+  ++asked_;
+  waiting_engine_ = choice.upstream->entry.id;
+  if (wanted_at_.insert(waiting_engine_).second) {
+    deps_->hooks.adapter_wait(waiting_engine_, request_.model, 1);
+  }
+  auto named = state_->named_versions.find(request_.model);
+  deps_->hooks.want_adapter(
+      waiting_engine_, request_.model,
+      named != state_->named_versions.end() ? named->second : 0, Insists());
+  if (finished_ || waiting_engine_.empty() || call_ != 0) {
+    return;  // The owner, this instance, has answered at once.
+  }
+  auto self = shared_from_this();
+  wait_timer_.Start(kAskAgain, [self] { self->Dispatch(); });
+}
+
+void RequestRun::OnEngineFull(const UpstreamId& engine,
+                              const ModelRef& target) {
+  if (finished_ || call_ != 0 || engine != waiting_engine_ ||
+      target != request_.model) {
+    return;
+  }
+  if (UpstreamState* upstream = state_->upstreams.Find(engine)) {
+    upstream->full_until = EventLoop::Now() + kFullFor;
+  }
+  waiting_engine_ = UpstreamId();
+  auto self = shared_from_this();
+  wait_timer_.Start(kFullPause, [self] { self->Dispatch(); });
+}
+
+bool RequestRun::WaitsFor(const UpstreamId& engine,
+                          const ModelRef& target) const {
+  return !finished_ && call_ == 0 && reading_ == 0 &&
+         target == request_.model && wanted_at_.count(engine) > 0;
+}
+
+// Others that came later would take the places before it.
+bool RequestRun::Insists() const {
+  Millis waited = EventLoop::Now() - arrived_;
+  return waited.count() * kInsistParts > Patience().count();
+}
+
+// How long the caller waits for the answer to begin.
+Millis RequestRun::Patience() const {
+  Millis allowed = deadline_ - arrived_;
+  Millis patience = route_->StreamPatience();
+  return patience == Millis(0) ? allowed : std::min(allowed, patience);
+}
+
+void RequestRun::EndWaits() {
+  for (const UpstreamId& engine : wanted_at_) {
+    deps_->hooks.adapter_wait(engine, request_.model, -1);
+  }
+  wanted_at_.clear();
+}
+
+// Other engines need not load it too.
+void RequestRun::OnAdapterLoading(const UpstreamId& engine,
+                                  const ModelRef& target) {
+  if (!WaitsFor(engine, target)) {
+    return;
+  }
+  wanted_at_.erase(engine);
+  EndWaits();
+  wanted_at_.insert(engine);
+  waiting_engine_ = engine;
+  auto self = shared_from_this();
+  wait_timer_.Start(kLoadTime, [self] { self->Dispatch(); });
+}
+
+void RequestRun::OnAdapterReady(const UpstreamId& engine,
+                                const ModelRef& target) {
+  if (!WaitsFor(engine, target)) {
+    return;
+  }
+  UpstreamState* upstream = state_->upstreams.Find(engine);
+  wait_timer_.Cancel();
+  waiting_engine_ = UpstreamId();
+  if (upstream == nullptr || !upstream->Usable(EventLoop::Now())) {
+    Dispatch();
+    return;
+  }
+  if (StillAllowed()) {
+    SendWhenRead(upstream);
+  }
+}
+
+}  // namespace bilberrypitch
