Forget adapters that nobody wants any more

The owner's map of demand grew with every adapter ever wanted. Now it is trimmed when it has doubled; test with 74,000 adapters at one engine.

--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -79,6 +79,8 @@
   Millis NextDue(Millis now) const;
 
   bool Holds(const ModelRef& target, int64_t version) const;
+  // Adapters whose demand is remembered.
+  size_t remembered() const { return demand_.size(); }
   size_t resident() const { return resident_.size(); }
   size_t loading() const { return loading_.size(); }
   bool synced() const { return synced_; }
@@ -129,6 +131,7 @@
   bool Fits(const ModelRef& target) const;
   bool InUse(const ModelRef& target, Millis now) const;
   double Score(const ModelRef& target, Millis now) const;
+  void TrimDemand(Millis now);
   void Touch(const ModelRef& target, double weight, Millis now);
   void ApplyUnload(const ModelRef& target);
   const ModelSpec* SpecOf(const ModelId& model) const;
@@ -154,6 +157,7 @@
   std::map<ModelRef, Loading> loading_;
   std::map<ModelRef, Wanted> wanted_;
   std::map<ModelRef, Demand> demand_;
+  size_t trim_demand_at_ = 0;  // Its size from which it is trimmed.
   // Adapters that the engine held lately, newest last: these load fast.
   std::vector<ModelRef> held_;
   std::vector<PlacementAction> pending_tells_;
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -23,6 +23,9 @@
 // A machine that asked will send its requests within this time.
 constexpr Millis kGrace{120};
 constexpr double kDemandSeconds = 8.0;  // Decay of the demand.
+// From so many adapters on those with less demand than this are forgotten.
+constexpr size_t kMostDemand = 512;
+constexpr double kLeastScore = 0.02;
 constexpr size_t kHeldRemembered = 30;
 
 }  // namespace
@@ -48,11 +51,24 @@
 }
 
 void EnginePlacement::Touch(const ModelRef& target, double weight, Millis now) {
+  TrimDemand(now);
   Demand& it = demand_[target];
   it.score = Score(target, now) + weight;
   it.at = now;
 }
 
+// Adapters that nobody uses and nobody wanted lately are forgotten.
+void EnginePlacement::TrimDemand(Millis now) {
+  if (demand_.size() < trim_demand_at_) {
+    return;
+  }
+  std::erase_if(demand_, [&](const auto& it) {
+    return Score(it.first, now) < kLeastScore && !InUse(it.first, now) &&
+           resident_.count(it.first) == 0 && wanted_.count(it.first) == 0;
+  });
+  trim_demand_at_ = std::max(kMostDemand, demand_.size() * 2);
+}
+
 double EnginePlacement::Score(const ModelRef& target, Millis now) const {
   auto it = demand_.find(target);
   if (it == demand_.end()) {
--- a/libs/serving/test/engine_placement_test.cc
+++ b/libs/serving/test/engine_placement_test.cc
@@ -194,6 +194,21 @@
   REQUIRE(orders[0].target == Adapter(7));
 }
 
+// Pattern: 74,000 adapters over the day at one engine.
+TEST_CASE("the memory of demand is bounded", "[placement]") {
+  Millis now(1000);
+  EnginePlacement it = Synced(now);
+  size_t most = 0;
+  for (int n = 0; n < 74000; ++n) {
+    it.OnWant(kSelf, Adapter(n), 0, now);
+    it.OnWantEnded(kSelf, Adapter(n), now);
+    now = now + Millis(50);
+    most = std::max(most, it.remembered());
+  }
+  // Twice what is wanted within half a minute.
+  REQUIRE(most <= 2 * 700);
+}
+
 // Pattern: a request that asked two engines is served by one of them.
 TEST_CASE("nothing is loaded for a want that has ended", "[placement]") {
   Millis now(1000);
