--- a/tools/bilberrypitch_lab/deployment.cc
+++ b/tools/bilberrypitch_lab/deployment.cc
@@ -38,6 +38,7 @@
   json::object hours = RouteJson("/hours/", "idempotent", 3, kPlainService, ms);
   hours["public"] = true;
   routes.push_back(std::move(hours));
+  routes.push_back(RouteJson("/v1/", "idempotent", 3, kEngineService, ms));
   routes.push_back(RouteJson("/ask/", "idempotent", 3, kEngineService, ms));
   json::object stream = RouteJson("/stream/", "stream", 1, kEngineService, ms);
   stream["gapAimMs"] = 1000;
@@ -187,7 +188,7 @@
 
 void Deployment::StartInstance(const std::string& name, const std::string& zone,
                                bool relayed_store) {
-  for (const char* port : {"", "/ready", "/peer"}) {
+  for (const char* port : {"", "/ready", "/peer", "/completions"}) {
     ports_[name + port] = processes_.FreePort();
   }
   std::string store = "store";
@@ -197,7 +198,12 @@
   }
   std::string path = processes_.folder() + "/" + name + ".conf";
   std::ofstream(path) << BootFile(name, zone, store);
-  processes_.Start(name, {paths_.product, "serve", "--boot", path});
+  std::string settings = processes_.folder() + "/" + name + ".json";
+  std::ofstream(settings) << json::serialize(
+      json::object{{"log_level", "info"},
+                   {"completions_address", Address(name + "/completions")}});
+  processes_.Start(
+      name, {paths_.product, "serve", "--boot", path, "--settings", settings});
   instances_.push_back(name);
 }
 
@@ -254,6 +260,24 @@
   return client_.Run(std::move(call));
 }
 
+CallOutcome Deployment::Complete(const std::string& instance,
+                                 const std::string& key,
+                                 const std::string& adapter) {
+  HttpCall call;
+  call.method = "POST";
+  call.address = Address(instance + "/completions");
+  call.target = "/v1/chat/completions";
+  call.own_connection = true;
+  call.headers.Add("Host", kHost);
+  call.headers.Add("Authorization", "Bearer " + key);
+  call.headers.Add("X-Deadline-Ms", "6000");
+  call.body = json::serialize(
+      json::object{{"model", fmt::format("{}/{}", kModel, adapter)},
+                   {"max_tokens", 3},
+                   {"messages", json::array()}});
+  return client_.Run(std::move(call));
+}
+
 CallOutcome Deployment::Call(const std::string& port, const std::string& method,
                              const std::string& target,
                              const std::string& body) {
--- a/tools/bilberrypitch_lab/deployment.h
+++ b/tools/bilberrypitch_lab/deployment.h
@@ -30,6 +30,7 @@
 };
 
 // What the operator's configuration holds. Its routes are those of kHost:
+//   /v1/ is asked through the completions interface, on engines;
 //   /once/ may run once, /read/ may repeat, /hours/ needs no key: all plain;
 //   /ask/ may repeat, /stream/ and /resume/ are streams: all on engines.
 struct ConfigShape {
@@ -84,6 +85,9 @@
   // Throws std::runtime_error when it doesn't get ready.
   void WaitReady(const std::string& instance);
   bool Ready(const std::string& instance);
+  // The same through the completions interface, for the adapter "base/ADAPTER".
+  CallOutcome Complete(const std::string& instance, const std::string& key,
+                       const std::string& adapter);
 
   CallOutcome Ask(const std::string& instance, const Asked& asked);
   CallOutcome Call(const std::string& port, const std::string& method,
--- a/tools/bilberrypitch_lab/test/path_test.cc
+++ b/tools/bilberrypitch_lab/test/path_test.cc
@@ -49,6 +49,18 @@
     REQUIRE(stream.body ==
             "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n");
   }
+  SECTION("the completions interface: answers and refusals") {
+    CallOutcome whole = it.Complete("entry-2", SmallDeployment::kKey, "coach1");
+    REQUIRE(whole.status == 200);
+    REQUIRE_FALSE(whole.headers.Get("X-Request-Id").empty());
+    json::object body = ParseObject(whole.body);
+    REQUIRE(StringOr(body, "model", "") == "base/coach1");
+    REQUIRE(StringOr(body, "workspace", "") == "club");
+    REQUIRE(it.Complete("entry-2", "k-wrong", "coach1").status == 401);
+    REQUIRE(
+        it.Call("entry-2/completions", "POST", "/v1/completions", "{").status ==
+        400);
+  }
   SECTION("an open route and a call to a plain service") {
     Asked open;
     open.path = "/hours/x?y=1";
