Refuse an address of own settings that no listener takes

An IPv6 completions_address passed the check and was then read as none, which is undefined. Addresses are IPv4 everywhere; the check says so now. Test first red on [::1]:80.

--- a/libs/schema/src/json_reader.cc
+++ b/libs/schema/src/json_reader.cc
@@ -37,15 +37,13 @@
   if (colon == std::string::npos) {
     return false;
   }
-  std::string ip = text.substr(0, colon);
-  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') {
-    ip = ip.substr(1, ip.size() - 2);
-  }
+  // Listeners take IPv4 addresses only.
+  in_addr ip{};
+  bool is_ip = inet_pton(AF_INET, text.substr(0, colon).c_str(), &ip) == 1;
   int port = 0;
   const char* end = text.data() + text.size();
   auto [stop, ec] = std::from_chars(text.data() + colon + 1, end, port);
-  return IsIp(ip) && ec == std::errc() && stop == end && port > 0 &&
-         port <= 65535;
+  return is_ip && ec == std::errc() && stop == end && port > 0 && port <= 65535;
 }
 
 bool IsHex(std::string_view text) {
--- a/libs/schema/test/schema_test.cc
+++ b/libs/schema/test/schema_test.cc
@@ -27,6 +27,14 @@
     REQUIRE(HasPath(errors, path));
   }
   REQUIRE(errors.size() == 3);
+  for (const char* address :
+       {"[::1]:80", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:70000", ":80"}) {
+    INFO(address);
+    std::string text = R"({"completions_address":")" + std::string(address);
+    REQUIRE(HasPath(ReadJson(text + "\"}", &settings), "completions_address"));
+  }
+  REQUIRE(
+      ReadJson(R"({"completions_address":"127.0.0.1:80"})", &settings).empty());
   schema::Trace trace;
   errors = ReadJson(R"({"point":"p","steps":[{"at_ms":1}]})", &trace);
   REQUIRE(HasPath(errors, "name"));
