Keep the owner of a resource that goes and returns

Cause: when an engine's entry was removed, the owner of the engine was forgotten although its key in the store lived on with the owner's lease. An engine that came back under its id had no known owner at any instance; every claim failed on the existing key, and the watch does not report a key that does not change. A removed owner key of a resource that was not known yet was ignored, so the next owner took over without the takeover delay. A late report of an older removal ended a newer ownership.

Change: a removed resource is remembered until its owner key has been gone for a minute; a removal states its revision and counts as a sign of an owner.

Three cases in ownership_test, each seen to fail on the code before.

--- a/libs/serving/include/serving/ownership.h
+++ b/libs/serving/include/serving/ownership.h
@@ -19,6 +19,8 @@
 // claims.
 #pragma once
 
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -43,7 +45,8 @@
   MachineId machine;
   BootId boot;
   ZoneId zone;
-  std::string address;  // For datagrams and state transfer.
+  std::string address;   // For datagrams and state transfer.
+  double cpu_share = 0;  // In cores; 0: not stated.
 };
 
 // The value of an owner key, with the metadata of the key.
@@ -67,6 +70,9 @@
 // State machine of one process. Not thread-safe.
 class Ownership {
  public:
+  static constexpr int64_t kLatestRevision =
+      std::numeric_limits<int64_t>::max();
+
   Ownership(ClusterMember self, Millis takeover_delay, Millis now);
 
   // Sets the current lease of this process; 0: none. A resource that was
@@ -82,7 +88,10 @@
   // The owner key was written or deleted.
   void OnOwner(const ResourceId& resource, const OwnerRecord& owner,
                Millis now);
-  void OnOwnerRemoved(const ResourceId& resource, Millis now);
+  // The owner key does not exist at store revision `revision`. Ignored if a
+  // later write of the key is known.
+  void OnOwnerRemoved(const ResourceId& resource, Millis now,
+                      int64_t revision = kLatestRevision);
   // A full read of the store begins, either the first one or because the watch
   // lost its history. Owners may have changed without being seen.
   void OnFullReadStarted();
@@ -114,7 +123,8 @@
  private:
   struct ResourceState {
     ZoneId zone;
-    bool exists = false;  // False: only its owner key has been seen.
+    // False: removed, or only its owner key has been seen.
+    bool exists = false;
     std::optional<OwnerRecord> owner;
     Millis unowned_since;
     // An owner may have acted recently, so the takeover delay is needed.
@@ -125,6 +135,7 @@
 
   // Whether a claim made now has to wait for the takeover delay.
   bool NeedsTakeoverDelay(const ResourceState& state) const;
+  void ForgetRemovedResources(Millis now);
   // Number of members that are preferred to this one as owners.
   size_t RankOf(const ResourceId& resource, const ResourceState& state) const;
 
--- a/libs/serving/src/ownership.cc
+++ b/libs/serving/src/ownership.cc
@@ -15,6 +15,9 @@
 // does so only if that one did not.
 constexpr Millis kClaimDelayPerRank{900};
 constexpr Millis kClaimRetryDelay{1500};
+// How long a removed resource without an owner is remembered; longer than any
+// takeover delay.
+constexpr Millis kRemovedResourceTtl{60 * 1000};
 // Added to the takeover delay, for differences of clocks and for orders that
 // are still on their way.
 constexpr Millis kTakeoverMargin{250};
@@ -67,22 +70,29 @@
 
 void Ownership::OnResource(const ResourceId& resource, const ZoneId& zone,
                            Millis now) {
-  ResourceState& state = resources_[resource];
+  auto [it, inserted] = resources_.try_emplace(resource);
+  ResourceState& state = it->second;
   state.zone = zone;
   if (state.exists) {
     return;
   }
   state.exists = true;
-  if (!state.owner) {
-    state.unowned_since = now;
+  if (inserted) {
     // Outside a full read, this instance sees the resource appear, so nobody
     // has owned it yet.
     state.had_owner = !synced_ || in_full_read_;
   }
+  if (!state.owner) {
+    state.unowned_since = now;
+  }
 }
 
 void Ownership::OnResourceRemoved(const ResourceId& resource) {
-  resources_.erase(resource);
+  auto it = resources_.find(resource);
+  if (it != resources_.end()) {
+    // An engine may return under the same id while its owner key still exists.
+    it->second.exists = false;
+  }
 }
 
 void Ownership::OnOwner(const ResourceId& resource, const OwnerRecord& owner,
@@ -114,11 +124,19 @@
          !(held_by_this_machine && state.owner->takeover_complete);
 }
 
-void Ownership::OnOwnerRemoved(const ResourceId& resource, Millis now) {
-  auto it = resources_.find(resource);
-  if (it != resources_.end() && it->second.owner) {
-    it->second.owner.reset();
-    it->second.unowned_since = now;
+void Ownership::OnOwnerRemoved(const ResourceId& resource, Millis now,
+                               int64_t revision) {
+  // Only the last change of a key may be reported, so neither the owner nor the
+  // resource need have been seen before.
+  auto [it, inserted] = resources_.try_emplace(resource);
+  ResourceState& state = it->second;
+  state.had_owner = true;
+  bool owner_removed = state.owner && state.owner->revision <= revision;
+  if (owner_removed) {
+    state.owner.reset();
+  }
+  if (inserted || owner_removed) {
+    state.unowned_since = now;
   }
 }
 
@@ -157,6 +175,7 @@
   if (!synced_) {
     return claims;
   }
+  ForgetRemovedResources(now);
   for (auto& [resource, state] : resources_) {
     if (!state.exists || (state.claimed_at != Millis(0) &&
                           now < state.claimed_at + kClaimRetryDelay)) {
@@ -189,6 +208,14 @@
   return claims;
 }
 
+void Ownership::ForgetRemovedResources(Millis now) {
+  std::erase_if(resources_, [now](const auto& entry) {
+    const ResourceState& state = entry.second;
+    return !state.exists && !state.owner &&
+           now - state.unowned_since > kRemovedResourceTtl;
+  });
+}
+
 Millis Ownership::NextWakeup(Millis now) const {
   Millis next;
   for (const auto& [resource, state] : resources_) {
--- a/libs/serving/test/ownership_test.cc
+++ b/libs/serving/test/ownership_test.cc
@@ -101,6 +101,58 @@
   REQUIRE(ownership.FencingToken(kResource, now) == 9);
 }
 
+// An engine that starts again under its id finds its owner unchanged: the owner
+// key is bound to the owner's lease, not to the engine.
+TEST_CASE("a resource that returns still has its owner", "[ownership]") {
+  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, Millis(0));
+  ownership.OnLease(1);
+  ownership.OnFullReadCompleted(Millis(0));
+  Millis now(10000);
+  ownership.OnResource(kResource, ZoneId("z"), now);
+  ownership.OnOwner(kResource, {MachineId("m2"), BootId("b2"), 7, 2, true},
+                    now);
+  ownership.OnResourceRemoved(kResource);
+  REQUIRE(ownership.Resources().empty());
+  now = now + Millis(5000);
+  ownership.OnResource(kResource, ZoneId("z"), now);
+  REQUIRE(ownership.OwnerOf(kResource) != nullptr);
+  REQUIRE(ownership.TakeClaims(now + Millis(60000)).empty());
+}
+
+// Only the last change of each key may be reported, so the owner of a resource
+// can have come and gone unseen.
+TEST_CASE("the removal of an owner that was not seen needs the takeover delay",
+          "[ownership]") {
+  bool resource_first = GENERATE(true, false);
+  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, Millis(0));
+  ownership.OnLease(1);
+  ownership.OnFullReadCompleted(Millis(0));
+  Millis now(10000);
+  if (resource_first) {
+    ownership.OnResource(kResource, ZoneId("z"), now);
+  }
+  ownership.OnOwnerRemoved(kResource, now, 6);
+  ownership.OnResource(kResource, ZoneId("z"), now);
+  REQUIRE(ownership.TakeClaims(now).size() == 1);
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), 9, 1}, now);
+  REQUIRE(ownership.FencingToken(kResource, now) == 0);
+  REQUIRE(ownership.FencingToken(kResource, now + Millis(3300)) == 9);
+}
+
+TEST_CASE("an old removal does not end a newer ownership", "[ownership]") {
+  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, Millis(0));
+  ownership.OnLease(1);
+  ownership.OnFullReadCompleted(Millis(0));
+  Millis now(10000);
+  ownership.OnResource(kResource, ZoneId("z"), now);
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), 9, 1, true},
+                    now);
+  ownership.OnOwnerRemoved(kResource, now, 8);
+  REQUIRE(ownership.FencingToken(kResource, now) == 9);
+  ownership.OnOwnerRemoved(kResource, now, 10);
+  REQUIRE(ownership.FencingToken(kResource, now) == 0);
+}
+
 // Guards against a new lease that gives back what was lost with the old one.
 // Found by the long random run.
 TEST_CASE("ownership ends with the lease that it was acquired with",
