Take changes of the store from a few readers of each zone

Cause: every instance watched the whole store, so the calls grew with the instances and each instance read every heartbeat of every engine.

Change: one to three members of each zone, the largest ones, watch the store; the others query one of them over HTTP, which holds the query until there is a change. A response carries when the reader's view was confirmed, counted from the arrival of the query, so freshness is exact. A heartbeat that states nothing new is not passed on. A follower turns to a spare reader, and to the store when its view grows old or a reader does not respond. The decisions (StoreFollower, FollowerQueries, StoreView) have no I/O; StoreSync and ReaderService carry them out. The view also replaces the record cache of FreshnessService, which applied records that had been deleted meanwhile.

store_follower_test: cases and a long seeded run of a zone with kills, freezes, cuts, compactions and store outages. It found, on the way: a follower that tried one silent reader after the other until its view was too old, and one that asked readers for a compacted history that they did not have either.

--- a/libs/gateway/include/gateway/cluster_records.h
+++ b/libs/gateway/include/gateway/cluster_records.h
@@ -10,6 +10,8 @@
 
 namespace bilberrypitch {
 
+// Whether the instances themselves write this key.
+bool IsClusterKey(const std::string& key);
 std::string MemberKey(const MachineId& machine);
 std::string OwnerKey(const ResourceId& resource);
 std::string EncodeMember(const ClusterMember& member);
--- a/libs/gateway/include/gateway/freshness_service.h
+++ b/libs/gateway/include/gateway/freshness_service.h
@@ -8,12 +8,8 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
-#include <map>
-#include <string>
 
 #include "serving/ids.h"
-#include "serving/store_item.h"
 #include "transport/http_message.h"
 #include "transport/timer.h"
 
@@ -36,15 +32,10 @@
 // the event loop's thread only.
 class FreshnessService {
  public:
-  // `apply_item` is called with each item of which a peer has a newer revision.
   FreshnessService(EventLoop* loop, EventLoopHttpClient* client,
                    PeerMessenger* peers, StoreSync* sync, Freshness* freshness,
-                   Millis query_from_age,
-                   std::function<void(const StoreItem&)> apply_item);
+                   Millis query_from_age);
 
-  // Caches an item that others wrote into the store, to pass it on to peers.
-  void CacheItem(const StoreItem& item);
-  void RemoveCachedItem(const std::string& key);
   // A configuration record of this store revision was seen.
   void OnConfigRevision(int64_t revision);
 
@@ -52,7 +43,8 @@
   void OnQuery(const schema::FreshnessQuestion& query);
   void OnQueryResponse(const MachineId& from,
                        const schema::FreshnessAnswer& response);
-  // Responds to a peer's HTTP request for all cached items.
+  // Responds to a peer's HTTP request for the records that others than the
+  // instances wrote into the store.
   HttpResponse OnStateRequest(const HttpRequest& request);
 
  private:
@@ -66,8 +58,6 @@
   StoreSync* const sync_;
   Freshness* const freshness_;
   const Millis query_from_age_;
-  const std::function<void(const StoreItem&)> apply_item_;
-  std::map<std::string, StoreItem> cached_items_;
   int64_t config_revision_ = 0;  // 0 while none is known.
   // Highest store revision of an applied peer state.
   int64_t peer_revision_ = 0;
--- a/libs/gateway/include/gateway/membership.h
+++ b/libs/gateway/include/gateway/membership.h
@@ -28,6 +28,9 @@
     // has changed.
     std::function<void(const ResourceId&)> on_ownership_changed;
     std::function<void()> on_members_changed;
+    // Another member is new, or its record was written again.
+    std::function<void(const ClusterMember&)> on_member_set;
+    // The process of another member has ended.
     std::function<void(const MachineId&)> on_member_removed;
   };
 
@@ -47,9 +50,9 @@
   // removed.
   void OnStoreItem(const StoreItem& item);
   // Start and end of a full read of the store. `keys` are all keys that were
-  // found.
+  // found at `revision` or later.
   void OnFullReadStarted();
-  void OnFullReadCompleted(const std::set<std::string>& keys);
+  void OnFullReadCompleted(const std::set<std::string>& keys, int64_t revision);
 
   Ownership* ownership() { return &ownership_; }
   LeaseManager* lease_manager() { return &lease_manager_; }
--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -1,33 +1,29 @@
-// Follows the platform's store: reads all of it once, then watches for changes,
-// and starts another full read when the store has compacted its history.
+// Keeps this instance's view of the store current: makes the calls that
+// StoreFollower decides on, to the store or to a reader, and reports what they
+// return.
 #pragma once
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
 #include "base/strong.h"
+#include "gateway/reader_client.h"
+#include "serving/store_follower.h"
 #include "serving/store_item.h"
+#include "serving/store_view.h"
 #include "transport/timer.h"
 
 namespace bilberrypitch {
 
 class ClusterStore;
 class EventLoop;
+class EventLoopHttpClient;
 struct ClusterBounds;
 struct StoreWatchResult;
 struct StorePage;
 
-// Intervals of the watch calls. Both bound the age of the view of the store.
-struct StoreSyncIntervals {
-  // How long the store holds a watch call without changes.
-  Millis watch_timeout;
-  // Between a watch that returned changes and the next one.
-  Millis watch_pause;
-};
-
 // Returns intervals that meet the time bounds of the deployment.
 StoreSyncIntervals SyncIntervalsFor(const ClusterBounds& bounds);
 
@@ -38,53 +34,66 @@
   struct Hooks {
     // A key was written or removed. `recovering`: the store was unavailable
     // until shortly before, so keys may be missing because their leases expired
-    // and may come back soon.
-    std::function<void(const StoreItem& item, bool recovering)> on_item;
+    // and may come back soon. Returns whether the record differs from the
+    // previous one in something that an instance uses.
+    std::function<bool(const StoreItem& item, bool recovering)> on_item;
     // The items of a full read follow.
     std::function<void()> on_full_read_started;
-    // A full read ended. Keys that are not among `all` do not exist.
-    std::function<void(const std::vector<StoreItem>& all, bool recovering)>
+    // A full read ended. Keys that are not among `all` did not exist at
+    // `revision`.
+    std::function<void(const std::vector<StoreItem>& all, int64_t revision,
+                       bool recovering)>
         on_full_read_completed;
     // This instance's view of the store was up to date at `at`.
     std::function<void(Millis at)> on_confirmed;
+    // The store did not respond to this instance.
+    std::function<void()> on_store_failure;
+    // Returns the address for peers of a machine; empty if it is not known.
+    std::function<std::string(const MachineId& machine)> address_of;
   };
 
-  StoreSync(EventLoop* loop, ClusterStore* store, StoreSyncIntervals intervals,
+  StoreSync(EventLoop* loop, ClusterStore* store, EventLoopHttpClient* client,
+            const ClusterMember& self, StoreSyncIntervals intervals,
             Hooks hooks);
 
   void Start();
-  // The store revision that this instance has caught up with.
-  int64_t revision() const { return revision_; }
-  bool unavailable() const { return unavailable_; }
-  // Whether a full read has ever completed.
-  bool has_synced() const { return has_synced_; }
+  // Applies a record that another instance has passed on outside of the calls
+  // made here. Ignored if it is not newer than the known one.
+  void ApplyForeignItem(const StoreItem& item);
+
+  StoreFollower* follower() { return &follower_; }
+  const StoreFollower& follower() const { return follower_; }
+  const StoreView& view() const { return view_; }
 
  private:
+  void MakeNextCall();
+  void MakeNextCallAfter(Millis delay);
   void StartFullRead();
   void ReadNextPage(const std::string& after_key);
   void OnPage(StorePage page, Millis sent_at);
-  void Watch();
-  void OnEvents(StoreWatchResult result, Millis sent_at);
-  void OnFailure(const char* activity);
-  void OnResponse(Millis now);
-  bool IsRecovering(Millis now) const;
+  void Watch(const StoreCall& call);
+  void OnWatchResult(StoreWatchResult result, Millis sent_at);
+  void QueryReader(const StoreCall& call);
+  void OnReaderResult(const MachineId& reader, ReaderClient::Result result,
+                      Millis sent_at);
+  void OnStoreFailure(const char* activity);
+  void ApplyItems(const std::vector<StoreItem>& items, bool recovering);
+  void ApplyAllItems(const std::vector<StoreItem>& items, int64_t revision,
+                     bool recovering);
+  // Logs that the store responds again, after `was_unavailable`.
+  void LogRecovery(bool was_unavailable) const;
 
-  EventLoop* const loop_;
   ClusterStore* const store_;
-  const StoreSyncIntervals intervals_;
   const Hooks hooks_;
+  ReaderClient reader_client_;
+  StoreFollower follower_;
+  StoreView view_;
   Timer next_call_timer_;
-  bool has_synced_ = false;
-  bool unavailable_ = false;
-  Millis unavailable_since_;
-  Millis recovered_at_;
-  // A full read is in progress or to be retried.
-  bool full_read_pending_ = false;
+  // The pages of a full read in progress.
   std::vector<StoreItem> read_items_;
   int64_t read_revision_ = 0;
   Millis read_sent_at_;
-  int64_t revision_ = 0;
-  int consecutive_failures_ = 0;
+  MachineId current_reader_;  // For the log; empty: the store.
 };
 
 }  // namespace bilberrypitch
--- a/libs/gateway/src/cluster_records.cc
+++ b/libs/gateway/src/cluster_records.cc
@@ -6,6 +6,7 @@
 namespace bilberrypitch {
 namespace {
 
+constexpr std::string_view kClusterKeyPrefix = "bilberrypitch/";
 constexpr std::string_view kMemberKeyPrefix = "bilberrypitch/members/";
 constexpr std::string_view kOwnerKeyPrefix = "bilberrypitch/owners/";
 
@@ -16,6 +17,10 @@
 
 }  // namespace
 
+bool IsClusterKey(const std::string& key) {
+  return key.starts_with(kClusterKeyPrefix);
+}
+
 std::string MemberKey(const MachineId& machine) {
   return std::string(kMemberKeyPrefix) + machine.str();
 }
@@ -30,6 +35,7 @@
   record.set_boot(member.boot.str());
   record.set_zone(member.zone.str());
   record.set_address(member.address);
+  record.set_cpu_share(member.cpu_share);
   return record.SerializeAsString();
 }
 
@@ -55,7 +61,8 @@
     return std::nullopt;
   }
   return ClusterMember{MachineId(record.machine()), BootId(record.boot()),
-                       ZoneId(record.zone()), record.address()};
+                       ZoneId(record.zone()), record.address(),
+                       record.cpu_share()};
 }
 
 std::optional<OwnerRecord> DecodeOwner(const StoreItem& item) {
--- a/libs/gateway/src/freshness_service.cc
+++ b/libs/gateway/src/freshness_service.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "gateway/cluster_records.h"
+#include "gateway/known_items.h"
 #include "gateway/peer_messenger.h"
 #include "gateway/store_sync.h"
 #include "schema/cluster.pb.h"
@@ -24,32 +26,18 @@
 
 }  // namespace
 
-FreshnessService::FreshnessService(
-    EventLoop* loop, EventLoopHttpClient* client, PeerMessenger* peers,
-    StoreSync* sync, Freshness* freshness, Millis query_from_age,
-    std::function<void(const StoreItem&)> apply_item)
+FreshnessService::FreshnessService(EventLoop* loop, EventLoopHttpClient* client,
+                                   PeerMessenger* peers, StoreSync* sync,
+                                   Freshness* freshness, Millis query_from_age)
     : client_(client),
       peers_(peers),
       sync_(sync),
       freshness_(freshness),
       query_from_age_(query_from_age),
-      apply_item_(std::move(apply_item)),
       timer_(loop) {
   CheckAge();
 }
 
-void FreshnessService::CacheItem(const StoreItem& item) {
-  if (item.deleted) {
-    cached_items_.erase(item.key);
-  } else {
-    cached_items_[item.key] = item;
-  }
-}
-
-void FreshnessService::RemoveCachedItem(const std::string& key) {
-  cached_items_.erase(key);
-}
-
 void FreshnessService::OnConfigRevision(int64_t revision) {
   config_revision_ = std::max(config_revision_, revision);
 }
@@ -93,7 +81,7 @@
   response->set_nonce(query.nonce());
   response->set_age_ms(freshness_->Age(EventLoop::Now()).count());
   response->set_config_revision(config_revision_);
-  response->set_store_revision(sync_->revision());
+  response->set_store_revision(sync_->follower()->revision());
   peers_->SendToAddress(query.address(), std::move(item));
 }
 
@@ -106,7 +94,8 @@
   if (config_revision_ != 0 && response.config_revision() == config_revision_) {
     freshness_->OnConfirmed(query_sent_at_ - Millis(response.age_ms()));
   }
-  int64_t known_revision = std::max(sync_->revision(), peer_revision_);
+  int64_t known_revision =
+      std::max(sync_->follower()->revision(), peer_revision_);
   bool newer = response.config_revision() > config_revision_ ||
                response.store_revision() > known_revision;
   if (newer && now >= next_fetch_at_) {
@@ -144,21 +133,13 @@
 
 void FreshnessService::ApplyState(const schema::KnownState& state,
                                   Millis requested_at) {
-  if (!sync_->unavailable() && sync_->has_synced()) {
+  if (!sync_->follower()->unavailable() && sync_->follower()->has_synced()) {
     return;  // The store itself has responded in the meantime.
   }
   LogInfo("peer", "Took the state up to revision={} from a peer.",
           state.store_revision());
   for (const schema::KnownItem& known : state.items()) {
-    StoreItem item;
-    item.key = known.key();
-    item.value = known.value();
-    item.revision = known.revision();
-    auto cached = cached_items_.find(item.key);
-    if (cached == cached_items_.end() ||
-        cached->second.revision < item.revision) {
-      apply_item_(item);
-    }
+    sync_->ApplyForeignItem(DecodeItem(known));
   }
   peer_revision_ = std::max(peer_revision_, state.store_revision());
   if (state.config_revision() == config_revision_) {
@@ -173,13 +154,13 @@
     return response;
   }
   schema::KnownState state;
-  for (const auto& [key, item] : cached_items_) {
-    schema::KnownItem* known = state.add_items();
-    known->set_key(item.key);
-    known->set_value(item.value);
-    known->set_revision(item.revision);
+  for (const StoreItem& item : sync_->view().AllItems()) {
+    if (!IsClusterKey(item.key)) {
+      EncodeItem(item, state.add_items());
+    }
   }
-  state.set_store_revision(std::max(sync_->revision(), peer_revision_));
+  state.set_store_revision(
+      std::max(sync_->follower()->revision(), peer_revision_));
   state.set_config_revision(config_revision_);
   state.set_age_ms(freshness_->Age(EventLoop::Now()).count());
   response.body = state.SerializeAsString();
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -17,6 +17,8 @@
 #include "gateway/peer_messenger.h"
 #include "gateway/prefill_service.h"
 #include "gateway/rate_limit_service.h"
+#include "gateway/reader_client.h"
+#include "gateway/reader_service.h"
 #include "gateway/request_handler.h"
 #include "gateway/serving_state.h"
 #include "gateway/store_sync.h"
@@ -50,10 +52,11 @@
       : gateway_deps_(std::move(deps)),
         loop_(gateway_deps_.loop),
         self_{settings.machine, BootId(RandomHex(8)), settings.zone,
-              settings.peer_address},
+              settings.peer_address, settings.cpu_share},
         state_(settings, RegistryHooks()),
-        store_sync_(loop_, gateway_deps_.store,
+        store_sync_(loop_, gateway_deps_.store, gateway_deps_.client, self_,
                     SyncIntervalsFor(settings.bounds), SyncHooks()),
+        reader_service_(loop_, &store_sync_.view(), store_sync_.follower()),
         peers_(loop_, self_,
                [this](const MachineId& from, const schema::PeerItem& item) {
                  OnPeerItem(from, item);
@@ -81,8 +84,7 @@
         expire_timer_(loop_) {
     freshness_service_ = std::make_unique<FreshnessService>(
         loop_, gateway_deps_.client, &peers_, &store_sync_, &state_.freshness,
-        PeerQueryAge(settings.bounds),
-        [this](const StoreItem& item) { OnItem(item, true); });
+        PeerQueryAge(settings.bounds));
     InitRequestDeps();
     Listen();
     store_sync_.Start();
@@ -92,6 +94,7 @@
   }
 
   ~Impl() {
+    reader_service_.Stop();
     ready_server_->Stop();
     peer_server_->Stop();
   }
@@ -102,6 +105,7 @@
     }
     state_.stopping = true;
     membership_.StopClaiming();
+    reader_service_.Stop();
     callers_.StartShutdown(std::move(done));
   }
 
@@ -133,7 +137,11 @@
       state_.instance_count = peers_.peers().size() + 1;
       rate_limits_.OnMembersChanged();
     };
+    hooks.on_member_set = [this](const ClusterMember& member) {
+      store_sync_.follower()->OnMember(member);
+    };
     hooks.on_member_removed = [this](const MachineId& machine) {
+      store_sync_.follower()->OnMemberRemoved(machine);
       orders_.OnMachineRemoved(machine);
       prefills_.OnMachineRemoved(machine);
     };
@@ -143,15 +151,21 @@
   StoreSync::Hooks SyncHooks() {
     StoreSync::Hooks hooks;
     hooks.on_item = [this](const StoreItem& item, bool recovering) {
-      OnItem(item, recovering);
+      return OnItem(item, recovering);
     };
     hooks.on_full_read_started = [this] { membership_.OnFullReadStarted(); };
     hooks.on_full_read_completed = [this](const std::vector<StoreItem>& items,
-                                          bool recovering) {
-      OnStoreFullRead(items, recovering);
+                                          int64_t revision, bool recovering) {
+      OnStoreFullRead(items, revision, recovering);
     };
     hooks.on_confirmed = [this](Millis at) {
       state_.freshness.OnConfirmed(at);
+      reader_service_.OnViewUpdated();
+    };
+    hooks.on_store_failure = [this] { reader_service_.OnStoreFailure(); };
+    hooks.address_of = [this](const MachineId& machine) {
+      auto it = peers_.peers().find(machine);
+      return it == peers_.peers().end() ? "" : it->second.address;
     };
     return hooks;
   }
@@ -272,30 +286,49 @@
     peer_server_ = std::make_unique<HttpServer>(
         ServerOptionsFor(state_.settings.peer_address),
         [this](HttpRequest request, std::shared_ptr<Responder> responder) {
-          responder->Send(freshness_service_->OnStateRequest(request));
+          OnPeerRequest(request, responder);
         });
   }
 
+  void OnPeerRequest(const HttpRequest& request,
+                     std::shared_ptr<Responder> responder) {
+    if (request.path == kChangesPath) {
+      reader_service_.OnQuery(request, std::move(responder));
+    } else {
+      responder->Send(freshness_service_->OnStateRequest(request));
+    }
+  }
+
   // Records of the store.
 
-  void OnItem(const StoreItem& item, bool recovering) {
+  // Returns whether the record differs from the previous one of its key in
+  // something that an instance uses.
+  bool OnItem(const StoreItem& item, bool recovering) {
     StoreRecord record = gateway_deps_.decode_record(item);
     Millis now = EventLoop::Now();
     if (auto* config = std::get_if<ConfigRecord>(&record)) {
-      freshness_service_->CacheItem(item);
       OnConfigRecord(std::move(config->config), item.revision);
     } else if (auto* upstream = std::get_if<UpstreamRecord>(&record)) {
-      freshness_service_->CacheItem(item);
+      bool is_heartbeat = IsHeartbeat(*upstream);
       upstream_keys_[upstream->id] = item.key;
       OnUpstreamRecord(*upstream, now, recovering);
+      return !is_heartbeat;
     } else if (auto* version = std::get_if<AdapterVersionRecord>(&record)) {
-      freshness_service_->CacheItem(item);
       OnAdapterVersionRecord(*version);
     } else if (auto* malformed = std::get_if<MalformedRecord>(&record)) {
       LogWarning("store", "Skipped a malformed record: {}.", malformed->reason);
     } else {
       membership_.OnStoreItem(item);
     }
+    return true;
+  }
+
+  // Whether the record states nothing new about the upstream.
+  bool IsHeartbeat(const UpstreamRecord& record) {
+    const UpstreamState* upstream = state_.upstreams.Find(record.id);
+    return record.entry && upstream != nullptr && !upstream->removed &&
+           upstream->removal_due == Millis(0) &&
+           EqualButForAdapters(upstream->entry, *record.entry);
   }
 
   void OnConfigRecord(ServingConfig config, int64_t revision) {
@@ -406,7 +439,8 @@
     }
   }
 
-  void OnStoreFullRead(const std::vector<StoreItem>& items, bool recovering) {
+  void OnStoreFullRead(const std::vector<StoreItem>& items, int64_t revision,
+                       bool recovering) {
     std::set<std::string> keys;
     for (const StoreItem& item : items) {
       keys.insert(item.key);
@@ -420,13 +454,9 @@
     Millis now = EventLoop::Now();
     state_.upstreams.OnFullRead(upstreams, now, recovering);
     std::erase_if(upstream_keys_, [&](const auto& entry) {
-      bool removed = keys.count(entry.second) == 0;
-      if (removed) {
-        freshness_service_->RemoveCachedItem(entry.second);
-      }
-      return removed;
+      return keys.count(entry.second) == 0;
     });
-    membership_.OnFullReadCompleted(keys);
+    membership_.OnFullReadCompleted(keys, revision);
     ExpireMissingUpstreams();
   }
 
@@ -444,7 +474,7 @@
   void ApplyAdapterStatus(const UpstreamId& engine, const ModelRef& target,
                           int64_t version, AdapterStatus status) {
     if (status == AdapterStatus::kEvicted) {
-      state_.residency.OnRemoved(engine, target);
+      state_.residency.OnRemoved(engine, target, EventLoop::Now());
       return;
     }
     if (status == AdapterStatus::kReady) {
@@ -551,6 +581,7 @@
   const ClusterMember self_;
   ServingState state_;
   StoreSync store_sync_;
+  ReaderService reader_service_;
   PeerMessenger peers_;
   Membership membership_;
   OrderService orders_;
--- /dev/null
+++ b/libs/gateway/src/known_items.cc
@@ -0,0 +1,56 @@
+// Conversion between store records and protobuf messages.
+#include "gateway/known_items.h"
+
+#include "schema/cluster.pb.h"
+
+namespace bilberrypitch {
+
+void EncodeItem(const StoreItem& item, schema::KnownItem* encoded) {
+  encoded->set_key(item.key);
+  encoded->set_value(item.value);
+  encoded->set_revision(item.revision);
+  encoded->set_lease(item.lease);
+  encoded->set_deleted(item.deleted);
+}
+
+StoreItem DecodeItem(const schema::KnownItem& encoded) {
+  StoreItem item;
+  item.key = encoded.key();
+  item.value = encoded.value();
+  item.revision = encoded.revision();
+  item.lease = encoded.lease();
+  item.deleted = encoded.deleted();
+  return item;
+}
+
+std::string EncodeChanges(const StoreChanges& changes) {
+  schema::KnownChanges encoded;
+  for (const StoreItem& item : changes.items) {
+    EncodeItem(item, encoded.add_items());
+  }
+  encoded.set_revision(changes.revision);
+  encoded.set_confirmed_after_arrival_ms(
+      changes.confirmed_after_arrival.count());
+  encoded.set_complete(changes.complete);
+  encoded.set_recovering(changes.recovering);
+  return encoded.SerializeAsString();
+}
+
+std::optional<StoreChanges> DecodeChanges(const std::string& bytes) {
+  schema::KnownChanges encoded;
+  if (!encoded.ParseFromString(bytes)) {
+    return std::nullopt;
+  }
+  StoreChanges changes;
+  for (const schema::KnownItem& item : encoded.items()) {
+    changes.items.push_back(DecodeItem(item));
+  }
+  changes.revision = encoded.revision();
+  changes.confirmed_after_arrival =
+      Millis(encoded.confirmed_after_arrival_ms());
+  changes.complete = encoded.complete();
+  changes.recovering = encoded.recovering();
+  return changes;
+}
+
+}  // namespace bilberrypitch
--- a/libs/gateway/src/membership.cc
+++ b/libs/gateway/src/membership.cc
@@ -98,7 +98,7 @@
   if (owner) {
     ownership_.OnOwner(resource, *owner, now);
   } else {
-    ownership_.OnOwnerRemoved(resource, now);
+    ownership_.OnOwnerRemoved(resource, now, item.revision);
   }
   hooks_.on_ownership_changed(resource);
   ProcessClaims();
@@ -117,12 +117,17 @@
     return;
   }
   if (member) {
-    if (peers_->peers().count(machine) == 0) {
+    auto known = peers_->peers().find(machine);
+    if (known == peers_->peers().end()) {
       LogInfo("peer", "Joined machine={} zone={}.", machine.str(),
               member->zone.str());
+    } else if (known->second.boot != member->boot) {
+      // The removal of the previous process's record need not have been seen.
+      hooks_.on_member_removed(machine);
     }
     ownership_.OnMember(*member);
     peers_->SetMember(*member);
+    hooks_.on_member_set(*member);
   } else {
     LogInfo("peer", "Left machine={}.", machine.str());
     ownership_.OnMemberRemoved(machine);
@@ -134,7 +139,8 @@
 
 void Membership::OnFullReadStarted() { ownership_.OnFullReadStarted(); }
 
-void Membership::OnFullReadCompleted(const std::set<std::string>& keys) {
+void Membership::OnFullReadCompleted(const std::set<std::string>& keys,
+                                     int64_t revision) {
   std::vector<MachineId> missing;
   for (const auto& [machine, member] : peers_->peers()) {
     if (keys.count(MemberKey(machine)) == 0) {
@@ -143,6 +149,7 @@
   }
   StoreItem removed_item;
   removed_item.deleted = true;
+  removed_item.revision = revision;
   for (const MachineId& machine : missing) {
     OnMember(machine, removed_item);
   }
@@ -180,7 +187,10 @@
   store_->Commit(std::move(transaction), [this, claim, lease_id](
                                              const StoreCommitResult& result) {
     if (result.outcome != StoreOutcome::kOk) {
-      return;  // The watch reports the current owner; the claim is retried.
+      for (const StoreItem& item : result.current) {
+        OnStoreItem(item);
+      }
+      return;  // The claim is retried if there is still no owner.
     }
     ownership_.OnOwner(claim.resource,
                        {self_.machine, self_.boot, result.revision, lease_id,
--- /dev/null
+++ b/libs/gateway/src/reader_client.cc
@@ -0,0 +1,56 @@
+// The HTTP call to a reader.
+#include "gateway/reader_client.h"
+
+#include <fmt/format.h>
+
+#include "base/log.h"
+#include "gateway/known_items.h"
+#include "transport/event_loop_http_client.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr int kOkStatus = 200;
+constexpr int kServiceUnavailableStatus = 503;
+// Allowed for a response in addition to the time that the reader holds the
+// query.
+constexpr Millis kResponseTime{250};
+
+ReaderClient::Result DecodeResult(const CallOutcome& outcome) {
+  ReaderClient::Result result;
+  if (outcome.result != CallResult::kComplete) {
+    return result;
+  }
+  if (outcome.status == kServiceUnavailableStatus) {
+    result.failure = StoreFollower::ReaderFailure::kNotCurrent;
+    return result;
+  }
+  if (outcome.status == kOkStatus) {
+    result.changes = DecodeChanges(outcome.body);
+  }
+  if (!result.changes) {
+    LogWarning("store", "A reader's response is invalid, status={}.",
+               outcome.status);
+  }
+  return result;
+}
+
+}  // namespace
+
+void ReaderClient::Query(const std::string& address, const StoreCall& call,
+                         std::function<void(Result)> done) {
+  HttpCall query;
+  query.address = address;
+  query.target = fmt::format("{}?after={}&hold_ms={}", kChangesPath,
+                             call.revision, call.timeout.count());
+  query.timeouts.connect = kResponseTime;
+  query.timeouts.first_byte = call.timeout + kResponseTime;
+  query.timeouts.idle = kResponseTime;
+  query.timeouts.total = call.timeout + kResponseTime * 2;
+  query.on_done = [done = std::move(done)](const CallOutcome& outcome) {
+    done(DecodeResult(outcome));
+  };
+  client_->Start(std::move(query));
+}
+
+}  // namespace bilberrypitch
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -293,7 +293,7 @@
   if (adapter_missed) {
     ++state_->counters.adapter_misses;
     ++adapter_misses_;
-    state_->residency.OnRemoved(upstream, request_.model);
+    state_->residency.OnRemoved(upstream, request_.model, EventLoop::Now());
     deps_->hooks.adapter_missing(upstream, request_.model);
   } else {
     tried_upstreams_.push_back(upstream);
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -1,4 +1,5 @@
-// Full reads and watch calls of the store, with their retries.
+// Full reads and watch calls of the store, queries to readers, and the
+// application of what they return.
 #include "gateway/store_sync.h"
 
 #include <algorithm>
@@ -17,11 +18,6 @@
 // time bound.
 constexpr int64_t kWatchTimeoutDivisor = 4;
 constexpr int64_t kWatchPauseDivisor = 8;
-constexpr Millis kRetryDelayStep{100};
-constexpr Millis kMaxRetryDelay{600};
-// For about this long after the store has recovered, records may be missing.
-constexpr Millis kRecoveryTime{2500};
-constexpr int kMaxToleratedFailures = 1;
 
 }  // namespace
 
@@ -31,8 +27,6 @@
     shortest_bound = std::min(shortest_bound, bounds.key_revocation);
   }
   StoreSyncIntervals intervals;
-  // Upstreams write all the time, and each watch call that returns has a cost.
-  // The pause lets one watch collect several writes.
   intervals.watch_timeout =
       std::clamp(Millis(shortest_bound.count() / kWatchTimeoutDivisor),
                  kMinIntervals.watch_timeout, kMaxIntervals.watch_timeout);
@@ -43,25 +37,43 @@
 }
 
 StoreSync::StoreSync(EventLoop* loop, ClusterStore* store,
+                     EventLoopHttpClient* client, const ClusterMember& self,
                      StoreSyncIntervals intervals, Hooks hooks)
-    : loop_(loop),
-      store_(store),
-      intervals_(intervals),
+    : store_(store),
       hooks_(std::move(hooks)),
+      reader_client_(client),
+      follower_(self, intervals),
       next_call_timer_(loop) {}
 
-void StoreSync::Start() { StartFullRead(); }
+void StoreSync::Start() { MakeNextCall(); }
 
-bool StoreSync::IsRecovering(Millis now) const {
-  return unavailable_ ||
-         (recovered_at_ != Millis(0) && now - recovered_at_ < kRecoveryTime);
+void StoreSync::MakeNextCallAfter(Millis delay) {
+  if (delay == Millis(0)) {
+    MakeNextCall();
+  } else {
+    next_call_timer_.Start(delay, [this] { MakeNextCall(); });
+  }
+}
+
+void StoreSync::MakeNextCall() {
+  StoreCall call = follower_.NextCall(EventLoop::Now());
+  if (call.reader != current_reader_) {
+    LogInfo("store", "Takes changes from reader={} revision={}.",
+            call.reader.empty() ? "store" : call.reader.str(), call.revision);
+    current_reader_ = call.reader;
+  }
+  if (call.full_read) {
+    StartFullRead();
+  } else if (call.reader.empty()) {
+    Watch(call);
+  } else {
+    QueryReader(call);
+  }
 }
 
 void StoreSync::StartFullRead() {
-  full_read_pending_ = true;
   read_items_.clear();
   read_revision_ = 0;
-  read_sent_at_ = EventLoop::Now();
   ReadNextPage("");
 }
 
@@ -74,10 +86,9 @@
 
 void StoreSync::OnPage(StorePage page, Millis sent_at) {
   if (page.outcome != StoreOutcome::kOk) {
-    OnFailure("reading");
+    OnStoreFailure("reading");
     return;
   }
-  OnResponse(EventLoop::Now());
   if (read_revision_ == 0) {
     // The pages are no snapshot. The watch starts at the revision of the first
     // page, so it reports everything that changed since.
@@ -91,82 +102,123 @@
     ReadNextPage(last_key);
     return;
   }
-  full_read_pending_ = false;
-  has_synced_ = true;
-  revision_ = read_revision_;
-  bool recovering = IsRecovering(EventLoop::Now());
-  hooks_.on_full_read_started();
-  for (const StoreItem& item : read_items_) {
-    hooks_.on_item(item, recovering);
-  }
-  hooks_.on_full_read_completed(read_items_, recovering);
+  Millis now = EventLoop::Now();
+  bool was_unavailable = follower_.unavailable();
+  Millis delay = follower_.OnFullRead(read_revision_, read_sent_at_, now);
+  LogRecovery(was_unavailable);
+  ApplyAllItems(read_items_, read_revision_, follower_.IsRecovering(now));
   read_items_.clear();
   hooks_.on_confirmed(read_sent_at_);
-  Watch();
+  MakeNextCallAfter(delay);
 }
 
-void StoreSync::Watch() {
+void StoreSync::Watch(const StoreCall& call) {
   Millis sent_at = EventLoop::Now();
-  store_->Watch("", revision_, intervals_.watch_timeout,
+  store_->Watch("", call.revision, call.timeout,
                 [this, sent_at](StoreWatchResult result) {
-                  OnEvents(std::move(result), sent_at);
+                  OnWatchResult(std::move(result), sent_at);
                 });
 }
 
-void StoreSync::OnEvents(StoreWatchResult result, Millis sent_at) {
+void StoreSync::OnWatchResult(StoreWatchResult result, Millis sent_at) {
+  Millis now = EventLoop::Now();
+  bool was_unavailable = follower_.unavailable();
   if (result.outcome == StoreOutcome::kHistoryCompacted) {
-    LogWarning(
-        "store",
-        "The history after revision={} was compacted; starting a full read.",
-        revision_);
-    OnResponse(EventLoop::Now());
-    StartFullRead();
+    LogWarning("store",
+               "The history after revision={} was compacted; a full read is "
+               "needed.",
+               follower_.revision());
+    Millis delay = follower_.OnHistoryCompacted(now);
+    LogRecovery(was_unavailable);
+    MakeNextCallAfter(delay);
     return;
   }
   if (result.outcome != StoreOutcome::kOk) {
-    OnFailure("watching");
+    OnStoreFailure("watching");
     return;
   }
+  Millis delay = follower_.OnStoreChanges(result.revision,
+                                          !result.events.empty(), sent_at, now);
+  LogRecovery(was_unavailable);
+  ApplyItems(result.events, follower_.IsRecovering(now));
+  view_.AdvanceTo(result.revision);
+  hooks_.on_confirmed(sent_at);
+  MakeNextCallAfter(delay);
+}
+
+void StoreSync::QueryReader(const StoreCall& call) {
+  Millis sent_at = EventLoop::Now();
+  reader_client_.Query(
+      hooks_.address_of(call.reader), call,
+      [this, reader = call.reader, sent_at](ReaderClient::Result result) {
+        OnReaderResult(reader, std::move(result), sent_at);
+      });
+}
+
+void StoreSync::OnReaderResult(const MachineId& reader,
+                               ReaderClient::Result result, Millis sent_at) {
   Millis now = EventLoop::Now();
-  OnResponse(now);
-  bool recovering = IsRecovering(now);
-  for (const StoreItem& item : result.events) {
-    hooks_.on_item(item, recovering);
+  if (!result.changes) {
+    MakeNextCallAfter(follower_.OnReaderFailure(reader, result.failure, now));
+    return;
   }
-  revision_ = std::max(revision_, result.revision);
-  hooks_.on_confirmed(sent_at);
-  if (result.events.empty()) {
-    Watch();
+  const StoreChanges& changes = *result.changes;
+  bool was_unavailable = follower_.unavailable();
+  Millis delay = follower_.OnReaderChanges(reader, changes, sent_at, now);
+  LogRecovery(was_unavailable);
+  bool recovering = changes.recovering || follower_.IsRecovering(now);
+  if (changes.complete) {
+    ApplyAllItems(changes.items, changes.revision, recovering);
   } else {
-    next_call_timer_.Start(intervals_.watch_pause, [this] { Watch(); });
+    ApplyItems(changes.items, recovering);
+    view_.AdvanceTo(changes.revision);
   }
+  hooks_.on_confirmed(follower_.confirmed_at());
+  MakeNextCallAfter(delay);
 }
 
-void StoreSync::OnFailure(const char* activity) {
-  ++consecutive_failures_;
-  if (!unavailable_ && consecutive_failures_ > kMaxToleratedFailures) {
-    unavailable_ = true;
-    unavailable_since_ = EventLoop::Now();
-    LogWarning("store", "Lost while {}, revision={}.", activity, revision_);
+void StoreSync::ApplyItems(const std::vector<StoreItem>& items,
+                           bool recovering) {
+  for (const StoreItem& item : items) {
+    if (!view_.HasRevisionOf(item)) {
+      bool relevant = hooks_.on_item(item, recovering);
+      view_.Apply(item, relevant);
+    }
   }
-  Millis delay =
-      std::min(kMaxRetryDelay, kRetryDelayStep * consecutive_failures_);
-  next_call_timer_.Start(delay, [this] {
-    if (full_read_pending_) {
-      StartFullRead();
-    } else {
-      Watch();
+}
+
+void StoreSync::ApplyAllItems(const std::vector<StoreItem>& items,
+                              int64_t revision, bool recovering) {
+  hooks_.on_full_read_started();
+  for (const StoreItem& item : items) {
+    if (!view_.HasLaterRevisionOf(item)) {
+      hooks_.on_item(item, recovering);
     }
-  });
+  }
+  hooks_.on_full_read_completed(items, revision, recovering);
+  view_.Reset(items, revision);
+}
+
+void StoreSync::ApplyForeignItem(const StoreItem& item) {
+  ApplyItems({item}, true);
+}
+
+void StoreSync::OnStoreFailure(const char* activity) {
+  bool was_unavailable = follower_.unavailable();
+  Millis delay = follower_.OnStoreFailure(EventLoop::Now());
+  if (follower_.unavailable() && !was_unavailable) {
+    LogWarning("store", "Lost while {}, revision={}.", activity,
+               follower_.revision());
+  }
+  hooks_.on_store_failure();
+  MakeNextCallAfter(delay);
 }
 
-void StoreSync::OnResponse(Millis now) {
-  consecutive_failures_ = 0;
-  if (unavailable_) {
-    unavailable_ = false;
-    recovered_at_ = now;
+void StoreSync::LogRecovery(bool was_unavailable) const {
+  if (was_unavailable && !follower_.unavailable()) {
     LogInfo("store", "Regained after {} ms, revision={}.",
-            (now - unavailable_since_).count(), revision_);
+            (EventLoop::Now() - follower_.unavailable_since()).count(),
+            follower_.revision());
   }
 }
 
--- a/libs/serving/include/serving/residency_view.h
+++ b/libs/serving/include/serving/residency_view.h
@@ -19,8 +19,9 @@
   // The engine holds `target` in this version.
   void OnReady(const UpstreamId& engine, const ModelRef& target,
                int64_t version);
-  // The engine no longer holds `target`.
-  void OnRemoved(const UpstreamId& engine, const ModelRef& target);
+  // The engine does not hold `target`. A base model that the engine's store
+  // entry names is assumed to be back after some time.
+  void OnRemoved(const UpstreamId& engine, const ModelRef& target, Millis now);
   // The engine's store entry names exactly these base models.
   void SetBaseModels(const UpstreamId& engine,
                      const std::vector<LoadedModel>& models);
@@ -30,13 +31,14 @@
   // Whether the engine is assumed to hold `target` in this version or a newer
   // one.
   bool Holds(const UpstreamId& engine, const ModelRef& target,
-             int64_t minimum_version) const;
-  bool HoldsBaseModel(const UpstreamId& engine, const ModelId& model) const;
+             int64_t minimum_version, Millis now) const;
+  bool HoldsBaseModel(const UpstreamId& engine, const ModelId& model,
+                      Millis now) const;
 
  private:
   struct EngineContents {
     std::map<ModelRef, int64_t> adapters;  // With their versions.
-    std::set<ModelId> models;
+    std::map<ModelId, Millis> models;  // With the time from which it is held.
   };
   std::map<UpstreamId, EngineContents> engines_;
 };
--- /dev/null
+++ b/libs/serving/include/serving/store_call.h
@@ -0,0 +1,43 @@
+// The calls that keep an instance's view of the store current, and what a
+// reader responds.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "serving/ids.h"
+#include "serving/store_item.h"
+
+namespace bilberrypitch {
+
+// Intervals of the calls. Both bound the age of the view of the store.
+struct StoreSyncIntervals {
+  // How long the store holds a watch call without changes.
+  Millis watch_timeout;
+  // Between a watch that returned changes and the next one.
+  Millis watch_pause;
+};
+
+// The next call to make.
+struct StoreCall {
+  MachineId reader;        // The instance to query; empty: the store itself.
+  bool full_read = false;  // Only of the store.
+  int64_t revision = 0;    // Asks for changes after this revision.
+  Millis timeout;          // How long the call is held without changes.
+};
+
+// A reader's response: changes after the revision that was asked for.
+struct StoreChanges {
+  std::vector<StoreItem> items;
+  int64_t revision = 0;  // The reader's view contains all changes up to here.
+  // When the reader's view was known to be current, counted from the arrival of
+  // the query. Positive if the reader heard from the store while it held the
+  // query.
+  Millis confirmed_after_arrival;
+  // `items` are all records; keys that are not among them do not exist.
+  bool complete = false;
+  // The store was unavailable until shortly before, so records may be missing.
+  bool recovering = false;
+};
+
+}  // namespace bilberrypitch
--- a/libs/serving/include/serving/upstream_entry.h
+++ b/libs/serving/include/serving/upstream_entry.h
@@ -37,6 +37,11 @@
   std::vector<LoadedModel> models;
 };
 
+// Whether two entries differ only in the adapters that they list, or not at
+// all. Adapters are known from the owner of the engine.
+bool EqualButForAdapters(const UpstreamEntry& first,
+                         const UpstreamEntry& second);
+
 // An engine's state as it reports it. The state is some hundred milliseconds
 // old.
 struct EngineReport {
--- /dev/null
+++ b/libs/serving/src/store_follower.cc
@@ -0,0 +1,240 @@
+// Choice of readers, and timing of the calls to readers and to the store.
+#include "serving/store_follower.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "base/hash.h"
+
+namespace bilberrypitch {
+namespace {
+
+// A zone has one reader, and another one for each of these members, up to the
+// maximum.
+constexpr size_t kMembersPerReader = 16;
+constexpr size_t kMaxReaders = 3;
+// Members after the readers that are queried when no reader responds.
+constexpr size_t kSpareReaders = 2;
+// An instance watches the store for this long after it was queried.
+constexpr Millis kServeTime{2000};
+// A reader is not queried again for this time.
+constexpr Millis kAvoidNotCurrent{300};
+constexpr Millis kAvoidUnresponsive{2000};
+// Time for the store's response, in the maximum age of a reader's view.
+constexpr Millis kReaderAgeMargin{300};
+
+constexpr Millis kRetryDelayStep{100};
+constexpr Millis kMaxRetryDelay{600};
+// Of an instance that is no reader: the readers try more often.
+constexpr Millis kFollowerRetryDelay{1500};
+// For about this long after the store has recovered, records may be missing.
+constexpr Millis kRecoveryTime{2500};
+constexpr int kMaxToleratedFailures = 1;
+
+size_t ReaderCount(size_t members) {
+  return std::min(kMaxReaders, 1 + members / kMembersPerReader);
+}
+
+}  // namespace
+
+StoreFollower::StoreFollower(const ClusterMember& self,
+                             StoreSyncIntervals intervals)
+    : self_(self.machine), zone_(self.zone), intervals_(intervals) {
+  OnMember(self);
+}
+
+void StoreFollower::OnMember(const ClusterMember& member) {
+  if (member.zone != zone_) {
+    return;
+  }
+  auto it = std::find_if(
+      members_.begin(), members_.end(),
+      [&](const ZoneMember& known) { return known.machine == member.machine; });
+  if (it == members_.end()) {
+    members_.push_back({member.machine, member.cpu_share,
+                        StableHash("store-reader", member.machine.str())});
+  } else {
+    it->cpu_share = member.cpu_share;
+    avoid_until_.erase(member.machine);
+  }
+  std::sort(members_.begin(), members_.end(),
+            [](const ZoneMember& first, const ZoneMember& second) {
+              return std::tie(second.cpu_share, first.hash, first.machine) <
+                     std::tie(first.cpu_share, second.hash, second.machine);
+            });
+}
+
+void StoreFollower::OnMemberRemoved(const MachineId& machine) {
+  if (machine == self_) {
+    return;
+  }
+  std::erase_if(members_, [&](const ZoneMember& member) {
+    return member.machine == machine;
+  });
+  avoid_until_.erase(machine);
+}
+
+Millis StoreFollower::MaxReaderAge() const {
+  return intervals_.watch_pause + ReaderWatchTimeout() + kReaderAgeMargin;
+}
+
+Millis StoreFollower::ReaderWatchTimeout() const {
+  return Millis(intervals_.watch_pause.count() / 2);
+}
+
+bool StoreFollower::IsYoung(Millis now) const {
+  return now - confirmed_at_ <= MaxReaderAge();
+}
+
+bool StoreFollower::IsReader() const {
+  size_t count = ReaderCount(members_.size());
+  for (size_t i = 0; i < count; ++i) {
+    if (members_[i].machine == self_) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool StoreFollower::IsQueried(Millis now) const {
+  return was_queried_ && now - queried_at_ < kServeTime;
+}
+
+bool StoreFollower::WatchesStore(Millis now) const {
+  return IsReader() || IsQueried(now);
+}
+
+bool StoreFollower::IsAvoided(const MachineId& machine, Millis now) const {
+  auto it = avoid_until_.find(machine);
+  return it != avoid_until_.end() && now < it->second;
+}
+
+MachineId StoreFollower::ChooseReader(Millis now) const {
+  size_t readers = ReaderCount(members_.size());
+  size_t candidates = std::min(members_.size(), readers + kSpareReaders);
+  // Followers are spread over the readers; spares come last, in order.
+  size_t first = StableHash(self_.str()) % readers;
+  for (size_t i = 0; i < candidates; ++i) {
+    size_t index = i < readers ? (first + i) % readers : i;
+    const MachineId& machine = members_[index].machine;
+    if (machine != self_ && !IsAvoided(machine, now)) {
+      return machine;
+    }
+  }
+  return MachineId();
+}
+
+StoreCall StoreFollower::NextCall(Millis now) const {
+  StoreCall call;
+  call.revision = revision_;
+  if (!has_synced_) {
+    call.full_read = true;
+    return call;
+  }
+  // One reader after the other must not be tried until the view is too old.
+  bool readers_failed = skip_readers_ || (!IsYoung(now) && !unavailable_);
+  if (!WatchesStore(now) && !readers_failed) {
+    call.reader = ChooseReader(now);
+  }
+  if (!call.reader.empty()) {
+    call.timeout = QueryTimeout();
+    return call;
+  }
+  call.full_read = needs_full_read_;
+  call.timeout =
+      IsQueried(now) ? ReaderWatchTimeout() : intervals_.watch_timeout;
+  return call;
+}
+
+void StoreFollower::ConfirmAt(Millis at) {
+  confirmed_at_ = std::max(confirmed_at_, at);
+}
+
+void StoreFollower::OnStoreResponse(Millis now) {
+  skip_readers_ = false;
+  consecutive_failures_ = 0;
+  if (unavailable_) {
+    unavailable_ = false;
+    recovered_at_ = now;
+  }
+}
+
+Millis StoreFollower::OnFullRead(int64_t revision, Millis sent_at, Millis now) {
+  OnStoreResponse(now);
+  has_synced_ = true;
+  needs_full_read_ = false;
+  revision_ = std::max(revision_, revision);
+  ConfirmAt(sent_at);
+  store_confirmed_at_ = sent_at;
+  return Millis(0);
+}
+
+Millis StoreFollower::OnStoreChanges(int64_t revision, bool changed,
+                                     Millis sent_at, Millis now) {
+  OnStoreResponse(now);
+  revision_ = std::max(revision_, revision);
+  ConfirmAt(sent_at);
+  store_confirmed_at_ = sent_at;
+  // Upstreams write all the time, and each watch call that returns has a cost.
+  // The pause lets one watch collect several writes.
+  bool next_is_watch = NextCall(now).reader.empty();
+  return changed && next_is_watch ? intervals_.watch_pause : Millis(0);
+}
+
+Millis StoreFollower::OnHistoryCompacted(Millis now) {
+  OnStoreResponse(now);
+  needs_full_read_ = true;
+  return Millis(0);
+}
+
+Millis StoreFollower::OnStoreFailure(Millis now) {
+  store_confirmed_at_ = Millis(0);
+  skip_readers_ = false;
+  ++consecutive_failures_;
+  if (!unavailable_ && consecutive_failures_ > kMaxToleratedFailures) {
+    unavailable_ = true;
+    unavailable_since_ = now;
+  }
+  if (unavailable_ && !WatchesStore(now)) {
+    return kFollowerRetryDelay;
+  }
+  return std::min(kMaxRetryDelay, kRetryDelayStep * consecutive_failures_);
+}
+
+Millis StoreFollower::OnReaderChanges(const MachineId& reader,
+                                      const StoreChanges& changes,
+                                      Millis sent_at, Millis now) {
+  avoid_until_.erase(reader);
+  OnStoreResponse(now);
+  needs_full_read_ = false;
+  revision_ = std::max(revision_, changes.revision);
+  // The query arrived after it was sent, so this is not too late.
+  ConfirmAt(std::min(sent_at + changes.confirmed_after_arrival, now));
+  return Millis(0);
+}
+
+Millis StoreFollower::OnReaderFailure(const MachineId& reader,
+                                      ReaderFailure failure, Millis now) {
+  avoid_until_[reader] =
+      now + (failure == ReaderFailure::kNotCurrent ? kAvoidNotCurrent
+                                                   : kAvoidUnresponsive);
+  skip_readers_ = failure == ReaderFailure::kNoResponse;
+  if (!skip_readers_ && IsYoung(now) && ChooseReader(now).empty()) {
+    // All have lost the store for a moment. If every follower turned to the
+    // store at once, it would be under the load that the readers prevent.
+    return kAvoidNotCurrent;
+  }
+  return Millis(0);
+}
+
+bool StoreFollower::IsRecovering(Millis now) const {
+  return unavailable_ ||
+         (recovered_at_ != Millis(0) && now - recovered_at_ < kRecoveryTime);
+}
+
+bool StoreFollower::CanServe(Millis now) const {
+  return has_synced_ && !needs_full_read_ && !unavailable_ &&
+         store_confirmed_at_ != Millis(0) && now <= ServesUntil();
+}
+
+}  // namespace bilberrypitch
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -114,7 +114,7 @@
       std::any_of(usable.begin(), usable.end(), [&](auto* upstream) {
         return !without_model &&
                residency.Holds(upstream->entry.id, input.model,
-                               input.minimum_version);
+                               input.minimum_version, input.now);
       });
   std::optional<UpstreamChoice> best;
   for (size_t i = 0; i < usable.size(); ++i) {
@@ -125,12 +125,13 @@
     if (without_model) {
       choice.cost_ms += NonModelCost(*upstream);
     } else {
-      if (!residency.HoldsBaseModel(upstream->entry.id, input.model.model)) {
+      if (!residency.HoldsBaseModel(upstream->entry.id, input.model.model,
+                                    input.now)) {
         continue;
       }
       choice.cost_ms += PromptCost(*upstream, input);
       choice.resident = residency.Holds(upstream->entry.id, input.model,
-                                        input.minimum_version);
+                                        input.minimum_version, input.now);
       if (!choice.resident) {
         choice.cost_ms +=
             kAdapterLoadMs + kPerRankMs * static_cast<double>(ranks[i]);
