Bound what an upstream may send without end, and what a caller leaves unread

Cause: bytes without an event boundary grew EventSplitter's buffer until the memory was full, and each piece searched all of it again; interim responses, header fields and trailers had no bound but the total timeout; events for a caller that does not read were queued without a bound.

Change: an event has at most 256 KiB, the header fields of a call with its interim responses and trailers 64 KiB, events that a caller has yet to take 1 MiB. The first two end the attempt as an invalid response, so the upstream counts as faulty; the third ends the request as one whose caller has left. The search for a boundary starts where the last one ended.

Tests: events cut at every byte, an event without an end, six responses without an end against a raw server, both streams through the gateway. Each was seen to fail with the bound taken out; a body, a header line and a status line without an end passed before (limits of the call and of libcurl).

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -129,7 +129,9 @@
   void StartAttempt(UpstreamState* upstream);
   HttpCall MakeCall(const UpstreamState& upstream) const;
   bool OnHeaders(int status, const HttpHeaders& headers);
-  void OnData(std::string_view bytes);
+  bool OnData(std::string_view bytes);
+  void ForwardEvents(std::string events);
+  void OnEventsWritten(size_t bytes);
   void OnCallDone(CallOutcome outcome);
   AttemptOutcome ClassifyOutcome(const CallOutcome& outcome) const;
   void OnCompleteResponse(const CallOutcome& outcome, bool failed);
@@ -199,6 +201,7 @@
   Millis last_event_at_;
   Millis max_event_gap_;  // Longest time between two events so far.
   EventSplitter event_splitter_;
+  size_t unwritten_bytes_ = 0;  // Events that the caller has yet to take.
   bool finished_ = false;
 };
 
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -28,6 +28,9 @@
 constexpr int64_t kFirstByteTimeoutFactor = 3;
 constexpr Millis kMinFirstByteTimeout{400};
 
+// A caller that does not take its events would otherwise fill the memory.
+constexpr size_t kMaxUnwrittenBytes = 1 << 20;
+
 bool IsServerError(int status) { return status >= 500; }
 
 }  // namespace
@@ -109,8 +112,7 @@
   };
   if (IsStream()) {
     call.on_data = [self](std::string_view bytes) {
-      self->OnData(bytes);
-      return true;
+      return self->OnData(bytes);
     };
   }
   call.on_done = [self](CallOutcome outcome) {
@@ -139,14 +141,19 @@
   return status >= 300 || response_info_.has_signature;
 }
 
-void RequestHandler::OnData(std::string_view bytes) {
+// Returns false to cancel the call.
+bool RequestHandler::OnData(std::string_view bytes) {
   if (finished_ || !response_is_stream_) {
-    return;
+    return true;
   }
   std::string events = event_splitter_.Feed(bytes);
-  if (events.empty()) {
-    return;
+  if (!events.empty()) {
+    ForwardEvents(std::move(events));
   }
+  return !event_splitter_.event_too_large();
+}
+
+void RequestHandler::ForwardEvents(std::string events) {
   Millis now = EventLoop::Now();
   if (response_started_) {
     max_event_gap_ = std::max(max_event_gap_, now - last_event_at_);
@@ -166,7 +173,22 @@
     first_event_latency_ = now - arrived_at_;
     responder_->StartStream(200, response_info_.forward);
   }
-  responder_->WriteChunk(std::move(events), {});
+  size_t size = events.size();
+  unwritten_bytes_ += size;
+  responder_->WriteChunk(
+      std::move(events),
+      [self = shared_from_this(), size](bool) { self->OnEventsWritten(size); });
+  if (unwritten_bytes_ > kMaxUnwrittenBytes) {
+    LogWarning("request", "Caller too slow id={} unwritten_bytes={}.",
+               request_.id.str(), unwritten_bytes_);
+    // Not within the callback of the call that this cancels.
+    deps_->loop->Post(
+        [self = shared_from_this()] { self->OnCallerDisconnected(); });
+  }
+}
+
+void RequestHandler::OnEventsWritten(size_t bytes) {
+  unwritten_bytes_ -= std::min(bytes, unwritten_bytes_);
 }
 
 AttemptOutcome RequestHandler::ClassifyOutcome(
--- a/libs/gateway/test/gateway_test.cc
+++ b/libs/gateway/test/gateway_test.cc
@@ -7,12 +7,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <asio.hpp>
 #include <catch2/catch.hpp>
 
 #include "fake_store.h"
 #include "platform/engine_client.h"
 #include "platform/request_codec.h"
 #include "platform/store_records.h"
+#include "transport/address.h"
 #include "transport/event_loop_http_client.h"
 #include "transport/http_server.h"
 
@@ -223,6 +225,7 @@
   FakeUpstream second;
   std::unique_ptr<Gateway> gateway;
 
+  const std::string& caller_address() const { return settings_.caller_address; }
   EventLoopHttpClient* control() { return &control_; }
 };
 
@@ -367,6 +370,59 @@
   REQUIRE(outcome.body == "id: 1\ndata: a\n\n");
 }
 
+// Pattern: an upstream in trouble sends bytes without end until the caller
+// closes.
+TEST_CASE("a stream without an event boundary is ended", "[gateway]") {
+  Fixture fixture;
+  fixture.WaitUntilReady();
+  fixture.first.SetHandler(
+      [](const HttpRequest& request, Responder* responder) {
+        responder->StartStream(200, FakeUpstream::OkResponse(request).headers);
+        responder->WriteChunk("id: 1\ndata: a\n\n", {});
+        responder->WriteChunk(std::string(2 << 20, 'x'), {});
+      });
+  Millis started_at = EventLoop::Now();
+  CallOutcome outcome = fixture.SendRequest("/stream/x");
+  REQUIRE(outcome.result == CallResult::kConnectionBroken);
+  REQUIRE(outcome.body == "id: 1\ndata: a\n\n");
+  // Well before the timeout of the route.
+  REQUIRE(EventLoop::Now() - started_at < Millis(1000));
+}
+
+// Pattern: a caller that keeps its connection open and does not read.
+TEST_CASE("a stream to a caller that does not read is ended", "[gateway]") {
+  Fixture fixture;
+  fixture.WaitUntilReady();
+  constexpr size_t kEventBytes = 64 << 10;
+  const std::string event = "data: " + std::string(kEventBytes, 'x') + "\n\n";
+  size_t written = 0;
+  Timer write_timer(&fixture.loop);
+  std::function<void(Responder*)> write_next = [&](Responder* responder) {
+    responder->WriteChunk(event, {});
+    written += event.size();
+    write_timer.Start(Millis(1), [&, responder] { write_next(responder); });
+  };
+  fixture.first.SetHandler(
+      [&](const HttpRequest& request, Responder* responder) {
+        responder->StartStream(200, FakeUpstream::OkResponse(request).headers);
+        write_next(responder);
+      });
+  int closed_before = fixture.first.closed_connections();
+  asio::ip::tcp::socket caller(fixture.loop.context());
+  std::optional<Address> address = ParseAddress(fixture.caller_address());
+  caller.connect({asio::ip::make_address(address->ip), address->port});
+  asio::write(caller, asio::buffer(std::string(
+                          "POST /stream/x HTTP/1.1\r\nHost: h\r\n"
+                          "Request-Id: slow\r\nDeadline-Ms: 30000\r\n"
+                          "Authorization: Token k1\r\n"
+                          "Content-Length: 4\r\n\r\nbody")));
+  fixture.WaitUntil(
+      [&] { return fixture.first.closed_connections() > closed_before; });
+  // The systems' socket buffers take a part; the route's timeout is two
+  // seconds, in which the upstream could write more than this.
+  REQUIRE(written < (48U << 20));
+}
+
 TEST_CASE("the upstream call is cancelled when the caller disconnects",
           "[gateway]") {
   Fixture fixture;
--- a/libs/serving/include/serving/event_splitter.h
+++ b/libs/serving/include/serving/event_splitter.h
@@ -3,6 +3,8 @@
 // broken stream can be resumed after the last one.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -10,12 +12,20 @@
 
 class EventSplitter {
  public:
+  // A stream without an event boundary would otherwise fill the memory.
+  static constexpr size_t kMaxEventBytes = 256 << 10;
+
   // Appends `bytes` and returns the events that are now complete, unchanged.
   std::string Feed(std::string_view bytes);
+  // An event exceeded `kMaxEventBytes`; its bytes are discarded.
+  bool event_too_large() const { return event_too_large_; }
   // Returns true if no incomplete event is buffered.
-  bool AtBoundary() const { return pending_.empty(); }
+  bool AtBoundary() const { return pending_.empty() && !event_too_large_; }
   // Discards an incomplete event whose rest will never arrive.
-  void DropPartial() { pending_.clear(); }
+  void DropPartial() {
+    pending_.clear();
+    event_too_large_ = false;
+  }
   // Id of the last complete event that had one; empty if there was none.
   const std::string& last_id() const { return last_id_; }
   // Number of complete events so far.
@@ -26,6 +36,7 @@
   void RecordEvent(std::string_view event);
 
   std::string pending_;  // Start of an incomplete event.
+  bool event_too_large_ = false;
   std::string last_id_;
   uint64_t events_ = 0;
 };
--- a/libs/serving/src/event_splitter.cc
+++ b/libs/serving/src/event_splitter.cc
@@ -1,9 +1,14 @@
 // Finds event boundaries and event ids in a stream of server-sent events.
 #include "serving/event_splitter.h"
 
+#include <algorithm>
+
 namespace bilberrypitch {
 namespace {
 
+// An event ends with at most this many bytes: two line ends.
+constexpr size_t kMaxBoundaryBytes = 4;
+
 // Returns the position after the empty line that ends the first event at or
 // after `from`; npos if that event is incomplete. Lines end with LF or CRLF.
 size_t EndOfEvent(std::string_view text, size_t from) {
@@ -21,11 +26,17 @@
 }  // namespace
 
 std::string EventSplitter::Feed(std::string_view bytes) {
+  if (event_too_large_) {
+    return "";
+  }
+  // What was pending holds no boundary, but one may have begun at its end.
+  size_t search_from =
+      pending_.size() - std::min(pending_.size(), kMaxBoundaryBytes - 1);
   pending_.append(bytes);
   const std::string_view text = pending_;
   size_t from = 0;
   while (true) {
-    size_t end = EndOfEvent(text, from);
+    size_t end = EndOfEvent(text, std::max(from, search_from));
     if (end == std::string_view::npos) {
       break;
     }
@@ -34,6 +45,10 @@
   }
   std::string complete = pending_.substr(0, from);
   pending_.erase(0, from);
+  if (pending_.size() > kMaxEventBytes) {
+    pending_.clear();
+    event_too_large_ = true;
+  }
   return complete;
 }
 
--- a/libs/serving/test/decisions_test.cc
+++ b/libs/serving/test/decisions_test.cc
@@ -153,6 +153,41 @@
   REQUIRE(splitter.AtBoundary());
 }
 
+TEST_CASE("an event boundary is found wherever the bytes are cut", "[events]") {
+  const std::string text =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\n\n";
+  for (size_t cut = 0; cut <= text.size(); ++cut) {
+    EventSplitter splitter;
+    std::string forwarded = splitter.Feed(text.substr(0, cut));
+    forwarded += splitter.Feed(text.substr(cut));
+    REQUIRE(forwarded == text);
+    REQUIRE(splitter.events() == 3);
+  }
+  EventSplitter by_byte;
+  std::string forwarded;
+  for (char c : text) {
+    forwarded += by_byte.Feed(std::string(1, c));
+  }
+  REQUIRE(forwarded == text);
+}
+
+// Pattern: bytes that are no event and never end.
+TEST_CASE("an event without an end is given up at its limit", "[events]") {
+  EventSplitter splitter;
+  const std::string piece(16 << 10, 'x');
+  REQUIRE(splitter.Feed("id: 1\ndata: a\n\n") != "");
+  size_t fed = 0;
+  while (!splitter.event_too_large() && fed < (64U << 20)) {
+    REQUIRE(splitter.Feed(piece).empty());
+    fed += piece.size();
+  }
+  REQUIRE(fed <= EventSplitter::kMaxEventBytes + piece.size());
+  REQUIRE_FALSE(splitter.AtBoundary());
+  // The rest of it is not taken for an event either.
+  REQUIRE(splitter.Feed("x\n\nid: 2\n\n").empty());
+  REQUIRE(splitter.last_id() == "1");
+}
+
 TEST_CASE("the retry budget stays within its share of the limit", "[retries]") {
   RetryBudget budget({0.2, 50, Millis(10000)});
   Millis now(100000);
--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr long kMaxPooledConnections = 512;
+// For all header fields of a response, its interim responses and trailers.
+constexpr size_t kMaxHeaderBytes = 64 << 10;
 // The system closes a connection whose sent data remains unacknowledged for
 // this time.
 constexpr int kTcpUserTimeoutMs = 3000;
@@ -115,6 +117,7 @@
     Impl* owner = nullptr;
     HttpCall call;
     size_t body_bytes_sent = 0;
+    size_t header_bytes = 0;  // Received, over all header blocks.
     CURL* easy = nullptr;
     curl_slist* header_list = nullptr;
     CallOutcome outcome;
@@ -234,6 +237,13 @@
     auto* transfer = static_cast<Transfer*>(user_data);
     RecordProgress(transfer);
     std::string_view line(data, size * count);
+    // Interim responses and trailers count too: each of them can be repeated
+    // without end.
+    transfer->header_bytes += line.size();
+    if (transfer->header_bytes > kMaxHeaderBytes) {
+      transfer->response_too_large = true;
+      return 0;
+    }
     if (line.substr(0, 5) == "HTTP/") {
       transfer->outcome.headers = HttpHeaders();
       return size * count;
@@ -402,7 +412,9 @@
     if (transfer.cancelled_by_callback) {
       return CallResult::kCancelled;
     }
-    if (transfer.response_too_large) {
+    // libcurl has a limit of its own for a single line.
+    bool line_too_long = code == CURLE_OUT_OF_MEMORY;
+    if (transfer.response_too_large || line_too_long) {
       return CallResult::kResponseTooLarge;
     }
     // libcurl may have sent the request on a pooled connection that broke, and
--- a/libs/transport/test/event_loop_http_client_test.cc
+++ b/libs/transport/test/event_loop_http_client_test.cc
@@ -95,6 +95,81 @@
   REQUIRE(second.result == CallResult::kConnectionBroken);
 }
 
+namespace {
+
+// Accepts one connection, reads the request, sends `head` once and then `piece`
+// again and again until the caller closes.
+class EndlessServer {
+ public:
+  EndlessServer(std::string head, std::string piece)
+      : acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
+        address_("127.0.0.1:" +
+                 std::to_string(acceptor_.local_endpoint().port())),
+        thread_([this, head = std::move(head), piece = std::move(piece)] {
+          Run(head, piece);
+        }) {}
+
+  ~EndlessServer() { thread_.join(); }
+
+  const std::string& address() const { return address_; }
+
+ private:
+  void Run(const std::string& head, const std::string& piece) {
+    asio::ip::tcp::socket socket(context_);
+    acceptor_.accept(socket);
+    std::string request;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    asio::error_code ec;
+    asio::write(socket, asio::buffer(head), ec);
+    while (!ec) {
+      asio::write(socket, asio::buffer(piece), ec);
+    }
+  }
+
+  asio::io_context context_;
+  asio::ip::tcp::acceptor acceptor_;
+  const std::string address_;
+  std::thread thread_;
+};
+
+struct EndlessCase {
+  std::string name;
+  std::string head;
+  std::string piece;
+};
+
+}  // namespace
+
+// Pattern: an upstream in trouble sends bytes without end until the caller
+// closes.
+TEST_CASE("a response without an end is given up", "[loop_client]") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  auto endless = GENERATE_COPY(
+      EndlessCase{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      EndlessCase{"header fields", ok, "Field: value\r\n"},
+      EndlessCase{"a header line", ok, std::string(1000, 'x')},
+      EndlessCase{"a status line", "HTTP/1.1 200 ", std::string(1000, 'x')},
+      EndlessCase{"a body", ok + "\r\n", std::string(64 << 10, 'x')},
+      EndlessCase{"trailers", chunked + "0\r\n", "Field: value\r\n"});
+  CAPTURE(endless.name);
+  EndlessServer server(endless.head, endless.piece);
+  EventLoop loop;
+  EventLoopHttpClient client(&loop);
+  CallOutcome outcome;
+  HttpCall call;
+  call.address = server.address();
+  call.target = "/";
+  call.timeouts.total = Millis(20 * 1000);
+  call.on_done = [&](CallOutcome ended) {
+    outcome = std::move(ended);
+    loop.Stop();
+  };
+  client.Start(std::move(call));
+  loop.Run();
+  REQUIRE(outcome.result == CallResult::kResponseTooLarge);
+}
+
 // The gateway is destroyed before its client, while its watch call is still
 // open. A callback would access the destroyed gateway.
 TEST_CASE("a destroyed client does not call back", "[loop_client]") {
