Split the application of store records from the wiring of an instance

gateway.cc had three jobs in 610 lines; what each record does to the services is now RecordApplier. A heartbeat no longer walks over all resources for claims that it cannot change.

--- /dev/null
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -0,0 +1,86 @@
+// Applies the records of the store to the state of this instance.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "serving/ids.h"
+#include "serving/ownership.h"
+#include "serving/store_item.h"
+#include "serving/store_record.h"
+#include "transport/timer.h"
+
+namespace bilberrypitch {
+
+class CallerFrontend;
+class CrashService;
+class EventLoop;
+class Membership;
+class OrderService;
+class PrefillService;
+class RateLimitService;
+struct ServingState;
+struct UpstreamState;
+
+// Decodes each record and passes it to the services that it concerns. Must be
+// used on the event loop's thread only.
+class RecordApplier {
+ public:
+  // The pointers are not owned and must outlive the applier.
+  struct Deps {
+    ServingState* state = nullptr;
+    Membership* membership = nullptr;
+    OrderService* orders = nullptr;
+    PrefillService* prefills = nullptr;
+    CrashService* crashes = nullptr;
+    RateLimitService* rate_limits = nullptr;
+    CallerFrontend* callers = nullptr;
+    StoreRecordDecoder decode_record;
+    // A configuration of this store revision was seen.
+    std::function<void(int64_t revision)> on_config_revision;
+  };
+
+  RecordApplier(EventLoop* loop, Deps deps);
+
+  // Applies a record that was written or removed. `recovering`: the store was
+  // unavailable until shortly before. Returns whether the record differs from
+  // the previous one of its key in something that an instance uses.
+  bool Apply(const StoreItem& item, bool recovering);
+  // All records were applied that exist at `revision`: removes the others.
+  void OnFullRead(const std::vector<StoreItem>& items, int64_t revision,
+                  bool recovering);
+
+  // An upstream is new or restarted.
+  void OnUpstreamStarted(const UpstreamState& upstream);
+  // An upstream is draining or removed.
+  void OnUpstreamUnavailable(const UpstreamId& id);
+  // The owner of a resource, or whether this instance may act as its owner, has
+  // changed.
+  void NotifyOwnershipChanged(const ResourceId& resource);
+  // Returns null if the upstream is not known or its service has no models.
+  const EngineProfile* EngineProfileOf(const UpstreamId& engine);
+
+ private:
+  // Whether the record states nothing new about the upstream.
+  bool IsHeartbeat(const UpstreamRecord& record);
+  void OnHeartbeat(const UpstreamRecord& record, Millis now);
+  void OnConfigRecord(ServingConfig config, int64_t revision);
+  void ApplyRateLimits();
+  void OnUpstreamRecord(const UpstreamRecord& record, Millis now,
+                        bool recovering);
+  // Only upstreams of services with models are engines, and only these have an
+  // owner.
+  void AddEngineResource(const UpstreamState& upstream);
+  void OnAdapterVersionRecord(const AdapterVersionRecord& record);
+  // Removes upstreams whose entries have not returned in time.
+  void ExpireMissingUpstreams();
+
+  const Deps deps_;
+  std::map<UpstreamId, std::string> upstream_keys_;
+  Timer expire_timer_;
+};
+
+}  // namespace bilberrypitch
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -2,7 +2,6 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
-#include <set>
 
 #include "base/hash.h"
 #include "base/log.h"
@@ -19,6 +18,7 @@
 #include "gateway/rate_limit_service.h"
 #include "gateway/reader_client.h"
 #include "gateway/reader_service.h"
+#include "gateway/record_applier.h"
 #include "gateway/request_handler.h"
 #include "gateway/serving_state.h"
 #include "gateway/store_sync.h"
@@ -84,7 +84,7 @@
                   &state_.upstreams, &peers_, PrefillHooks()),
         crashes_(&state_.crash_tracker, &peers_),
         callers_(loop_, &state_),
-        expire_timer_(loop_) {
+        records_(loop_, RecordDeps()) {
     freshness_service_ = std::make_unique<FreshnessService>(
         loop_, gateway_deps_.client, &peers_, &store_sync_, &state_.freshness,
         PeerQueryAge(settings.bounds));
@@ -118,13 +118,13 @@
   UpstreamRegistry::Hooks RegistryHooks() {
     UpstreamRegistry::Hooks hooks;
     hooks.on_started = [this](const UpstreamState& upstream) {
-      OnUpstreamStarted(upstream);
+      records_.OnUpstreamStarted(upstream);
     };
     hooks.on_unavailable = [this](const UpstreamId& id) {
-      OnUpstreamUnavailable(id);
+      records_.OnUpstreamUnavailable(id);
     };
     hooks.on_local_load_changed = [this](const UpstreamId& id) {
-      if (EngineProfileOf(id) != nullptr) {
+      if (records_.EngineProfileOf(id) != nullptr) {
         load_broadcaster_.OnLoadChanged(id);
       }
     };
@@ -134,7 +134,7 @@
   Membership::Hooks MembershipHooks() {
     Membership::Hooks hooks;
     hooks.on_ownership_changed = [this](const ResourceId& resource) {
-      NotifyOwnershipChanged(resource);
+      records_.NotifyOwnershipChanged(resource);
     };
     hooks.on_members_changed = [this] {
       state_.instance_count = peers_.peers().size() + 1;
@@ -154,12 +154,12 @@
   StoreSync::Hooks SyncHooks() {
     StoreSync::Hooks hooks;
     hooks.on_item = [this](const StoreItem& item, bool recovering) {
-      return OnItem(item, recovering);
+      return records_.Apply(item, recovering);
     };
     hooks.on_full_read_started = [this] { membership_.OnFullReadStarted(); };
     hooks.on_full_read_completed = [this](const std::vector<StoreItem>& items,
                                           int64_t revision, bool recovering) {
-      OnStoreFullRead(items, revision, recovering);
+      records_.OnFullRead(items, revision, recovering);
     };
     hooks.on_confirmed = [this](Millis at) {
       state_.freshness.OnConfirmed(at);
@@ -173,6 +173,22 @@
     return hooks;
   }
 
+  RecordApplier::Deps RecordDeps() {
+    RecordApplier::Deps deps;
+    deps.state = &state_;
+    deps.membership = &membership_;
+    deps.orders = &orders_;
+    deps.prefills = &prefills_;
+    deps.crashes = &crashes_;
+    deps.rate_limits = &rate_limits_;
+    deps.callers = &callers_;
+    deps.decode_record = gateway_deps_.decode_record;
+    deps.on_config_revision = [this](int64_t revision) {
+      freshness_service_->OnConfigRevision(revision);
+    };
+    return deps;
+  }
+
   OrderService::Hooks OrderHooks() {
     OrderService::Hooks hooks;
     hooks.notify_status =
@@ -181,7 +197,7 @@
           adapters_.SendStatus(machine, engine, target, version, status);
         };
     hooks.engine_profile = [this](const UpstreamId& engine) {
-      return EngineProfileOf(engine);
+      return records_.EngineProfileOf(engine);
     };
     hooks.required_version = [this](const ModelRef& target) {
       auto it = state_.required_versions.find(target);
@@ -261,6 +277,11 @@
     completions_request_deps_.codec = gateway_deps_.completions_codec;
   }
 
+  static RateTolerance RateToleranceOf(const ClusterBounds& bounds) {
+    return {bounds.rate_excess_ratio, bounds.rate_extra_tokens,
+            bounds.rate_window.seconds()};
+  }
+
   static Millis PeerQueryAge(const ClusterBounds& bounds) {
     return std::min(kPeerQueryAge, Millis(bounds.key_revocation.count() /
                                           kPeerQueryAgeDivisor));
@@ -302,176 +323,6 @@
     }
   }
 
-  // Records of the store.
-
-  // Returns whether the record differs from the previous one of its key in
-  // something that an instance uses.
-  bool OnItem(const StoreItem& item, bool recovering) {
-    StoreRecord record = gateway_deps_.decode_record(item);
-    Millis now = EventLoop::Now();
-    if (auto* config = std::get_if<ConfigRecord>(&record)) {
-      OnConfigRecord(std::move(config->config), item.revision);
-    } else if (auto* upstream = std::get_if<UpstreamRecord>(&record)) {
-      bool is_heartbeat = IsHeartbeat(*upstream);
-      upstream_keys_[upstream->id] = item.key;
-      OnUpstreamRecord(*upstream, now, recovering);
-      return !is_heartbeat;
-    } else if (auto* version = std::get_if<AdapterVersionRecord>(&record)) {
-      OnAdapterVersionRecord(*version);
-    } else if (auto* malformed = std::get_if<MalformedRecord>(&record)) {
-      LogWarning("store", "Skipped a malformed record: {}.", malformed->reason);
-    } else {
-      membership_.OnStoreItem(item);
-    }
-    return true;
-  }
-
-  // Whether the record states nothing new about the upstream.
-  bool IsHeartbeat(const UpstreamRecord& record) {
-    const UpstreamState* upstream = state_.upstreams.Find(record.id);
-    return record.entry && upstream != nullptr && !upstream->removed &&
-           upstream->removal_due == Millis(0) &&
-           EqualButForAdapters(upstream->entry, *record.entry);
-  }
-
-  void OnConfigRecord(ServingConfig config, int64_t revision) {
-    freshness_service_->OnConfigRevision(revision);
-    if (state_.config != nullptr &&
-        config.version <= state_.config->version()) {
-      return;  // An older version never takes effect again.
-    }
-    LogInfo("config", "Version {} in force, revision={}, routes={}.",
-            config.version, revision, config.routes.size());
-    state_.config = std::make_shared<const ActiveConfig>(std::move(config));
-    const CallerLimits& limits = state_.config->config().limits;
-    callers_.SetLimits(limits);
-    ApplyRateLimits();
-    for (const ResourceId& resource : membership_.ownership()->Resources()) {
-      NotifyOwnershipChanged(resource);
-    }
-    for (const auto& [id, upstream] : state_.upstreams.all()) {
-      AddEngineResource(*upstream);
-    }
-  }
-
-  void ApplyRateLimits() {
-    rate_limits_.SetWorkspaces(state_.config->config().workspaces);
-    for (const Workspace& workspace : state_.config->config().workspaces) {
-      if (workspace.rate_per_s > 0) {
-        membership_.AddResource(RateResource(workspace.id), ZoneId());
-      }
-    }
-  }
-
-  static RateTolerance RateToleranceOf(const ClusterBounds& bounds) {
-    return {bounds.rate_excess_ratio, bounds.rate_extra_tokens,
-            bounds.rate_window.seconds()};
-  }
-
-  const EngineProfile* EngineProfileOf(const UpstreamId& engine) {
-    UpstreamState* upstream = state_.upstreams.Find(engine);
-    if (upstream == nullptr || state_.config == nullptr) {
-      return nullptr;
-    }
-    const Service* service =
-        state_.config->FindService(upstream->entry.service);
-    return service != nullptr && service->engine ? &*service->engine : nullptr;
-  }
-
-  // Only upstreams of services with models are engines, and only these have an
-  // owner.
-  void AddEngineResource(const UpstreamState& upstream) {
-    if (!upstream.removed && EngineProfileOf(upstream.entry.id) != nullptr) {
-      membership_.AddResource(EngineResource(upstream.entry.id),
-                              upstream.entry.zone);
-    }
-  }
-
-  void OnUpstreamRecord(const UpstreamRecord& record, Millis now,
-                        bool recovering) {
-    state_.upstreams.OnRecord(record, now, recovering);
-    UpstreamState* upstream = state_.upstreams.Find(record.id);
-    if (upstream != nullptr && record.entry) {
-      AddEngineResource(*upstream);
-      state_.residency.SetBaseModels(record.id, record.entry->models);
-    }
-    ExpireMissingUpstreams();
-  }
-
-  void OnUpstreamStarted(const UpstreamState& upstream) {
-    LogInfo("upstream", "Started id={} service={} address={} zone={}.",
-            upstream.entry.id.str(), upstream.entry.service.str(),
-            upstream.entry.address, upstream.entry.zone.str());
-    crashes_.OnUpstreamDown(upstream.entry.id);
-    state_.residency.OnEngineReset(upstream.entry.id);
-    orders_.OnEngineStarted(upstream.entry.id);
-    prefills_.OnEngineReset(upstream.entry.id);
-  }
-
-  void OnUpstreamUnavailable(const UpstreamId& id) {
-    UpstreamState* upstream = state_.upstreams.Find(id);
-    bool draining =
-        upstream != nullptr && upstream->entry.draining && !upstream->removed;
-    LogInfo("upstream", "Leaves id={} draining={}.", id.str(), draining);
-    if (!draining) {
-      crashes_.OnUpstreamDown(id);
-      membership_.RemoveResource(EngineResource(id));
-    }
-    orders_.OnEngineUnavailable(id);
-    prefills_.OnEngineReset(id);
-    state_.residency.OnEngineReset(id);
-  }
-
-  void OnAdapterVersionRecord(const AdapterVersionRecord& record) {
-    int64_t& required = state_.required_versions[record.adapter];
-    if (record.version <= required) {
-      return;
-    }
-    required = record.version;
-    LogInfo("version", "Adapter {} is to be used in version {}.",
-            ToString(record.adapter), record.version);
-    orders_.OnRequiredVersion(record.adapter, record.version);
-  }
-
-  void NotifyOwnershipChanged(const ResourceId& resource) {
-    if (UpstreamId engine = EngineOf(resource); !engine.empty()) {
-      orders_.OnOwnershipChanged(engine);
-    }
-    if (WorkspaceId workspace = WorkspaceOf(resource); !workspace.empty()) {
-      rate_limits_.OnOwnershipChanged(workspace);
-    }
-  }
-
-  void OnStoreFullRead(const std::vector<StoreItem>& items, int64_t revision,
-                       bool recovering) {
-    std::set<std::string> keys;
-    for (const StoreItem& item : items) {
-      keys.insert(item.key);
-    }
-    std::vector<UpstreamId> upstreams;
-    for (const auto& [id, key] : upstream_keys_) {
-      if (keys.count(key) > 0) {
-        upstreams.push_back(id);
-      }
-    }
-    Millis now = EventLoop::Now();
-    state_.upstreams.OnFullRead(upstreams, now, recovering);
-    std::erase_if(upstream_keys_, [&](const auto& entry) {
-      return keys.count(entry.second) == 0;
-    });
-    membership_.OnFullReadCompleted(keys, revision);
-    ExpireMissingUpstreams();
-  }
-
-  void ExpireMissingUpstreams() {
-    Millis now = EventLoop::Now();
-    Millis due = state_.upstreams.ExpireMissing(now);
-    if (due != Millis(0)) {
-      expire_timer_.Start(std::max(Millis(1), due - now),
-                          [this] { ExpireMissingUpstreams(); });
-    }
-  }
-
   // Adapters.
 
   void ApplyAdapterStatus(const UpstreamId& engine, const ModelRef& target,
@@ -597,8 +448,7 @@
   RequestDeps request_deps_;
   RequestDeps completions_request_deps_;
   CallerFrontend callers_;
-  std::map<UpstreamId, std::string> upstream_keys_;
-  Timer expire_timer_;
+  RecordApplier records_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> peer_server_;
 };
--- /dev/null
+++ b/libs/gateway/src/record_applier.cc
@@ -0,0 +1,188 @@
+// Applies each kind of record to the services that it concerns.
+#include "gateway/record_applier.h"
+
+#include <algorithm>
+#include <set>
+
+#include "base/log.h"
+#include "gateway/caller_frontend.h"
+#include "gateway/crash_service.h"
+#include "gateway/membership.h"
+#include "gateway/order_service.h"
+#include "gateway/prefill_service.h"
+#include "gateway/rate_limit_service.h"
+#include "gateway/serving_state.h"
+#include "transport/event_loop.h"
+
+namespace bilberrypitch {
+
+RecordApplier::RecordApplier(EventLoop* loop, Deps deps)
+    : deps_(std::move(deps)), expire_timer_(loop) {}
+
+bool RecordApplier::Apply(const StoreItem& item, bool recovering) {
+  StoreRecord record = deps_.decode_record(item);
+  Millis now = EventLoop::Now();
+  if (auto* config = std::get_if<ConfigRecord>(&record)) {
+    OnConfigRecord(std::move(config->config), item.revision);
+  } else if (auto* upstream = std::get_if<UpstreamRecord>(&record)) {
+    if (IsHeartbeat(*upstream)) {
+      OnHeartbeat(*upstream, now);
+      return false;
+    }
+    upstream_keys_[upstream->id] = item.key;
+    OnUpstreamRecord(*upstream, now, recovering);
+  } else if (auto* version = std::get_if<AdapterVersionRecord>(&record)) {
+    OnAdapterVersionRecord(*version);
+  } else if (auto* malformed = std::get_if<MalformedRecord>(&record)) {
+    LogWarning("store", "Skipped a malformed record: {}.", malformed->reason);
+  } else {
+    deps_.membership->OnStoreItem(item);
+  }
+  return true;
+}
+
+bool RecordApplier::IsHeartbeat(const UpstreamRecord& record) {
+  const UpstreamState* upstream = deps_.state->upstreams.Find(record.id);
+  return record.entry && upstream != nullptr && !upstream->removed &&
+         upstream->removal_due == Millis(0) &&
+         EqualButForAdapters(upstream->entry, *record.entry);
+}
+
+void RecordApplier::OnHeartbeat(const UpstreamRecord& record, Millis now) {
+  deps_.state->upstreams.OnRecord(record, now, false);
+  deps_.state->residency.SetBaseModels(record.id, record.entry->models);
+}
+
+void RecordApplier::OnConfigRecord(ServingConfig config, int64_t revision) {
+  deps_.on_config_revision(revision);
+  if (deps_.state->config != nullptr &&
+      config.version <= deps_.state->config->version()) {
+    return;  // An older version never takes effect again.
+  }
+  LogInfo("config", "Version {} in force, revision={}, routes={}.",
+          config.version, revision, config.routes.size());
+  deps_.state->config = std::make_shared<const ActiveConfig>(std::move(config));
+  const CallerLimits& limits = deps_.state->config->config().limits;
+  deps_.callers->SetLimits(limits);
+  ApplyRateLimits();
+  for (const ResourceId& resource :
+       deps_.membership->ownership()->Resources()) {
+    NotifyOwnershipChanged(resource);
+  }
+  for (const auto& [id, upstream] : deps_.state->upstreams.all()) {
+    AddEngineResource(*upstream);
+  }
+}
+
+void RecordApplier::ApplyRateLimits() {
+  deps_.rate_limits->SetWorkspaces(deps_.state->config->config().workspaces);
+  for (const Workspace& workspace : deps_.state->config->config().workspaces) {
+    if (workspace.rate_per_s > 0) {
+      deps_.membership->AddResource(RateResource(workspace.id), ZoneId());
+    }
+  }
+}
+
+const EngineProfile* RecordApplier::EngineProfileOf(const UpstreamId& engine) {
+  UpstreamState* upstream = deps_.state->upstreams.Find(engine);
+  if (upstream == nullptr || deps_.state->config == nullptr) {
+    return nullptr;
+  }
+  const Service* service =
+      deps_.state->config->FindService(upstream->entry.service);
+  return service != nullptr && service->engine ? &*service->engine : nullptr;
+}
+
+void RecordApplier::AddEngineResource(const UpstreamState& upstream) {
+  if (!upstream.removed && EngineProfileOf(upstream.entry.id) != nullptr) {
+    deps_.membership->AddResource(EngineResource(upstream.entry.id),
+                                  upstream.entry.zone);
+  }
+}
+
+void RecordApplier::OnUpstreamRecord(const UpstreamRecord& record, Millis now,
+                                     bool recovering) {
+  deps_.state->upstreams.OnRecord(record, now, recovering);
+  UpstreamState* upstream = deps_.state->upstreams.Find(record.id);
+  if (upstream != nullptr && record.entry) {
+    AddEngineResource(*upstream);
+    deps_.state->residency.SetBaseModels(record.id, record.entry->models);
+  }
+  ExpireMissingUpstreams();
+}
+
+void RecordApplier::OnUpstreamStarted(const UpstreamState& upstream) {
+  LogInfo("upstream", "Started id={} service={} address={} zone={}.",
+          upstream.entry.id.str(), upstream.entry.service.str(),
+          upstream.entry.address, upstream.entry.zone.str());
+  deps_.crashes->OnUpstreamDown(upstream.entry.id);
+  deps_.state->residency.OnEngineReset(upstream.entry.id);
+  deps_.orders->OnEngineStarted(upstream.entry.id);
+  deps_.prefills->OnEngineReset(upstream.entry.id);
+}
+
+void RecordApplier::OnUpstreamUnavailable(const UpstreamId& id) {
+  UpstreamState* upstream = deps_.state->upstreams.Find(id);
+  bool draining =
+      upstream != nullptr && upstream->entry.draining && !upstream->removed;
+  LogInfo("upstream", "Leaves id={} draining={}.", id.str(), draining);
+  if (!draining) {
+    deps_.crashes->OnUpstreamDown(id);
+    deps_.membership->RemoveResource(EngineResource(id));
+  }
+  deps_.orders->OnEngineUnavailable(id);
+  deps_.prefills->OnEngineReset(id);
+  deps_.state->residency.OnEngineReset(id);
+}
+
+void RecordApplier::OnAdapterVersionRecord(const AdapterVersionRecord& record) {
+  int64_t& required = deps_.state->required_versions[record.adapter];
+  if (record.version <= required) {
+    return;
+  }
+  required = record.version;
+  LogInfo("version", "Adapter {} is to be used in version {}.",
+          ToString(record.adapter), record.version);
+  deps_.orders->OnRequiredVersion(record.adapter, record.version);
+}
+
+void RecordApplier::NotifyOwnershipChanged(const ResourceId& resource) {
+  if (UpstreamId engine = EngineOf(resource); !engine.empty()) {
+    deps_.orders->OnOwnershipChanged(engine);
+  }
+  if (WorkspaceId workspace = WorkspaceOf(resource); !workspace.empty()) {
+    deps_.rate_limits->OnOwnershipChanged(workspace);
+  }
+}
+
+void RecordApplier::OnFullRead(const std::vector<StoreItem>& items,
+                               int64_t revision, bool recovering) {
+  std::set<std::string> keys;
+  for (const StoreItem& item : items) {
+    keys.insert(item.key);
+  }
+  std::vector<UpstreamId> upstreams;
+  for (const auto& [id, key] : upstream_keys_) {
+    if (keys.count(key) > 0) {
+      upstreams.push_back(id);
+    }
+  }
+  Millis now = EventLoop::Now();
+  deps_.state->upstreams.OnFullRead(upstreams, now, recovering);
+  std::erase_if(upstream_keys_, [&](const auto& entry) {
+    return keys.count(entry.second) == 0;
+  });
+  deps_.membership->OnFullReadCompleted(keys, revision);
+  ExpireMissingUpstreams();
+}
+
+void RecordApplier::ExpireMissingUpstreams() {
+  Millis now = EventLoop::Now();
+  Millis due = deps_.state->upstreams.ExpireMissing(now);
+  if (due != Millis(0)) {
+    expire_timer_.Start(std::max(Millis(1), due - now),
+                        [this] { ExpireMissingUpstreams(); });
+  }
+}
+
+}  // namespace bilberrypitch
