Read the store at the first start without a delay

Cause: waiting 1.2 s for the others to register made instances find engines that existed already, so each first owner waited out the takeover delay (seen in the process tests: "Owns engine" 2.7 s after the start, active 3.2 s later). At the first start the store holds little, so reading it at once is cheap.

Change: the delay is gone; the read of the zone's members stays, for restarts.

--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -56,8 +56,7 @@
             const ClusterMember& self, StoreSyncIntervals intervals,
             Hooks hooks);
 
-  // Makes the first call after `delay`.
-  void Start(Millis delay);
+  void Start();
   // Applies a record that another instance has passed on outside of the calls
   // made here. Ignored if it is not newer than the known one.
   void ApplyForeignItem(const StoreItem& item);
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -41,9 +41,6 @@
 // key revocation bound if that is less.
 constexpr Millis kPeerQueryAge{2400};
 constexpr int64_t kPeerQueryAgeDivisor = 2;
-// When all instances start for the first time, each one waits this long for the
-// others to register, so that it finds the readers of its zone.
-constexpr Millis kFirstStartDelay{1200};
 constexpr int kOkStatus = 200;
 constexpr int kServiceUnavailableStatus = 503;
 
@@ -90,7 +87,7 @@
         PeerQueryAge(settings.bounds));
     InitRequestDeps();
     Listen();
-    store_sync_.Start(settings.bootstrap ? kFirstStartDelay : Millis(0));
+    store_sync_.Start();
     membership_.Start();
     LogInfo("gateway", "Started machine={} zone={} boot={}.",
             self_.machine.str(), self_.zone.str(), self_.boot.str());
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -47,7 +47,7 @@
       next_call_timer_(loop),
       zone_members_prefix_(MemberKeyPrefix(self.zone)) {}
 
-void StoreSync::Start(Millis delay) { MakeNextCallAfter(delay); }
+void StoreSync::Start() { MakeNextCall(); }
 
 void StoreSync::MakeNextCallAfter(Millis delay) {
   if (delay == Millis(0)) {
