Hold a query although a full read had later records than its revision

A follower that had taken them asked again for changes after the view's revision and was answered at once with the same records, again and again until the reader's next watch returned. Found by reading.

Change: only changes up to the view's revision are a reason to respond. The case in store_follower_test failed before.

--- a/libs/serving/include/serving/store_view.h
+++ b/libs/serving/include/serving/store_view.h
@@ -36,6 +36,9 @@
   // Relevant changes after `revision`, the latest of each key, in the order of
   // their revisions.
   std::vector<StoreItem> ChangesAfter(int64_t revision) const;
+  // Whether there are any, up to the revision of the view. A full read may
+  // contain later ones; a follower that has taken them would still ask for
+  // changes after the revision of the view.
   bool HasRelevantChangeAfter(int64_t revision) const;
   // Whether the view has this write of the key or a later one.
   bool HasRevisionOf(const StoreItem& item) const;
--- a/libs/serving/src/store_view.cc
+++ b/libs/serving/src/store_view.cc
@@ -93,7 +93,8 @@
 }
 
 bool StoreView::HasRelevantChangeAfter(int64_t revision) const {
-  return changes_.upper_bound(revision) != changes_.end();
+  auto it = changes_.upper_bound(revision);
+  return it != changes_.end() && it->first <= revision_;
 }
 
 bool StoreView::HasRevisionOf(const StoreItem& item) const {
--- a/libs/serving/test/store_follower_test.cc
+++ b/libs/serving/test/store_follower_test.cc
@@ -94,6 +94,16 @@
   REQUIRE(view.AllItems().at(0).revision == 9);
 }
 
+// A full read takes several pages, and records may change in between.
+TEST_CASE("a record that is newer than the view is no reason to respond again",
+          "[store_view]") {
+  StoreView view;
+  view.Reset({MakeItem("a", 3), MakeItem("b", 9)}, 6);
+  REQUIRE_FALSE(view.HasRelevantChangeAfter(6));
+  view.AdvanceTo(9);
+  REQUIRE(view.HasRelevantChangeAfter(6));
+}
+
 TEST_CASE("a view forgets old deletions, and then needs a full read",
           "[store_view]") {
   StoreView view;
