--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -60,7 +60,7 @@
 void StoreSync::MakeNextCall() {
   StoreCall call = follower_.NextCall(EventLoop::Now());
   if (call.reader != current_reader_) {
-    LogInfo("store", "Takes changes from reader={} revision={}.",
+    LogInfo("store", "Takes changes from source={} revision={}.",
             call.reader.empty() ? "store" : call.reader.str(), call.revision);
     current_reader_ = call.reader;
   }
