Count the time for lapsed entries to return from the store's recovery

An engine left 1.9 s after the store had come back to a third of the machines; these took its missing entry for one that had lapsed while the store was away and kept it for two seconds from then on. A request reached it 2008 ms after it had left; the bound is 2000.

Cause: the time to return counted from the removal. Ruled out: the readers; the other machines had the removal 50 to 150 ms after it, the two zones in question had it as well and logged the end of the grace 2.0 s later.

Change: it counts from the recovery, so it is over before the machine counts as in touch again. If only the reader tells of a recovery, it is 1.2 s, since this machine may have been in touch all along. Cases for the deadline and for an upstream that is missing; the old code has no such deadline.

--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -45,13 +45,14 @@
 
   RecordApplier(EventLoop* loop, Deps deps);
 
-  // Applies a record that was written or removed. `recovering`: the store was
-  // unavailable until shortly before. Returns whether the record differs from
-  // the previous one of its key in something that an instance uses.
-  bool Apply(const StoreItem& item, bool recovering);
+  // Applies a record that was written or removed. `return_deadline`:
+  // until then, a removed record may return; zero: it does not. Returns whether
+  // the record differs from the previous one of its key in something that an
+  // instance uses.
+  bool Apply(const StoreItem& item, Millis return_deadline);
   // All records were applied that exist at `revision`: removes the others.
   void OnFullRead(const std::vector<StoreItem>& items, int64_t revision,
-                  bool recovering);
+                  Millis return_deadline);
 
   // An upstream is new or restarted.
   void OnUpstreamStarted(const UpstreamState& upstream);
@@ -70,7 +71,7 @@
   void OnConfigRecord(ServingConfig config, int64_t revision);
   void ApplyRateLimits();
   void OnUpstreamRecord(const UpstreamRecord& record, Millis now,
-                        bool recovering);
+                        Millis return_deadline);
   // Only upstreams of services with models are engines, and only these have an
   // owner.
   void AddEngineResource(const UpstreamState& upstream);
--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -32,17 +32,17 @@
 class StoreSync {
  public:
   struct Hooks {
-    // A key was written or removed. `recovering`: the store was unavailable
-    // until shortly before, so keys may be missing because their leases expired
-    // and may come back soon. Returns whether the record differs from the
-    // previous one in something that an instance uses.
-    std::function<bool(const StoreItem& item, bool recovering)> on_item;
+    // A key was written or removed. `return_deadline`: until then, a removed
+    // key may come back, because its lease may have expired only while the
+    // store was unavailable; zero: it does not. Returns whether the record
+    // differs from the previous one in something that an instance uses.
+    std::function<bool(const StoreItem& item, Millis return_deadline)> on_item;
     // The items of a full read follow.
     std::function<void()> on_full_read_started;
     // A full read ended. Keys that are not among `all` did not exist at
     // `revision`.
     std::function<void(const std::vector<StoreItem>& all, int64_t revision,
-                       bool recovering)>
+                       Millis return_deadline)>
         on_full_read_completed;
     // This instance's view of the store was up to date at `at`.
     std::function<void(Millis at)> on_confirmed;
@@ -79,9 +79,9 @@
   void OnReaderResult(const MachineId& reader, ReaderClient::Result result,
                       Millis sent_at);
   void OnStoreFailure(const char* activity);
-  void ApplyItems(const std::vector<StoreItem>& items, bool recovering);
+  void ApplyItems(const std::vector<StoreItem>& items, Millis return_deadline);
   void ApplyAllItems(const std::vector<StoreItem>& items, int64_t revision,
-                     bool recovering);
+                     Millis return_deadline);
   // Logs that the store responds again, after `was_unavailable`.
   void LogRecovery(bool was_unavailable) const;
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -150,13 +150,14 @@
 
   StoreSync::Hooks SyncHooks() {
     StoreSync::Hooks hooks;
-    hooks.on_item = [this](const StoreItem& item, bool recovering) {
-      return records_.Apply(item, recovering);
+    hooks.on_item = [this](const StoreItem& item, Millis return_deadline) {
+      return records_.Apply(item, return_deadline);
     };
     hooks.on_full_read_started = [this] { membership_.OnFullReadStarted(); };
     hooks.on_full_read_completed = [this](const std::vector<StoreItem>& items,
-                                          int64_t revision, bool recovering) {
-      records_.OnFullRead(items, revision, recovering);
+                                          int64_t revision,
+                                          Millis return_deadline) {
+      records_.OnFullRead(items, revision, return_deadline);
     };
     hooks.on_confirmed = [this](Millis at) {
       state_.freshness.OnConfirmed(at);
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -19,7 +19,7 @@
 RecordApplier::RecordApplier(EventLoop* loop, Deps deps)
     : deps_(std::move(deps)), expire_timer_(loop) {}
 
-bool RecordApplier::Apply(const StoreItem& item, bool recovering) {
+bool RecordApplier::Apply(const StoreItem& item, Millis return_deadline) {
   StoreRecord record = deps_.decode_record(item);
   Millis now = EventLoop::Now();
   if (auto* config = std::get_if<ConfigRecord>(&record)) {
@@ -30,7 +30,7 @@
       return false;
     }
     upstream_keys_[upstream->id] = item.key;
-    OnUpstreamRecord(*upstream, now, recovering);
+    OnUpstreamRecord(*upstream, now, return_deadline);
   } else if (auto* version = std::get_if<AdapterVersionRecord>(&record)) {
     OnAdapterVersionRecord(*version);
   } else if (auto* malformed = std::get_if<MalformedRecord>(&record)) {
@@ -49,7 +49,7 @@
 }
 
 void RecordApplier::OnHeartbeat(const UpstreamRecord& record, Millis now) {
-  deps_.state->upstreams.OnRecord(record, now, false);
+  deps_.state->upstreams.OnRecord(record, now, Millis(0));
   deps_.state->residency.SetBaseModels(record.id, record.entry->models);
 }
 
@@ -101,8 +101,8 @@
 }
 
 void RecordApplier::OnUpstreamRecord(const UpstreamRecord& record, Millis now,
-                                     bool recovering) {
-  deps_.state->upstreams.OnRecord(record, now, recovering);
+                                     Millis return_deadline) {
+  deps_.state->upstreams.OnRecord(record, now, return_deadline);
   UpstreamState* upstream = deps_.state->upstreams.Find(record.id);
   if (upstream != nullptr && record.entry) {
     AddEngineResource(*upstream);
@@ -156,7 +156,7 @@
 }
 
 void RecordApplier::OnFullRead(const std::vector<StoreItem>& items,
-                               int64_t revision, bool recovering) {
+                               int64_t revision, Millis return_deadline) {
   std::set<std::string> keys;
   for (const StoreItem& item : items) {
     keys.insert(item.key);
@@ -168,7 +168,7 @@
     }
   }
   Millis now = EventLoop::Now();
-  deps_.state->upstreams.OnFullRead(upstreams, now, recovering);
+  deps_.state->upstreams.OnFullRead(upstreams, now, return_deadline);
   std::erase_if(upstream_keys_, [&](const auto& entry) {
     return keys.count(entry.second) == 0;
   });
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -118,7 +118,7 @@
 
 void StoreSync::OnZoneMembersRead() {
   for (const StoreItem& item : read_items_) {
-    hooks_.on_item(item, false);
+    hooks_.on_item(item, Millis(0));
   }
   read_items_.clear();
   MakeNextCallAfter(follower_.OnZoneMembersRead(EventLoop::Now()));
@@ -129,7 +129,7 @@
   bool was_unavailable = follower_.unavailable();
   Millis delay = follower_.OnFullRead(read_revision_, read_sent_at_, now);
   LogRecovery(was_unavailable);
-  ApplyAllItems(read_items_, read_revision_, follower_.IsRecovering(now));
+  ApplyAllItems(read_items_, read_revision_, follower_.ReturnDeadline(now));
   read_items_.clear();
   hooks_.on_confirmed(read_sent_at_);
   MakeNextCallAfter(delay);
@@ -163,7 +163,7 @@
   Millis delay = follower_.OnStoreChanges(result.revision,
                                           !result.events.empty(), sent_at, now);
   LogRecovery(was_unavailable);
-  ApplyItems(result.events, follower_.IsRecovering(now));
+  ApplyItems(result.events, follower_.ReturnDeadline(now));
   view_.AdvanceTo(result.revision);
   hooks_.on_confirmed(sent_at);
   MakeNextCallAfter(delay);
@@ -189,11 +189,11 @@
   bool was_unavailable = follower_.unavailable();
   Millis delay = follower_.OnReaderChanges(reader, changes, sent_at, now);
   LogRecovery(was_unavailable);
-  bool recovering = changes.recovering || follower_.IsRecovering(now);
+  Millis return_deadline = follower_.ReturnDeadlineOf(changes, now);
   if (changes.complete) {
-    ApplyAllItems(changes.items, changes.revision, recovering);
+    ApplyAllItems(changes.items, changes.revision, return_deadline);
   } else {
-    ApplyItems(changes.items, recovering);
+    ApplyItems(changes.items, return_deadline);
     view_.AdvanceTo(changes.revision);
   }
   hooks_.on_confirmed(follower_.confirmed_at());
@@ -201,29 +201,29 @@
 }
 
 void StoreSync::ApplyItems(const std::vector<StoreItem>& items,
-                           bool recovering) {
+                           Millis return_deadline) {
   for (const StoreItem& item : items) {
     if (!view_.HasRevisionOf(item)) {
-      bool relevant = hooks_.on_item(item, recovering);
+      bool relevant = hooks_.on_item(item, return_deadline);
       view_.Apply(item, relevant);
     }
   }
 }
 
 void StoreSync::ApplyAllItems(const std::vector<StoreItem>& items,
-                              int64_t revision, bool recovering) {
+                              int64_t revision, Millis return_deadline) {
   hooks_.on_full_read_started();
   for (const StoreItem& item : items) {
     if (!view_.HasLaterRevisionOf(item)) {
-      hooks_.on_item(item, recovering);
+      hooks_.on_item(item, return_deadline);
     }
   }
-  hooks_.on_full_read_completed(items, revision, recovering);
+  hooks_.on_full_read_completed(items, revision, return_deadline);
   view_.Reset(items, revision);
 }
 
 void StoreSync::ApplyForeignItem(const StoreItem& item) {
-  ApplyItems({item}, true);
+  ApplyItems({item}, follower_.ReturnDeadline(EventLoop::Now()));
 }
 
 void StoreSync::OnStoreFailure(const char* activity) {
--- a/libs/serving/include/serving/store_follower.h
+++ b/libs/serving/include/serving/store_follower.h
@@ -80,6 +80,11 @@
   Millis unavailable_since() const { return unavailable_since_; }
   // The store is unavailable, or was until shortly before.
   bool IsRecovering(Millis now) const;
+  // Until when a record that is missing now may return, because its lease may
+  // have expired only while the store was unavailable; zero: it does not.
+  Millis ReturnDeadline(Millis now) const;
+  // The same for a record that is missing in a reader's response.
+  Millis ReturnDeadlineOf(const StoreChanges& changes, Millis now) const;
   // Whether this instance may pass its view on.
   bool CanServe(Millis now) const;
   // Until when CanServe remains true without another response of the store.
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -80,12 +80,13 @@
 
   explicit UpstreamRegistry(Hooks hooks) : hooks_(std::move(hooks)) {}
 
-  // Applies a record of the store. `recovering`: the store was unavailable
-  // until shortly before, so a removed entry may return.
-  void OnRecord(const UpstreamRecord& record, Millis now, bool recovering);
+  // Applies a record of the store. `return_deadline`: until then, a
+  // removed entry may return; zero: it does not.
+  void OnRecord(const UpstreamRecord& record, Millis now,
+                Millis return_deadline);
   // A full read of the store found these upstreams; all others are missing.
   void OnFullRead(const std::vector<UpstreamId>& found, Millis now,
-                  bool recovering);
+                  Millis return_deadline);
   // Removes the missing upstreams that have not returned in time. Returns when
   // to call again; zero: not before the next record.
   Millis ExpireMissing(Millis now);
@@ -117,7 +118,7 @@
 
  private:
   // Handles a missing entry: marks the upstream as removed, or schedules that.
-  void Remove(UpstreamState* upstream, Millis now, bool recovering);
+  void Remove(UpstreamState* upstream, Millis now, Millis return_deadline);
   void MarkRemoved(UpstreamState* upstream);
   // Erases removed upstreams without open attempts.
   void EraseRemoved();
--- a/libs/serving/src/store_follower.cc
+++ b/libs/serving/src/store_follower.cc
@@ -32,6 +32,13 @@
 constexpr Millis kFollowerRetryDelay{1500};
 // For about this long after the store has recovered, records may be missing.
 constexpr Millis kRecoveryTime{2500};
+// How long a record may take to return that is missing when the store has just
+// recovered.
+constexpr Millis kReturnTime{2000};
+// The same when only a reader tells of the recovery. Shorter, since the store
+// may have been available to all others, so that the record is gone for good
+// and the bound on draining runs.
+constexpr Millis kReaderReturnTime{1200};
 constexpr int kMaxToleratedFailures = 1;
 
 size_t ReaderCount(size_t members) {
@@ -255,6 +262,22 @@
          (recovered_at_ != Millis(0) && now - recovered_at_ < kRecoveryTime);
 }
 
+Millis StoreFollower::ReturnDeadline(Millis now) const {
+  if (!IsRecovering(now)) {
+    return Millis(0);
+  }
+  Millis deadline = now + kReturnTime;
+  return unavailable_ ? deadline
+                      : std::min(deadline, recovered_at_ + kRecoveryTime);
+}
+
+Millis StoreFollower::ReturnDeadlineOf(const StoreChanges& changes,
+                                       Millis now) const {
+  Millis deadline = ReturnDeadline(now);
+  return changes.recovering ? std::max(deadline, now + kReaderReturnTime)
+                            : deadline;
+}
+
 bool StoreFollower::CanServe(Millis now) const {
   return has_synced_ && !needs_full_read_ && !unavailable_ &&
          store_confirmed_at_ != Millis(0) && now <= ServesUntil();
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -9,9 +9,6 @@
 namespace bilberrypitch {
 namespace {
 
-// How long an entry may take to return that is found missing shortly after the
-// store was unavailable.
-constexpr Millis kReturnTimeout{2000};
 constexpr Millis kInitialBackoff{150};
 constexpr Millis kMaxBackoff{2000};
 constexpr double kSmoothing = 0.15;  // Weight of a new observation.
@@ -69,11 +66,11 @@
 }
 
 void UpstreamRegistry::OnRecord(const UpstreamRecord& record, Millis now,
-                                bool recovering) {
+                                Millis return_deadline) {
   auto upstream = upstreams_.find(record.id);
   if (!record.entry) {
     if (upstream != upstreams_.end()) {
-      Remove(upstream->second.get(), now, recovering);
+      Remove(upstream->second.get(), now, return_deadline);
     }
     return;
   }
@@ -108,25 +105,25 @@
 }
 
 void UpstreamRegistry::OnFullRead(const std::vector<UpstreamId>& found,
-                                  Millis now, bool recovering) {
+                                  Millis now, Millis return_deadline) {
   std::set<UpstreamId> found_ids(found.begin(), found.end());
   for (auto& [id, state] : upstreams_) {
     if (found_ids.count(id) == 0) {
-      Remove(state.get(), now, recovering);
+      Remove(state.get(), now, return_deadline);
     }
   }
   EraseRemoved();
 }
 
 void UpstreamRegistry::Remove(UpstreamState* upstream, Millis now,
-                              bool recovering) {
+                              Millis return_deadline) {
   if (upstream->removed) {
     return;
   }
-  if (!recovering || upstream->entry.draining) {
+  if (return_deadline <= now || upstream->entry.draining) {
     MarkRemoved(upstream);
   } else if (upstream->removal_due == Millis(0)) {
-    upstream->removal_due = now + kReturnTimeout;
+    upstream->removal_due = return_deadline;
   }
 }
 
--- a/libs/serving/test/decisions_test.cc
+++ b/libs/serving/test/decisions_test.cc
@@ -188,6 +188,28 @@
   REQUIRE(splitter.last_id() == "1");
 }
 
+TEST_CASE("a missing upstream is used until its return deadline",
+          "[upstreams]") {
+  UpstreamRegistry::Hooks hooks;
+  int left = 0;
+  hooks.on_unavailable = [&left](const UpstreamId&) { ++left; };
+  UpstreamRegistry registry(hooks);
+  UpstreamEntry entry;
+  entry.id = UpstreamId("u");
+  const Millis now(1000);
+  registry.OnRecord({entry.id, entry}, now, Millis(0));
+  registry.OnRecord({entry.id, std::nullopt}, now, Millis(1500));
+  REQUIRE(registry.Find(entry.id)->IsUsable(Millis(1499)));
+  REQUIRE_FALSE(registry.Find(entry.id)->IsUsable(Millis(1500)));
+  REQUIRE(registry.ExpireMissing(now) == Millis(1500));
+  registry.ExpireMissing(Millis(1500));
+  REQUIRE(left == 1);
+  // Without a deadline ahead it is gone at once.
+  registry.OnRecord({entry.id, entry}, now, Millis(0));
+  registry.OnRecord({entry.id, std::nullopt}, now, Millis(900));
+  REQUIRE(left == 2);
+}
+
 TEST_CASE("the retry budget stays within its share of the limit", "[retries]") {
   RetryBudget budget({0.2, 50, Millis(10000)});
   Millis now(100000);
--- a/libs/serving/test/store_follower_test.cc
+++ b/libs/serving/test/store_follower_test.cc
@@ -272,6 +272,31 @@
   REQUIRE_FALSE(follower.CanServe(now + Millis(1500)));
 }
 
+// Pattern: an upstream leaves while some instances have just regained the
+// store. The time for expired records to return counts from the recovery, not
+// from the removal.
+TEST_CASE("a record that goes after the recovery is not waited for long",
+          "[store_follower]") {
+  Millis now(1000);
+  StoreFollower follower = MakeSynced(0, 12, now);
+  REQUIRE(follower.ReturnDeadline(now) == Millis(0));
+  follower.OnStoreFailure(now);
+  follower.OnStoreFailure(now);
+  REQUIRE(follower.ReturnDeadline(now) == now + Millis(2000));
+  const Millis recovered_at(8000);
+  follower.OnStoreChanges(20, true, recovered_at, recovered_at);
+  REQUIRE(follower.ReturnDeadline(recovered_at) == recovered_at + Millis(2000));
+  Millis removed_at = recovered_at + Millis(1900);
+  REQUIRE(follower.ReturnDeadline(removed_at) <= recovered_at + Millis(2500));
+  REQUIRE(follower.ReturnDeadline(recovered_at + Millis(2600)) == Millis(0));
+  // A reader that has recovered alone.
+  StoreFollower other = MakeSynced(5, 12, now);
+  StoreChanges changes = MakeChanges(12, Millis(0));
+  REQUIRE(other.ReturnDeadlineOf(changes, now) == Millis(0));
+  changes.recovering = true;
+  REQUIRE(other.ReturnDeadlineOf(changes, now) == now + Millis(1200));
+}
+
 TEST_CASE("a held query is answered by the first change", "[store_follower]") {
   Millis now(1000);
   StoreFollower follower = MakeSynced(0, 12, now);
