Log of a broken attempt: its prompt parts and whether the response had begun

The logs couldn't tell which of the requests on a crashed engine had begun, nor what they share. `begun` and `parts` end the line of each failed attempt.

--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -1,4 +1,6 @@
 // Attempts of a request at upstreams, and the decision after each of them.
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "base/log.h"
@@ -33,6 +35,15 @@
 
 bool IsServerError(int status) { return status >= 500; }
 
+// The ids of the prompt parts that other requests may share: all but the last.
+std::string SharedPartsText(const std::vector<PromptPart>& parts) {
+  std::string text;
+  for (size_t i = 0; i + 1 < parts.size(); ++i) {
+    text += fmt::format("{}{:x}", i == 0 ? "" : ",", parts[i].id);
+  }
+  return text.empty() ? "-" : text;
+}
+
 }  // namespace
 
 int RequestHandler::Priority() const {
@@ -333,10 +344,11 @@
   AttemptDecision decision = DecideNextStep(attempt);
   LogInfo("request",
           "Attempt id={} send={} upstream={} end={} status={} "
-          "ms={} next={}.",
+          "ms={} next={} begun={} parts={}.",
           request_.id.str(), attempts_, upstream.str(), static_cast<int>(end),
           outcome->status, (EventLoop::Now() - sent_at_).count(),
-          static_cast<int>(decision.step));
+          static_cast<int>(decision.step), first_event_seen_ ? 1 : 0,
+          SharedPartsText(request_.prompt_parts));
   bool retry =
       decision.step == NextStep::kRetry || decision.step == NextStep::kResume;
   if (retry && (end == AttemptOutcome::kNotSent ||
