Test of a prompt part that crashes engines, red

It needs no bench: two upstreams break the connection and restart when a request with the part begins, sound requests with its other parts run beside it. The bound is that of the rule: later than three seconds after the fifth crash, three requests.

--- a/libs/gateway/test/gateway_test.cc
+++ b/libs/gateway/test/gateway_test.cc
@@ -142,11 +142,11 @@
   }
 
   void PutUpstream(const std::string& id, const std::string& address,
-                   const std::string& state) {
+                   const std::string& state, int started_ms = 1) {
     store.Put("servers/" + id,
               fmt::format(R"({{"service":"s","addr":"{}","zone":"z",
-                "capacity":6,"state":"{}","born":1}})",
-                          address, state));
+                "capacity":6,"state":"{}","born":{}}})",
+                          address, state, started_ms));
   }
 
   // Runs the loop until `done` returns true; fails after 10 seconds.
@@ -169,6 +169,23 @@
     REQUIRE(done());
   }
 
+  void WaitFor(Millis duration) {
+    Millis end = EventLoop::Now() + duration;
+    WaitUntil([&] { return EventLoop::Now() >= end; });
+  }
+
+  // Sends a request with these prompt parts, each of one token.
+  CallOutcome SendPrompt(const std::string& parts) {
+    return Send(PromptCall(parts));
+  }
+
+  HttpCall PromptCall(const std::string& parts) {
+    HttpCall call = CallTo("/stream/x", "k1");
+    call.body = parts;
+    call.headers.Add("Prompt-Prefix", parts);
+    return call;
+  }
+
   HttpCall CallTo(const std::string& path, const std::string& key) {
     HttpCall call;
     call.method = "POST";
@@ -184,8 +201,11 @@
 
   CallOutcome SendRequest(const std::string& path,
                           const std::string& key = "k1") {
+    return Send(CallTo(path, key));
+  }
+
+  CallOutcome Send(HttpCall call) {
     std::optional<CallOutcome> result;
-    HttpCall call = CallTo(path, key);
     call.on_done = [&](CallOutcome outcome) { result = std::move(outcome); };
     control_.Start(std::move(call));
     WaitUntil([&] { return result.has_value(); });
@@ -518,4 +538,49 @@
   REQUIRE_FALSE(after_stop.headers.Get("Retry-After").empty());
 }
 
+// Guards against: requests of which no two are alike, but which share a prompt
+// part that crashes engines, take down one engine after the other.
+TEST_CASE("a prompt part that crashes engines stops reaching them",
+          "[gateway]") {
+  // After this many crashes and the time that the news may take, this many
+  // further requests may reach engines.
+  constexpr int kCrashes = 5;
+  constexpr Millis kNewsTime{3000};
+  constexpr int kFurtherRequests = 3;
+  Fixture fixture;
+  fixture.PutUpstream("i-2", fixture.second.address(), "ready");
+  fixture.WaitUntilReady();
+  int crashes = 0;
+  int late_requests = 0;
+  Millis known_at;  // Zero: there were fewer crashes.
+  auto serve = [&](const std::string& id, FakeUpstream* upstream) {
+    return [&, id, upstream](const HttpRequest& request, Responder* responder) {
+      responder->StartStream(200, FakeUpstream::OkResponse(request).headers);
+      if (request.body.find("dead") == std::string::npos) {
+        responder->WriteChunk("id: 1\ndata: a\n\n", {});
+        responder->EndStream();
+        return;
+      }
+      responder->AbortStream();
+      ++crashes;
+      Millis now = EventLoop::Now();
+      late_requests += known_at != Millis(0) && now > known_at ? 1 : 0;
+      known_at = crashes == kCrashes ? now + kNewsTime : known_at;
+      fixture.PutUpstream(id, upstream->address(), "ready", 1 + crashes);
+    };
+  };
+  fixture.first.SetHandler(serve("i-1", &fixture.first));
+  fixture.second.SetHandler(serve("i-2", &fixture.second));
+  Millis end = EventLoop::Now() + kNewsTime + Millis(2000);
+  for (int i = 1; EventLoop::Now() < end; ++i) {
+    fixture.SendPrompt(fmt::format("aa:1,dead:1,{:x}:1", i));
+    // Sound requests share the other parts.
+    REQUIRE(fixture.SendPrompt(fmt::format("aa:1,bb:1,{:x}:1", i)).status ==
+            200);
+    fixture.WaitFor(Millis(30));
+  }
+  REQUIRE(crashes >= 1);
+  REQUIRE(late_requests <= kFurtherRequests);
+}
+
 }  // namespace bilberrypitch
