Quarantine prompt parts under which upstreams crash

Callers saw requests of every kind fail or wait until their deadline, while requests of one kind took down one engine after the other.

Cause: crashes were counted by a fingerprint of the whole request. Requests of which no two are alike, but which share a prompt part that crashes engines, never reach its limit. The class of the fault: blame is tracked at one granularity, while the harm is shared at a finer one.

No fingerprint came twice; the one part that never began was in a request of each crash that had not begun. Ruled out: late notices (there were none to send), second sends (none).

Change: PartCrashTracker keeps, for each shared part, the crashes of upstreams under requests that had not begun. A response that begins clears its parts. A part is accused at three crashes under two requests while something else began (five and twenty for one that has begun before), the other instances may object within 250 ms, then it is quarantined: told to all, and kept in the store under a lease of ten minutes, for instances that restart or are cut off from the others. A response that begins ends it, and the declaring instance sends two probes. The whole-request tracker stays for requests that crash upstreams by themselves.

--- a/libs/gateway/include/gateway/cluster_records.h
+++ b/libs/gateway/include/gateway/cluster_records.h
@@ -1,11 +1,13 @@
 // Encodes and decodes the records that the instances themselves keep in the
-// platform's store: one for each member and one for each owned resource.
+// platform's store: one for each member, one for each owned resource and one
+// for each quarantined prompt part.
 #pragma once
 
 #include <optional>
 #include <string>
 
 #include "serving/ownership.h"
+#include "serving/part_crash_tracker.h"
 #include "serving/store_item.h"
 
 namespace bilberrypitch {
@@ -16,12 +18,16 @@
 std::string MemberKeyPrefix(const ZoneId& zone);
 std::string MemberKey(const ClusterMember& member);
 std::string OwnerKey(const ResourceId& resource);
+std::string QuarantinedPartKey(PartId part);
+std::string EncodeQuarantinedPart(const MachineId& declared_by);
 std::string EncodeMember(const ClusterMember& member);
 std::string EncodeOwner(const ClusterMember& owner, bool takeover_complete);
 
 // The machine or resource that a key belongs to; empty for other keys.
 MachineId MachineFromMemberKey(const std::string& key);
 ResourceId ResourceFromOwnerKey(const std::string& key);
+// Returns no value for other keys.
+std::optional<PartId> PartFromKey(const std::string& key);
 // Return no value for a malformed record.
 std::optional<ClusterMember> DecodeMember(const StoreItem& item);
 std::optional<OwnerRecord> DecodeOwner(const StoreItem& item);
--- /dev/null
+++ b/libs/gateway/include/gateway/part_crash_service.h
@@ -0,0 +1,78 @@
+// Shares crashes of prompt parts with the other instances, and keeps the
+// quarantined parts in the store, so that they last while instances restart.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "serving/ids.h"
+#include "serving/part_crash_tracker.h"
+#include "transport/timer.h"
+
+namespace bilberrypitch {
+
+class ClusterStore;
+class EventLoop;
+class PeerMessenger;
+struct StoreItem;
+namespace schema {
+class PartAccusation;
+class PartBegun;
+class PartCrashNotice;
+}  // namespace schema
+
+// The pointers passed to the constructor must outlive the service. Must be used
+// on the event loop's thread only.
+class PartCrashService {
+ public:
+  PartCrashService(EventLoop* loop, const MachineId& self,
+                   PartCrashTracker* tracker, ClusterStore* store,
+                   PeerMessenger* peers);
+
+  // A connection to an upstream broke before the response began.
+  void OnConnectionBroken(const PartCrash& suspicion);
+  // The upstream can't be reached, was removed or has restarted.
+  void OnUpstreamDown(const UpstreamId& upstream);
+  // A response to a request with these parts has begun.
+  void OnResponseBegun(const std::vector<PartId>& parts);
+
+  // From another instance.
+  void OnCrashNotice(const schema::PartCrashNotice& notice);
+  void OnAccusation(const MachineId& from,
+                    const schema::PartAccusation& accusation);
+  void OnPartBegun(const schema::PartBegun& begun);
+
+  // A record of the store; other records are ignored.
+  void OnStoreItem(const StoreItem& item);
+  // All existing records have been passed to OnStoreItem; `keys` are theirs.
+  void OnFullRead(const std::set<std::string>& keys);
+
+ private:
+  void AccuseParts();
+  // Declares those whose time for objections has passed.
+  void JudgeAccused();
+  void Declare(PartId part);
+  // Writes the missing records, and repeats that until they exist.
+  void WriteRecords();
+  void WriteRecord(PartId part, int64_t lease);
+  void DeleteRecord(PartId part);
+  // The part has proved sound.
+  void ForgetQuarantine(PartId part);
+  void SendAccusation(PartId part, bool quarantined);
+  void SendBegun(const MachineId* to, PartId part, Millis age);
+
+  const MachineId self_;
+  PartCrashTracker* const tracker_;
+  ClusterStore* const store_;
+  PeerMessenger* const peers_;
+  std::map<PartId, Millis> accused_;  // With the end of time for objections.
+  std::set<PartId> unrecorded_;       // Declared here, without a record yet.
+  std::set<PartId> recorded_;         // Quarantined by a record of the store.
+  Timer accusation_timer_;
+  Timer record_timer_;
+};
+
+}  // namespace bilberrypitch
--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -20,6 +20,7 @@
 class EventLoop;
 class Membership;
 class OrderService;
+class PartCrashService;
 class PrefillService;
 class RateLimitService;
 struct ServingState;
@@ -36,6 +37,7 @@
     OrderService* orders = nullptr;
     PrefillService* prefills = nullptr;
     CrashService* crashes = nullptr;
+    PartCrashService* part_crashes = nullptr;
     RateLimitService* rate_limits = nullptr;
     CallerFrontend* callers = nullptr;
     StoreRecordDecoder decode_record;
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -12,6 +12,7 @@
 #include "base/error.h"
 #include "serving/attempt_policy.h"
 #include "serving/event_splitter.h"
+#include "serving/part_crash_tracker.h"
 #include "serving/rate_limiter.h"
 #include "serving/request.h"
 #include "serving/upstream_chooser.h"
@@ -50,6 +51,10 @@
   std::function<void(uint64_t fingerprint, const UpstreamId&,
                      int64_t started_ms)>
       connection_broken;
+  // The connection broke before the response had begun.
+  std::function<void(const PartCrash& suspicion)> broken_before_response;
+  // A response to a request with these shared prompt parts has begun.
+  std::function<void(const std::vector<PartId>& parts)> response_begun;
   // No connection to the upstream could be established.
   std::function<void(const UpstreamId&)> upstream_unreachable;
   // Asks the owner of the engine for permission to send it a prompt. Returns
@@ -111,6 +116,7 @@
   bool Admit();
   bool AdmitCaller();
   bool RejectIfQuarantined();
+  bool RejectIfPartQuarantined();
   void AdmitRate();
   void OnRateDecision(const RateDecision& decision);
   bool Revalidate();
@@ -131,6 +137,8 @@
   bool OnHeaders(int status, const HttpHeaders& headers);
   bool OnData(std::string_view bytes);
   void ForwardEvents(std::string events);
+  // The response proves the shared parts of the prompt sound.
+  void ReportBegun();
   void OnEventsWritten(size_t bytes);
   void OnCallDone(CallOutcome outcome);
   AttemptOutcome ClassifyOutcome(const CallOutcome& outcome) const;
@@ -163,6 +171,8 @@
   const Workspace* workspace_ = nullptr;  // Null: no key is required.
   ServiceId service_;
   uint64_t fingerprint_ = 0;
+  const std::vector<PartId> shared_parts_;  // Of the prompt.
+  bool is_probe_ = false;  // May be sent although a part is quarantined.
   double rate_cost_ = 0;
   Millis deadline_;
   Timer deadline_timer_;
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -11,6 +11,7 @@
 #include "serving/crash_tracker.h"
 #include "serving/freshness.h"
 #include "serving/instance_settings.h"
+#include "serving/part_crash_tracker.h"
 #include "serving/residency_view.h"
 #include "serving/retry_budget.h"
 #include "serving/upstream_registry.h"
@@ -25,10 +26,11 @@
   uint64_t failed = 0;    // Failed after an attempt that may have run.
   uint64_t caller_left = 0;
   uint64_t rate_limited = 0;
-  uint64_t retries = 0;         // Attempts after the first one.
-  uint64_t adapter_waits = 0;   // Requests that waited for an adapter.
-  uint64_t prefill_waits = 0;   // Prefill requests that were renewed.
-  uint64_t adapter_misses = 0;  // Attempts at engines without the adapter.
+  uint64_t retries = 0;           // Attempts after the first one.
+  uint64_t adapter_waits = 0;     // Requests that waited for an adapter.
+  uint64_t prefill_waits = 0;     // Prefill requests that were renewed.
+  uint64_t adapter_misses = 0;    // Attempts at engines without the adapter.
+  uint64_t part_quarantined = 0;  // Ended for a quarantined prompt part.
 };
 
 // Must be used on the event loop's thread only.
@@ -56,6 +58,7 @@
   std::map<ModelRef, int64_t> required_versions;
   std::map<ServiceId, RetryBudget> retry_budgets;
   CrashTracker crash_tracker;
+  PartCrashTracker part_crash_tracker;
   size_t instance_count = 1;  // Running instances, this one included.
   bool stopping = false;      // Responses close their connections.
   RequestCounters counters;
--- a/libs/gateway/src/cluster_records.cc
+++ b/libs/gateway/src/cluster_records.cc
@@ -1,6 +1,10 @@
 // Keys and values of the member and owner records.
 #include "gateway/cluster_records.h"
 
+#include <fmt/format.h>
+
+#include <charconv>
+
 #include "schema/cluster.pb.h"
 
 namespace bilberrypitch {
@@ -9,6 +13,8 @@
 constexpr std::string_view kClusterKeyPrefix = "bilberrypitch/";
 constexpr std::string_view kMemberKeyPrefix = "bilberrypitch/members/";
 constexpr std::string_view kOwnerKeyPrefix = "bilberrypitch/owners/";
+constexpr std::string_view kPartKeyPrefix = "bilberrypitch/parts/";
+constexpr int kHexBase = 16;
 
 // Returns the rest of `key` after `prefix`; empty if it starts differently.
 std::string StripPrefix(const std::string& key, std::string_view prefix) {
@@ -33,6 +39,16 @@
   return std::string(kOwnerKeyPrefix) + resource.str();
 }
 
+std::string QuarantinedPartKey(PartId part) {
+  return fmt::format("{}{:x}", kPartKeyPrefix, static_cast<uint64_t>(part));
+}
+
+std::string EncodeQuarantinedPart(const MachineId& declared_by) {
+  schema::QuarantinedPart record;
+  record.set_machine(declared_by.str());
+  return record.SerializeAsString();
+}
+
 std::string EncodeMember(const ClusterMember& member) {
   schema::MemberRecord record;
   record.set_machine(member.machine.str());
@@ -61,6 +77,17 @@
   return ResourceId(StripPrefix(key, kOwnerKeyPrefix));
 }
 
+std::optional<PartId> PartFromKey(const std::string& key) {
+  std::string rest = StripPrefix(key, kPartKeyPrefix);
+  uint64_t part = 0;
+  const char* end = rest.data() + rest.size();
+  auto parsed = std::from_chars(rest.data(), end, part, kHexBase);
+  if (rest.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return PartId{part};
+}
+
 std::optional<ClusterMember> DecodeMember(const StoreItem& item) {
   schema::MemberRecord record;
   if (!record.ParseFromString(item.value) || record.machine().empty()) {
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -13,6 +13,7 @@
 #include "gateway/membership.h"
 #include "gateway/metrics_page.h"
 #include "gateway/order_service.h"
+#include "gateway/part_crash_service.h"
 #include "gateway/peer_messenger.h"
 #include "gateway/prefill_service.h"
 #include "gateway/rate_limit_service.h"
@@ -80,6 +81,8 @@
         prefills_(loop_, self_.machine, membership_.ownership(),
                   &state_.upstreams, &peers_, PrefillHooks()),
         crashes_(&state_.crash_tracker, &peers_),
+        part_crashes_(loop_, self_.machine, &state_.part_crash_tracker,
+                      gateway_deps_.store, &peers_),
         callers_(loop_, &state_),
         records_(loop_, RecordDeps()) {
     freshness_service_ = std::make_unique<FreshnessService>(
@@ -178,6 +181,7 @@
     deps.orders = &orders_;
     deps.prefills = &prefills_;
     deps.crashes = &crashes_;
+    deps.part_crashes = &part_crashes_;
     deps.rate_limits = &rate_limits_;
     deps.callers = &callers_;
     deps.decode_record = gateway_deps_.decode_record;
@@ -242,8 +246,17 @@
         [this](uint64_t fingerprint, const UpstreamId& id, int64_t started_ms) {
           crashes_.OnConnectionBroken(fingerprint, {id, started_ms});
         };
+    request_deps_.hooks.broken_before_response =
+        [this](const PartCrash& suspicion) {
+          part_crashes_.OnConnectionBroken(suspicion);
+        };
+    request_deps_.hooks.response_begun =
+        [this](const std::vector<PartId>& parts) {
+          part_crashes_.OnResponseBegun(parts);
+        };
     request_deps_.hooks.upstream_unreachable = [this](const UpstreamId& id) {
       crashes_.OnUpstreamDown(id);
+      part_crashes_.OnUpstreamDown(id);
     };
     request_deps_.hooks.acquire_rate_tokens =
         [this](const WorkspaceId& workspace, double cost,
@@ -386,6 +399,15 @@
       case schema::PeerItem::kCrash:
         crashes_.OnCrashNotice(item.crash());
         break;
+      case schema::PeerItem::kPartCrash:
+        part_crashes_.OnCrashNotice(item.part_crash());
+        break;
+      case schema::PeerItem::kPartAccusation:
+        part_crashes_.OnAccusation(from, item.part_accusation());
+        break;
+      case schema::PeerItem::kPartBegun:
+        part_crashes_.OnPartBegun(item.part_begun());
+        break;
       case schema::PeerItem::kQuestion:
         freshness_service_->OnQuery(item.question());
         break;
@@ -442,6 +464,7 @@
   RateLimitService rate_limits_;
   PrefillService prefills_;
   CrashService crashes_;
+  PartCrashService part_crashes_;
   std::unique_ptr<FreshnessService> freshness_service_;
   RequestDeps request_deps_;
   RequestDeps completions_request_deps_;
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -25,6 +25,9 @@
   add("adapter_waits_total", counters.adapter_waits);
   add("adapter_misses_total", counters.adapter_misses);
   add("reading_waits_total", counters.prefill_waits);
+  add("prompt_part_quarantined_total", counters.part_quarantined);
+  add("prompt_parts_quarantined",
+      state.part_crash_tracker.Quarantined().size());
   add("orders_total", metrics.orders);
   add("reports_total", metrics.reports);
   add("upstream_connections_total", metrics.upstream_connections);
--- /dev/null
+++ b/libs/gateway/src/part_crash_service.cc
@@ -0,0 +1,237 @@
+// Notices between instances about prompt parts, and their records in the store.
+#include "gateway/part_crash_service.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "gateway/cluster_records.h"
+#include "gateway/peer_messenger.h"
+#include "schema/cluster.pb.h"
+#include "serving/cluster_store.h"
+#include "transport/event_loop.h"
+
+namespace bilberrypitch {
+namespace {
+
+// Time for the other instances to object before a part is quarantined.
+constexpr Millis kObjectionTime{250};
+constexpr Millis kRecordRetryDelay{400};
+
+uint64_t ToNumber(PartId part) { return static_cast<uint64_t>(part); }
+
+}  // namespace
+
+PartCrashService::PartCrashService(EventLoop* loop, const MachineId& self,
+                                   PartCrashTracker* tracker,
+                                   ClusterStore* store, PeerMessenger* peers)
+    : self_(self),
+      tracker_(tracker),
+      store_(store),
+      peers_(peers),
+      accusation_timer_(loop),
+      record_timer_(loop) {}
+
+void PartCrashService::OnConnectionBroken(const PartCrash& suspicion) {
+  tracker_->OnConnectionBroken(suspicion, EventLoop::Now());
+}
+
+void PartCrashService::OnUpstreamDown(const UpstreamId& upstream) {
+  for (const PartCrash& crash :
+       tracker_->OnUpstreamDown(upstream, EventLoop::Now())) {
+    schema::PeerItem item;
+    schema::PartCrashNotice* notice = item.mutable_part_crash();
+    notice->set_upstream(crash.id.upstream.str());
+    notice->set_started_ms(crash.id.started_ms);
+    notice->set_fingerprint(crash.fingerprint);
+    for (PartId part : crash.parts) {
+      notice->add_parts(ToNumber(part));
+    }
+    peers_->Broadcast(item);
+  }
+  AccuseParts();
+}
+
+void PartCrashService::OnResponseBegun(const std::vector<PartId>& parts) {
+  for (PartId part : tracker_->OnBegun(parts, EventLoop::Now())) {
+    SendBegun(nullptr, part, Millis(0));
+    if (recorded_.count(part) > 0) {
+      DeleteRecord(part);
+    }
+    ForgetQuarantine(part);
+  }
+  AccuseParts();
+}
+
+void PartCrashService::OnCrashNotice(const schema::PartCrashNotice& notice) {
+  PartCrash crash;
+  crash.id = {UpstreamId(notice.upstream()), notice.started_ms()};
+  crash.fingerprint = notice.fingerprint();
+  for (uint64_t part : notice.parts()) {
+    crash.parts.push_back(PartId{part});
+  }
+  tracker_->OnPeerCrash(crash, EventLoop::Now());
+}
+
+// Without peers there is nobody to wait for.
+void PartCrashService::AccuseParts() {
+  Millis now = EventLoop::Now();
+  for (PartId part : tracker_->TakeAccused(now)) {
+    LogInfo("crash", "Accuses part={:x}.", ToNumber(part));
+    SendAccusation(part, false);
+    accused_[part] = peers_->peers().empty() ? now : now + kObjectionTime;
+  }
+  JudgeAccused();
+}
+
+void PartCrashService::JudgeAccused() {
+  Millis now = EventLoop::Now();
+  std::vector<PartId> due;
+  Millis next;
+  for (const auto& [part, at] : accused_) {
+    if (at <= now) {
+      due.push_back(part);
+    } else if (next == Millis(0) || at < next) {
+      next = at;
+    }
+  }
+  for (PartId part : due) {
+    accused_.erase(part);
+    if (tracker_->ReachesLimit(part, now)) {
+      Declare(part);
+    }
+  }
+  if (next != Millis(0)) {
+    accusation_timer_.Start(next - now, [this] { JudgeAccused(); });
+  }
+}
+
+void PartCrashService::Declare(PartId part) {
+  LogWarning("crash", "Quarantined part={:x}: upstreams crash under it.",
+             ToNumber(part));
+  tracker_->Quarantine(part, true, EventLoop::Now());
+  SendAccusation(part, true);
+  unrecorded_.insert(part);
+  WriteRecords();
+}
+
+void PartCrashService::OnAccusation(const MachineId& from,
+                                    const schema::PartAccusation& accusation) {
+  PartId part{accusation.part()};
+  Millis now = EventLoop::Now();
+  if (accusation.quarantined()) {
+    LogInfo("crash", "Part={:x} is quarantined by {}.", ToNumber(part),
+            from.str());
+    tracker_->Quarantine(part, false, now);
+    return;
+  }
+  std::optional<Millis> begun = tracker_->LastBegun(part);
+  if (begun) {
+    SendBegun(&from, part, now - *begun);
+  }
+}
+
+void PartCrashService::OnPartBegun(const schema::PartBegun& begun) {
+  PartId part{begun.part()};
+  Millis now = EventLoop::Now();
+  if (tracker_->OnPeerBegun(part, now - Millis(begun.age_ms()), now)) {
+    ForgetQuarantine(part);
+  }
+}
+
+void PartCrashService::OnStoreItem(const StoreItem& item) {
+  std::optional<PartId> part = PartFromKey(item.key);
+  if (!part) {
+    return;
+  }
+  if (!item.deleted) {
+    tracker_->Quarantine(*part, false, EventLoop::Now());
+    recorded_.insert(*part);
+    unrecorded_.erase(*part);
+  } else if (recorded_.erase(*part) > 0 && tracker_->EndQuarantine(*part)) {
+    LogInfo("crash", "Part={:x} is no longer quarantined.", ToNumber(*part));
+  }
+}
+
+void PartCrashService::OnFullRead(const std::set<std::string>& keys) {
+  std::vector<PartId> removed;
+  for (PartId part : recorded_) {
+    if (keys.count(QuarantinedPartKey(part)) == 0) {
+      removed.push_back(part);
+    }
+  }
+  for (PartId part : removed) {
+    recorded_.erase(part);
+    tracker_->EndQuarantine(part);
+  }
+}
+
+// A lease of its own ends the record, so that no instance has to.
+void PartCrashService::WriteRecords() {
+  for (PartId part : unrecorded_) {
+    store_->GrantLease(
+        PartCrashTracker::kQuarantineTime,
+        [this, part](const StoreLeaseResult& result) {
+          if (result.outcome == StoreOutcome::kOk && result.lease != 0) {
+            WriteRecord(part, result.lease);
+          }
+        });
+  }
+  if (!unrecorded_.empty()) {
+    record_timer_.Start(kRecordRetryDelay, [this] { WriteRecords(); });
+  }
+}
+
+void PartCrashService::WriteRecord(PartId part, int64_t lease) {
+  if (unrecorded_.count(part) == 0) {
+    store_->RevokeLease(lease);
+    return;
+  }
+  StoreTransaction transaction;
+  std::string key = QuarantinedPartKey(part);
+  transaction.conditions.push_back({key, 0});
+  transaction.writes.push_back({key, EncodeQuarantinedPart(self_), lease});
+  store_->Commit(std::move(transaction),
+                 [this, part, lease](const StoreCommitResult& result) {
+                   if (result.outcome == StoreOutcome::kOk) {
+                     unrecorded_.erase(part);
+                   } else if (result.outcome == StoreOutcome::kConflict) {
+                     unrecorded_.erase(part);
+                     store_->RevokeLease(lease);
+                   }
+                 });
+}
+
+// If the deletion fails, the lease of the record ends it.
+void PartCrashService::DeleteRecord(PartId part) {
+  StoreTransaction transaction;
+  transaction.deletes.push_back(QuarantinedPartKey(part));
+  store_->Commit(std::move(transaction), [](const StoreCommitResult&) {});
+}
+
+void PartCrashService::ForgetQuarantine(PartId part) {
+  LogWarning("crash", "Part={:x} has begun; its quarantine ends.",
+             ToNumber(part));
+  accused_.erase(part);
+  unrecorded_.erase(part);
+  recorded_.erase(part);
+}
+
+void PartCrashService::SendAccusation(PartId part, bool quarantined) {
+  schema::PeerItem item;
+  item.mutable_part_accusation()->set_part(ToNumber(part));
+  item.mutable_part_accusation()->set_quarantined(quarantined);
+  peers_->Broadcast(item);
+}
+
+void PartCrashService::SendBegun(const MachineId* to, PartId part, Millis age) {
+  schema::PeerItem item;
+  item.mutable_part_begun()->set_part(ToNumber(part));
+  item.mutable_part_begun()->set_age_ms(age.count());
+  if (to != nullptr) {
+    peers_->Send(*to, item);
+  } else {
+    peers_->Broadcast(item);
+  }
+}
+
+}  // namespace bilberrypitch
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -9,6 +9,7 @@
 #include "gateway/crash_service.h"
 #include "gateway/membership.h"
 #include "gateway/order_service.h"
+#include "gateway/part_crash_service.h"
 #include "gateway/prefill_service.h"
 #include "gateway/rate_limit_service.h"
 #include "gateway/serving_state.h"
@@ -37,6 +38,7 @@
     LogWarning("store", "Skipped a malformed record: {}.", malformed->reason);
   } else {
     deps_.membership->OnStoreItem(item);
+    deps_.part_crashes->OnStoreItem(item);
   }
   return true;
 }
@@ -116,6 +118,7 @@
           upstream.entry.id.str(), upstream.entry.service.str(),
           upstream.entry.address, upstream.entry.zone.str());
   deps_.crashes->OnUpstreamDown(upstream.entry.id);
+  deps_.part_crashes->OnUpstreamDown(upstream.entry.id);
   deps_.state->residency.OnEngineReset(upstream.entry.id);
   deps_.orders->OnEngineStarted(upstream.entry.id);
   deps_.prefills->OnEngineReset(upstream.entry.id);
@@ -128,6 +131,7 @@
   LogInfo("upstream", "Leaves id={} draining={}.", id.str(), draining);
   if (!draining) {
     deps_.crashes->OnUpstreamDown(id);
+    deps_.part_crashes->OnUpstreamDown(id);
     deps_.membership->RemoveResource(EngineResource(id));
   }
   deps_.orders->OnEngineUnavailable(id);
@@ -173,6 +177,7 @@
     return keys.count(entry.second) == 0;
   });
   deps_.membership->OnFullReadCompleted(keys, revision);
+  deps_.part_crashes->OnFullRead(keys);
   ExpireMissingUpstreams();
 }
 
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -35,11 +35,11 @@
 
 bool IsServerError(int status) { return status >= 500; }
 
-// The ids of the prompt parts that other requests may share: all but the last.
-std::string SharedPartsText(const std::vector<PromptPart>& parts) {
+std::string PartsText(const std::vector<PartId>& parts) {
   std::string text;
-  for (size_t i = 0; i + 1 < parts.size(); ++i) {
-    text += fmt::format("{}{:x}", i == 0 ? "" : ",", parts[i].id);
+  for (PartId part : parts) {
+    text += fmt::format("{}{:x}", text.empty() ? "" : ",",
+                        static_cast<uint64_t>(part));
   }
   return text.empty() ? "-" : text;
 }
@@ -173,6 +173,7 @@
   if (!first_event_seen_) {
     first_event_seen_ = true;
     ReleasePrefill(true);
+    ReportBegun();
     UpstreamState* upstream = state_->upstreams.Find(upstream_);
     if (upstream != nullptr) {
       state_->upstreams.OnFirstEvent(upstream, PromptTokens(), now - sent_at_,
@@ -198,6 +199,12 @@
   }
 }
 
+void RequestHandler::ReportBegun() {
+  if (!shared_parts_.empty()) {
+    deps_->hooks.response_begun(shared_parts_);
+  }
+}
+
 void RequestHandler::OnEventsWritten(size_t bytes) {
   unwritten_bytes_ -= std::min(bytes, unwritten_bytes_);
 }
@@ -260,6 +267,9 @@
   if (!failed) {
     state_->crash_tracker.OnSuccess(fingerprint_);
   }
+  if (!IsStream() && outcome.status < 300) {
+    ReportBegun();
+  }
   ++state_->counters.answered;
   if (response_started_) {
     responder_->EndStream();
@@ -319,6 +329,10 @@
     deps_->hooks.connection_broken(fingerprint_, upstream,
                                    upstream_started_ms_);
   }
+  if (end == AttemptOutcome::kConnectionBroken && !first_event_seen_) {
+    deps_->hooks.broken_before_response(
+        {{upstream, upstream_started_ms_}, fingerprint_, shared_parts_});
+  }
   if (!not_run_by_upstream) {
     may_have_run_ = true;
     ++upstreams_maybe_run_;
@@ -348,7 +362,7 @@
           request_.id.str(), attempts_, upstream.str(), static_cast<int>(end),
           outcome->status, (EventLoop::Now() - sent_at_).count(),
           static_cast<int>(decision.step), first_event_seen_ ? 1 : 0,
-          SharedPartsText(request_.prompt_parts));
+          PartsText(shared_parts_));
   bool retry =
       decision.step == NextStep::kRetry || decision.step == NextStep::kResume;
   if (retry && (end == AttemptOutcome::kNotSent ||
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -39,6 +39,7 @@
       responder_(std::move(responder)),
       connection_id_(connection_id),
       arrived_at_(EventLoop::Now()),
+      shared_parts_(SharedParts(request_.prompt_parts)),
       deadline_timer_(deps->loop),
       wait_timer_(deps->loop) {}
 
@@ -85,7 +86,8 @@
   WorkspaceId id = workspace_ != nullptr ? workspace_->id : WorkspaceId();
   fingerprint_ =
       RequestFingerprint(request_.method, request_.target, id, request_.body);
-  return !RejectIfQuarantined();
+  is_probe_ = state_->part_crash_tracker.TakeProbe(shared_parts_, arrived_at_);
+  return !RejectIfQuarantined() && !RejectIfPartQuarantined();
 }
 
 // Ends a request that crashed upstreams, or may have crashed them. Returns
@@ -111,6 +113,26 @@
   return true;
 }
 
+// Ends a request with a prompt part under which upstreams crash. Returns
+// whether the request was ended.
+bool RequestHandler::RejectIfPartQuarantined() {
+  bool quarantined =
+      state_->part_crash_tracker.IsQuarantined(shared_parts_, EventLoop::Now());
+  if (!quarantined || is_probe_) {
+    return false;
+  }
+  ++state_->counters.part_quarantined;
+  if (may_have_run_) {
+    Fail({ErrorKind::kOutcomeUnknown,
+          "Upstreams crash under a part of the prompt.", NotRun::kUnknown});
+  } else {
+    Reject(ErrorKind::kInternal,
+           "Upstreams crash under a part of the prompt; it is not run.",
+           Millis(0));
+  }
+  return true;
+}
+
 bool RequestHandler::AdmitCaller() {
   bool key_required =
       !config_->config().workspaces.empty() && route_->requires_key;
@@ -176,7 +198,7 @@
 // again before its first attempt; after it, only the key is looked up there.
 // Ends the request and returns false if it may not run.
 bool RequestHandler::Revalidate() {
-  if (RejectIfQuarantined()) {
+  if (RejectIfQuarantined() || RejectIfPartQuarantined()) {
     return false;
   }
   Millis now = EventLoop::Now();
