Ask a suspect engine at once whether it still runs

Cause: a crash counts when it is confirmed, and an instance confirmed it when its next connection failed or the engine's record went, up to 3.6 s later. Three crashes of a part were often complete seconds after the third engine had ended.

Change: when a connection breaks before the response has begun, the engine's report is fetched; none, or one of another start, confirms the crash.

--- a/libs/gateway/include/gateway/part_crash_service.h
+++ b/libs/gateway/include/gateway/part_crash_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -28,9 +29,15 @@
 // on the event loop's thread only.
 class PartCrashService {
  public:
+  // Calls `done` with whether the upstream still runs as it was started at
+  // `started_ms`; not at all if it can't be asked. `done` may be called after
+  // the upstream was removed, but not before the return.
+  using AliveCheck =
+      std::function<void(const CrashId& id, std::function<void(bool)> done)>;
+
   PartCrashService(EventLoop* loop, const MachineId& self,
                    PartCrashTracker* tracker, ClusterStore* store,
-                   PeerMessenger* peers);
+                   PeerMessenger* peers, AliveCheck check_alive);
 
   // A connection to an upstream broke before the response began.
   void OnConnectionBroken(const PartCrash& suspicion);
@@ -68,6 +75,7 @@
   PartCrashTracker* const tracker_;
   ClusterStore* const store_;
   PeerMessenger* const peers_;
+  const AliveCheck check_alive_;
   std::map<PartId, Millis> accused_;  // With the end of time for objections.
   std::set<PartId> unrecorded_;       // Declared here, without a record yet.
   std::set<PartId> recorded_;         // Quarantined by a record of the store.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -82,7 +82,7 @@
                   &state_.upstreams, &peers_, PrefillHooks()),
         crashes_(&state_.crash_tracker, &peers_),
         part_crashes_(loop_, self_.machine, &state_.part_crash_tracker,
-                      gateway_deps_.store, &peers_),
+                      gateway_deps_.store, &peers_, EngineCheck()),
         callers_(loop_, &state_),
         records_(loop_, RecordDeps()) {
     freshness_service_ = std::make_unique<FreshnessService>(
@@ -219,6 +219,21 @@
     return hooks;
   }
 
+  PartCrashService::AliveCheck EngineCheck() {
+    return [this](const CrashId& id, std::function<void(bool)> done) {
+      UpstreamState* upstream = state_.upstreams.Find(id.upstream);
+      if (upstream == nullptr ||
+          records_.EngineProfileOf(id.upstream) == nullptr) {
+        return;
+      }
+      gateway_deps_.engines->FetchReport(
+          id.upstream, upstream->entry.address,
+          [id, done = std::move(done)](bool ok, const EngineReport& report) {
+            done(ok && report.started_ms == id.started_ms);
+          });
+    };
+  }
+
   // The two APIs differ only in their codecs.
   void InitRequestDeps() {
     request_deps_.loop = loop_;
--- a/libs/gateway/src/part_crash_service.cc
+++ b/libs/gateway/src/part_crash_service.cc
@@ -23,16 +23,24 @@
 
 PartCrashService::PartCrashService(EventLoop* loop, const MachineId& self,
                                    PartCrashTracker* tracker,
-                                   ClusterStore* store, PeerMessenger* peers)
+                                   ClusterStore* store, PeerMessenger* peers,
+                                   AliveCheck check_alive)
     : self_(self),
       tracker_(tracker),
       store_(store),
       peers_(peers),
+      check_alive_(std::move(check_alive)),
       accusation_timer_(loop),
       record_timer_(loop) {}
 
 void PartCrashService::OnConnectionBroken(const PartCrash& suspicion) {
   tracker_->OnConnectionBroken(suspicion, EventLoop::Now());
+  // Its record in the store may stay for seconds after it has ended.
+  check_alive_(suspicion.id, [this, id = suspicion.id](bool alive) {
+    if (!alive) {
+      OnUpstreamDown(id.upstream);
+    }
+  });
 }
 
 void PartCrashService::OnUpstreamDown(const UpstreamId& upstream) {
