Let late objections end a quarantine, and wait 100 ms for them

The time was long because an objection after it was ignored.

Change: a quarantine remembers the first crash that led to it; a peer that saw the part begin after that ends it at any time, everywhere, and doesn't adopt it. The case 'a late objection ends a quarantine' failed before.

--- a/libs/gateway/include/gateway/part_crash_service.h
+++ b/libs/gateway/include/gateway/part_crash_service.h
@@ -65,11 +65,13 @@
   // Writes the missing records, and repeats that until they exist.
   void WriteRecords();
   void WriteRecord(PartId part, int64_t lease);
-  void DeleteRecord(PartId part);
   // The part has proved sound.
   void ForgetQuarantine(PartId part);
   void SendAccusation(PartId part, bool quarantined);
-  void SendBegun(const MachineId* to, PartId part, Millis age);
+  // An objection to the accusation by `to`.
+  void SendObjection(const MachineId& to, PartId part, Millis age);
+  // Ends the quarantine at all instances.
+  void EndQuarantineEverywhere(PartId part);
 
   const MachineId self_;
   PartCrashTracker* const tracker_;
@@ -77,6 +79,7 @@
   PeerMessenger* const peers_;
   const AliveCheck check_alive_;
   std::map<PartId, Millis> accused_;  // With the end of time for objections.
+  std::set<PartId> declared_;         // Quarantined by this instance.
   std::set<PartId> unrecorded_;       // Declared here, without a record yet.
   std::set<PartId> recorded_;         // Quarantined by a record of the store.
   Timer accusation_timer_;
--- a/libs/gateway/src/part_crash_service.cc
+++ b/libs/gateway/src/part_crash_service.cc
@@ -14,7 +14,7 @@
 namespace {
 
 // Time for the other instances to object before a part is quarantined.
-constexpr Millis kObjectionTime{250};
+constexpr Millis kObjectionTime{100};
 constexpr Millis kRecordRetryDelay{400};
 
 uint64_t ToNumber(PartId part) { return static_cast<uint64_t>(part); }
@@ -61,11 +61,7 @@
 
 void PartCrashService::OnResponseBegun(const std::vector<PartId>& parts) {
   for (PartId part : tracker_->OnBegun(parts, EventLoop::Now())) {
-    SendBegun(nullptr, part, Millis(0));
-    if (recorded_.count(part) > 0) {
-      DeleteRecord(part);
-    }
-    ForgetQuarantine(part);
+    EndQuarantineEverywhere(part);
   }
   AccuseParts();
 }
@@ -116,8 +112,9 @@
 void PartCrashService::Declare(PartId part) {
   LogWarning("crash", "Quarantined part={:x}: upstreams crash under it.",
              ToNumber(part));
-  tracker_->Quarantine(part, true, EventLoop::Now());
   SendAccusation(part, true);
+  tracker_->Quarantine(part, true, EventLoop::Now());
+  declared_.insert(part);
   unrecorded_.insert(part);
   WriteRecords();
 }
@@ -126,23 +123,28 @@
                                     const schema::PartAccusation& accusation) {
   PartId part{accusation.part()};
   Millis now = EventLoop::Now();
-  if (accusation.quarantined()) {
+  Millis first_crash_at = now - Millis(accusation.first_crash_age_ms());
+  std::optional<Millis> begun = tracker_->LastBegun(part);
+  if (begun) {
+    SendObjection(from, part, now - *begun);
+  }
+  bool disproved = begun && *begun > first_crash_at;
+  if (accusation.quarantined() && !disproved) {
     LogInfo("crash", "Part={:x} is quarantined by {}.", ToNumber(part),
             from.str());
     tracker_->Quarantine(part, false, now);
-    return;
-  }
-  std::optional<Millis> begun = tracker_->LastBegun(part);
-  if (begun) {
-    SendBegun(&from, part, now - *begun);
   }
 }
 
 void PartCrashService::OnPartBegun(const schema::PartBegun& begun) {
   PartId part{begun.part()};
   Millis now = EventLoop::Now();
-  if (tracker_->OnPeerBegun(part, now - Millis(begun.age_ms()), now)) {
+  bool ended = tracker_->OnPeerBegun(part, now - Millis(begun.age_ms()), now);
+  if (begun.ends_quarantine()) {
+    tracker_->EndQuarantine(part);
     ForgetQuarantine(part);
+  } else if (ended && declared_.count(part) > 0) {
+    EndQuarantineEverywhere(part);
   }
 }
 
@@ -209,17 +211,25 @@
                  });
 }
 
-// If the deletion fails, the lease of the record ends it.
-void PartCrashService::DeleteRecord(PartId part) {
-  StoreTransaction transaction;
-  transaction.deletes.push_back(QuarantinedPartKey(part));
-  store_->Commit(std::move(transaction), [](const StoreCommitResult&) {});
+// If the deletion of the record fails, its lease ends it.
+void PartCrashService::EndQuarantineEverywhere(PartId part) {
+  schema::PeerItem item;
+  item.mutable_part_begun()->set_part(ToNumber(part));
+  item.mutable_part_begun()->set_ends_quarantine(true);
+  peers_->Broadcast(item);
+  if (recorded_.count(part) > 0 || declared_.count(part) > 0) {
+    StoreTransaction transaction;
+    transaction.deletes.push_back(QuarantinedPartKey(part));
+    store_->Commit(std::move(transaction), [](const StoreCommitResult&) {});
+  }
+  ForgetQuarantine(part);
 }
 
 void PartCrashService::ForgetQuarantine(PartId part) {
   LogWarning("crash", "Part={:x} has begun; its quarantine ends.",
              ToNumber(part));
   accused_.erase(part);
+  declared_.erase(part);
   unrecorded_.erase(part);
   recorded_.erase(part);
 }
@@ -228,18 +238,18 @@
   schema::PeerItem item;
   item.mutable_part_accusation()->set_part(ToNumber(part));
   item.mutable_part_accusation()->set_quarantined(quarantined);
+  Millis now = EventLoop::Now();
+  item.mutable_part_accusation()->set_first_crash_age_ms(
+      (now - tracker_->FirstCrashAt(part, now)).count());
   peers_->Broadcast(item);
 }
 
-void PartCrashService::SendBegun(const MachineId* to, PartId part, Millis age) {
+void PartCrashService::SendObjection(const MachineId& to, PartId part,
+                                     Millis age) {
   schema::PeerItem item;
   item.mutable_part_begun()->set_part(ToNumber(part));
   item.mutable_part_begun()->set_age_ms(age.count());
-  if (to != nullptr) {
-    peers_->Send(*to, item);
-  } else {
-    peers_->Broadcast(item);
-  }
+  peers_->Send(to, item);
 }
 
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/part_crash_tracker.h
+++ b/libs/serving/include/serving/part_crash_tracker.h
@@ -58,7 +58,8 @@
   // instances have to be told that they are sound.
   std::vector<PartId> OnBegun(const std::vector<PartId>& parts, Millis now);
   // Another instance has seen a response with the part begin at `begun_at`.
-  // Returns whether the part was quarantined until now.
+  // Returns whether this ends a quarantine: whether it was after the first of
+  // the crashes that led to it.
   bool OnPeerBegun(PartId part, Millis begun_at, Millis now);
   // When this instance last saw or heard that a response with the part began;
   // empty if it did not, or a long time ago.
@@ -74,6 +75,8 @@
 
   // Whether the crashes of the part reach the limit.
   bool ReachesLimit(PartId part, Millis now) const;
+  // When the first crash was that is still counted; `now` if there is none.
+  Millis FirstCrashAt(PartId part, Millis now) const;
   // Parts that reach the limit and of which this instance has reported a crash
   // since the last call.
   std::vector<PartId> TakeAccused(Millis now);
@@ -103,7 +106,8 @@
     bool reported_here = false;  // Since TakeAccused last returned it.
   };
   struct QuarantineState {
-    Millis since;
+    Millis declared_at;
+    Millis first_crash_at;
     bool declared_here = false;
     uint32_t probes = 0;
     Millis next_probe_at;
--- a/libs/serving/src/part_crash_tracker.cc
+++ b/libs/serving/src/part_crash_tracker.cc
@@ -54,7 +54,7 @@
     if (it == quarantined_.end()) {
       return false;
     }
-    if (now - it->second.since > kQuarantineTime) {
+    if (now - it->second.declared_at > kQuarantineTime) {
       quarantined_.erase(it);
       return false;
     }
@@ -113,7 +113,7 @@
   }
   auto quarantine = quarantined_.find(part);
   return quarantine != quarantined_.end() &&
-         begun_at >= quarantine->second.since && EndQuarantine(part);
+         begun_at > quarantine->second.first_crash_at && EndQuarantine(part);
 }
 
 std::optional<Millis> PartCrashTracker::LastBegun(PartId part) const {
@@ -233,6 +233,13 @@
          begun_count_ - candidate.begun_before >= limit.begun_meanwhile;
 }
 
+Millis PartCrashTracker::FirstCrashAt(PartId part, Millis now) const {
+  auto it = candidates_.find(part);
+  return it == candidates_.end() || it->second.crashes.empty()
+             ? now
+             : it->second.crashes.front().at;
+}
+
 std::vector<PartId> PartCrashTracker::TakeAccused(Millis now) {
   std::vector<PartId> accused;
   for (auto& [part, candidate] : candidates_) {
@@ -252,11 +259,12 @@
   }
   if (quarantined_.size() >= kMaxQuarantined) {
     std::erase_if(quarantined_, [now](const auto& entry) {
-      return now - entry.second.since > kQuarantineTime;
+      return now - entry.second.declared_at > kQuarantineTime;
     });
   }
   if (quarantined_.size() < kMaxQuarantined) {
-    quarantined_[part] = {now, declared_here, 0, now + kFirstProbeDelay};
+    quarantined_[part] = {now, FirstCrashAt(part, now), declared_here, 0,
+                          now + kFirstProbeDelay};
     candidates_.erase(part);
   }
 }
