Don't complete an unframed stream that ended before its first event

Callers could get an empty stream as a complete success: an engine that closes its connection after the head of a response without a length or chunks looked as if it had ended the stream. Ended inside an event it was broken off already, which no test showed.

Change: such a stream is whole only after an event.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -139,6 +139,8 @@
   void ForwardEvents(std::string events);
   // The response proves the shared parts of the prompt sound.
   void ReportBegun();
+  // Whether the stream of the attempt, which has ended, is not broken off.
+  bool StreamEndsWhole() const;
   void OnEventsWritten(size_t bytes);
   void OnCallDone(CallOutcome outcome);
   AttemptOutcome ClassifyOutcome(const CallOutcome& outcome) const;
@@ -194,6 +196,7 @@
   Millis sent_at_;
   bool first_event_seen_ = false;
   bool response_is_stream_ = false;
+  bool response_is_framed_ = false;  // It states its length or is chunked.
   ResponseInfo response_info_;
 
   UpstreamId last_upstream_;  // Upstream of the last attempt, for the log.
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -107,6 +107,7 @@
   sent_at_ = now;
   first_event_seen_ = false;
   response_is_stream_ = false;
+  response_is_framed_ = false;
   response_info_ = ResponseInfo();
   if (attempts_ > 0) {
     ++state_->counters.retries;
@@ -147,6 +148,8 @@
   if (!response_info_.matches_request) {
     return false;
   }
+  response_is_framed_ = !headers.Get("Content-Length").empty() ||
+                        !headers.Get("Transfer-Encoding").empty();
   response_is_stream_ =
       IsStream() && status < 300 && response_info_.has_signature;
   return status >= 300 || response_info_.has_signature;
@@ -240,6 +243,13 @@
   return AttemptOutcome::kErrorResponse;
 }
 
+// A response without a length and chunks ends with its connection, which may
+// also close because the upstream has crashed.
+bool RequestHandler::StreamEndsWhole() const {
+  return event_splitter_.AtBoundary() &&
+         (first_event_seen_ || response_is_framed_);
+}
+
 void RequestHandler::OnCallDone(CallOutcome outcome) {
   call_id_ = 0;
   if (finished_) {
@@ -248,9 +258,8 @@
   bool complete = outcome.result == CallResult::kComplete &&
                   response_info_.matches_request &&
                   response_info_.has_signature && !response_info_.not_run;
-  if (complete && IsStream() && response_is_stream_ &&
-      !event_splitter_.AtBoundary()) {
-    complete = false;  // The last event is incomplete.
+  if (complete && IsStream() && response_is_stream_ && !StreamEndsWhole()) {
+    complete = false;
     outcome.result = CallResult::kConnectionBroken;
   }
   if (complete && !IsServerError(outcome.status)) {
