Timeline of an upstream's rate limit, and its log line

A response that states none ends the limit, if its request was sent after the latest statement was heard.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -137,6 +137,8 @@
   bool OnHeaders(int status, const HttpHeaders& headers);
   bool OnData(std::string_view bytes);
   void ForwardEvents(std::string events);
+  // Applies the rate limit that the response states, or that it states none.
+  void OnRateLimit(UpstreamState* upstream);
   // The response proves the shared parts of the prompt sound.
   void ReportBegun();
   // Whether the stream of the attempt, which has ended, is not broken off.
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -141,6 +141,7 @@
       state_->upstreams.OnLoadReport(upstream, *response_info_.load,
                                      EventLoop::Now());
     }
+    OnRateLimit(upstream);
     if (response_info_.idle_timeout_s > 0) {
       upstream->idle_timeout_s = response_info_.idle_timeout_s;
     }
@@ -155,6 +156,15 @@
   return status >= 300 || response_info_.has_signature;
 }
 
+void RequestHandler::OnRateLimit(UpstreamState* upstream) {
+  const std::optional<double>& limit = response_info_.rate_limit_per_s;
+  if (state_->upstreams.OnRateLimit(upstream, limit, sent_at_,
+                                    EventLoop::Now())) {
+    LogInfo("upstream", "Limit id={} per_s={}.", upstream_.str(),
+            limit ? fmt::format("{}", *limit) : "none");
+  }
+}
+
 // Returns false to cancel the call.
 bool RequestHandler::OnData(std::string_view bytes) {
   if (finished_ || !response_is_stream_) {
--- a/libs/serving/include/serving/request.h
+++ b/libs/serving/include/serving/request.h
@@ -62,6 +62,8 @@
   bool has_signature = false;
   bool closes_connection = false;
   std::optional<UpstreamLoadReport> load;
+  // Requests a second that the upstream takes from all instances together.
+  std::optional<double> rate_limit_per_s;
   int idle_timeout_s = 0;  // Of idle connections; 0: not stated.
   HttpHeaders forward;     // Fields to forward to the caller.
 };
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "serving/request.h"
@@ -54,6 +55,11 @@
   // Until then, the owner's report that no adapter slot is free is used.
   Millis slots_full_until;
 
+  // Requests a second that it takes from all instances together, as it states;
+  // empty: it states no limit.
+  std::optional<double> rate_limit_per_s;
+  Millis rate_limit_heard_at;  // When the latest such statement arrived.
+
   // Sums over this instance and the recent reports of its peers.
   uint32_t TotalInFlight(Millis now) const;
   int64_t TotalPendingPrefillTokens(Millis now) const;
@@ -112,6 +118,10 @@
   void OnLoadReport(UpstreamState* upstream, const UpstreamLoadReport& report,
                     Millis now);
   void OnConnectFailure(UpstreamState* upstream, Millis now);
+  // A response to a request that was sent at `sent_at` states this limit, or
+  // none. Returns whether the limit has changed.
+  bool OnRateLimit(UpstreamState* upstream, std::optional<double> limit_per_s,
+                   Millis sent_at, Millis now);
   // A response arrived (`failed` if it reports an upstream failure) or broke
   // off.
   void OnAttemptResult(UpstreamState* upstream, bool failed, Millis elapsed);
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -222,6 +222,20 @@
   upstream->started_since_report = 0;
 }
 
+bool UpstreamRegistry::OnRateLimit(UpstreamState* upstream,
+                                   std::optional<double> limit_per_s,
+                                   Millis sent_at, Millis now) {
+  if (!limit_per_s && sent_at <= upstream->rate_limit_heard_at) {
+    return false;  // The response may be older than the latest statement.
+  }
+  if (limit_per_s) {
+    upstream->rate_limit_heard_at = now;
+  }
+  bool changed = upstream->rate_limit_per_s != limit_per_s;
+  upstream->rate_limit_per_s = limit_per_s;
+  return changed;
+}
+
 void UpstreamRegistry::OnConnectFailure(UpstreamState* upstream, Millis now) {
   Millis backoff = kInitialBackoff *
                    (int64_t{1} << std::min(upstream->connect_failures, 4U));
