Ask less often for permits, and expect their wait in the choice

Change: the choice counts the average wait for a permit at each limited upstream whose state isn't known; after each denial the next choice comes later; issuers are derived once per upstream and change of members.

--- a/libs/gateway/include/gateway/permit_service.h
+++ b/libs/gateway/include/gateway/permit_service.h
@@ -53,7 +53,8 @@
  private:
   struct PendingQuestion;
 
-  std::vector<MachineId> Members() const;
+  // The issuers of permits for the upstream, by rank.
+  const std::vector<MachineId>& IssuersOf(const UpstreamId& upstream);
   // Asks the issuer of this rank; without one, decides by this instance's own
   // share.
   void Ask(uint64_t number);
@@ -71,6 +72,7 @@
   PermitIssuer issuer_;
   PermitIssuer substitute_issuer_;
   PermitIssuer own_share_;
+  std::map<UpstreamId, std::vector<MachineId>> issuers_;  // As last derived.
   uint64_t last_number_;
   std::map<uint64_t, std::unique_ptr<PendingQuestion>> pending_;
   std::map<UpstreamId, double> spread_limits_;  // As last told to the others.
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -206,6 +206,7 @@
   UpstreamId permit_upstream_;
   Millis permit_turn_at_;        // Not to be used before.
   bool permit_pending_ = false;  // It was asked for.
+  uint32_t permit_denials_ = 0;
   // How much more another upstream costs than the chosen one.
   Millis choice_margin_;
 
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -57,6 +57,8 @@
   ResidencyView residency;
   std::map<ModelRef, int64_t> required_versions;
   std::map<ServiceId, RetryBudget> retry_budgets;
+  // Average wait for a permit at upstreams with a rate limit, in ms.
+  std::map<ServiceId, double> permit_wait_ms;
   CrashTracker crash_tracker;
   PartCrashTracker part_crash_tracker;
   size_t instance_count = 1;  // Running instances, this one included.
--- a/libs/gateway/src/permit_service.cc
+++ b/libs/gateway/src/permit_service.cc
@@ -17,6 +17,7 @@
 
 // An issuer that runs answers within this time.
 constexpr Millis kAnswerTimeout{60};
+constexpr size_t kMaxKnownIssuers = 4096;
 // A limit that changes by less is not spread again.
 constexpr double kMinChange = 0.1;
 
@@ -44,12 +45,20 @@
 
 PermitService::~PermitService() = default;
 
-std::vector<MachineId> PermitService::Members() const {
-  std::vector<MachineId> members{self_};
-  for (const auto& [machine, member] : peers_->peers()) {
-    members.push_back(machine);
+const std::vector<MachineId>& PermitService::IssuersOf(
+    const UpstreamId& upstream) {
+  if (issuers_.size() >= kMaxKnownIssuers) {
+    issuers_.clear();  // Most are of upstreams that are gone.
+  }
+  auto [it, added] = issuers_.try_emplace(upstream);
+  if (added) {
+    std::vector<MachineId> members{self_};
+    for (const auto& [machine, member] : peers_->peers()) {
+      members.push_back(machine);
+    }
+    it->second = PermitIssuers(upstream, members);
   }
-  return members;
+  return it->second;
 }
 
 void PermitService::Acquire(const UpstreamId& upstream, double rate_per_s,
@@ -66,7 +75,7 @@
 
 void PermitService::Ask(uint64_t number) {
   PendingQuestion& question = *pending_.at(number);
-  std::vector<MachineId> issuers = PermitIssuers(question.upstream, Members());
+  const std::vector<MachineId>& issuers = IssuersOf(question.upstream);
   if (question.rank >= issuers.size()) {
     Finish(number, IssueOwnShare(question));
     return;
@@ -108,7 +117,7 @@
 }
 
 void PermitService::Return(const UpstreamId& upstream) {
-  std::vector<MachineId> issuers = PermitIssuers(upstream, Members());
+  const std::vector<MachineId>& issuers = IssuersOf(upstream);
   if (issuers.front() == self_) {
     issuer_.Return(upstream);
     return;
@@ -147,7 +156,7 @@
                                    std::optional<double> limit) {
   LogInfo("upstream", "Limit id={} per_s={}.", upstream.str(),
           limit ? std::to_string(*limit) : "none");
-  MachineId issuer = PermitIssuers(upstream, Members()).front();
+  MachineId issuer = IssuersOf(upstream).front();
   if (issuer == self_) {
     Spread(upstream, limit);
   } else {
@@ -203,6 +212,7 @@
 }
 
 void PermitService::OnMembersChanged() {
+  issuers_.clear();
   issuer_.OnMembersChanged(EventLoop::Now());
 }
 
--- a/libs/gateway/src/request_waits.cc
+++ b/libs/gateway/src/request_waits.cc
@@ -30,8 +30,11 @@
 constexpr int64_t kUrgentDivisor = 3;
 // A request does not wait for a permit so long that less time is left.
 constexpr Millis kMinTimeToServe{100};
-// Delay before the upstream is chosen again when a permit was denied.
-constexpr Millis kPermitDeniedDelay{2};
+// Delay before the upstream is chosen again when a permit was denied; doubled
+// with each further denial.
+constexpr Millis kPermitDeniedDelay{5};
+constexpr uint32_t kMaxDenialDoublings = 5;
+constexpr double kPermitWaitSmoothing = 0.2;  // Weight of a new observation.
 
 }  // namespace
 
@@ -66,6 +69,10 @@
   if (UpstreamState* upstream = state_->upstreams.Find(id)) {
     upstream->rate_limited_until = now + permit.wait;
   }
+  double& average_wait_ms = state_->permit_wait_ms[service_];
+  average_wait_ms +=
+      kPermitWaitSmoothing *
+      (static_cast<double>(permit.wait.count()) - average_wait_ms);
   if (permit.granted) {
     permit_upstream_ = id;
     permit_turn_at_ = now + permit.wait;
@@ -77,8 +84,12 @@
     RejectForRateLimit(permit.wait);
     return;
   }
+  // Others are asked soon at first, then less and less often.
+  Millis delay = kPermitDeniedDelay *
+                 (int64_t{1} << std::min(permit_denials_, kMaxDenialDoublings));
+  ++permit_denials_;
   auto self = shared_from_this();
-  wait_timer_.Start(kPermitDeniedDelay, [self] { self->Dispatch(); });
+  wait_timer_.Start(delay, [self] { self->Dispatch(); });
 }
 
 void RequestHandler::RejectForRateLimit(Millis retry_after) {
--- a/libs/gateway/test/rate_limited_upstream_test.cc
+++ b/libs/gateway/test/rate_limited_upstream_test.cc
@@ -61,7 +61,8 @@
     HttpCall call = fixture.CallTo("/once/x", "k1");
     call.address = i % 2 == 0 ? first_instance : second_instance;
     Millis sent_at = EventLoop::Now();
-    REQUIRE(fixture.Send(std::move(call)).status == 200);
+    int status = fixture.Send(std::move(call)).status;
+    REQUIRE(status == 200);
     // The other upstream takes at once what this one doesn't.
     REQUIRE(EventLoop::Now() - sent_at < Millis(500));
     fixture.WaitFor(Millis(10));
--- a/libs/serving/include/serving/upstream_chooser.h
+++ b/libs/serving/include/serving/upstream_chooser.h
@@ -26,7 +26,9 @@
   ZoneId zone;  // Of this instance.
   Millis now;
   bool suspect = false;  // A connection broke under this request before.
-  UpstreamId permit;     // An upstream for which it has a permit.
+  // Expected wait for a permit at an upstream with a rate limit.
+  double permit_wait_ms = 0;
+  UpstreamId permit;  // An upstream for which it has a permit.
   // Engines asked to load the adapter for this request; null: none. Not owned.
   const std::set<UpstreamId>* load_requested_at = nullptr;
   // Upstreams that have already rejected or failed this request.
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -73,10 +73,10 @@
   cost += upstream.entry.zone == input.zone ? 0 : kOtherZoneMs;
   cost += input.now < upstream.backoff_until ? kBackoffMs : 0;
   cost += input.suspect ? kSuspectRequestMs * upstream.suspect_requests : 0;
-  if (upstream.rate_limit_per_s && upstream.entry.id != input.permit &&
-      input.now < upstream.rate_limited_until) {
+  if (upstream.rate_limit_per_s && upstream.entry.id != input.permit) {
+    Millis known_wait = upstream.rate_limited_until - input.now;
     cost +=
-        static_cast<double>((upstream.rate_limited_until - input.now).count());
+        std::max(static_cast<double>(known_wait.count()), input.permit_wait_ms);
   }
   bool tried = std::find(input.tried.begin(), input.tried.end(),
                          upstream.entry.id) != input.tried.end();
--- a/libs/serving/test/part_crash_tracker_test.cc
+++ b/libs/serving/test/part_crash_tracker_test.cc
@@ -218,9 +218,9 @@
   Observer observer;
   uint64_t next = 10;
   for (int i = 0; i < 2000; ++i) {
-    std::vector<PartId> parts;
-    for (int k = 0; k < 100; ++k) {
-      parts.push_back(PartId{++next});
+    std::vector<PartId> parts(100);
+    for (PartId& part : parts) {
+      part = PartId{++next};
     }
     observer.Crash(parts, StartOf(fmt::format("u{}", i)), Millis(1000 + i));
     observer.Begin(parts, 1, Millis(1000 + i));
--- a/libs/serving/test/permit_issuer_test.cc
+++ b/libs/serving/test/permit_issuer_test.cc
@@ -97,9 +97,9 @@
 }
 
 TEST_CASE("the issuers of upstreams are spread over the members", "[permits]") {
-  std::vector<MachineId> members;
-  for (int i = 0; i < 20; ++i) {
-    members.emplace_back(fmt::format("m{}", i));
+  std::vector<MachineId> members(20);
+  for (size_t i = 0; i < members.size(); ++i) {
+    members[i] = MachineId(fmt::format("m{}", i));
   }
   std::set<MachineId> first;
   for (int i = 0; i < 200; ++i) {
