Forget that a part was declared here when its record lapses

Found by reading: the set of parts that this instance has declared kept those whose record had ended, and grew with each. Nothing that callers see.

--- a/libs/gateway/src/part_crash_service.cc
+++ b/libs/gateway/src/part_crash_service.cc
@@ -157,7 +157,10 @@
     tracker_->Quarantine(*part, false, EventLoop::Now());
     recorded_.insert(*part);
     unrecorded_.erase(*part);
-  } else if (recorded_.erase(*part) > 0 && tracker_->EndQuarantine(*part)) {
+    return;
+  }
+  declared_.erase(*part);
+  if (recorded_.erase(*part) > 0 && tracker_->EndQuarantine(*part)) {
     LogInfo("crash", "Part={:x} is no longer quarantined.", ToNumber(*part));
   }
 }
@@ -171,6 +174,7 @@
   }
   for (PartId part : removed) {
     recorded_.erase(part);
+    declared_.erase(part);
     tracker_->EndQuarantine(part);
   }
 }
