Keep the own shares of instances that reach no issuer within the limit

At 195 instances 207 permits in four seconds where 23 are allowed; the case with 195 members failed so, with 8 it passed. A permit of a substitute was also returned to the first issuer, which then gave out one too many.

Change: the floor applies to the limit, shares begin at different levels and don't save up, returned permits go only to the issuer that gave them. A denial by the own share asks the issuers again after a second, not after the minutes that a share of one in 780 takes.

--- a/libs/gateway/include/gateway/permit_service.h
+++ b/libs/gateway/include/gateway/permit_service.h
@@ -35,7 +35,7 @@
   // `done` is called once, possibly before the return.
   void Acquire(const UpstreamId& upstream, double rate_per_s, Millis max_wait,
                std::function<void(Permit)> done);
-  // A granted permit is not used.
+  // A permit that the first issuer has granted is not used.
   void Return(const UpstreamId& upstream);
   // This instance has heard from the upstream that its limit has changed.
   void OnLimitChanged(const UpstreamId& upstream, std::optional<double> limit);
@@ -59,6 +59,9 @@
   // share.
   void Ask(uint64_t number);
   void Finish(uint64_t number, const Permit& permit);
+  // As the first issuer of the upstream, or in its place.
+  Permit Issue(const UpstreamId& upstream, double rate_per_s, bool substitute,
+               Millis max_wait);
   Permit IssueOwnShare(const PendingQuestion& question);
   // As the issuer of the upstream: tells all others.
   void Spread(const UpstreamId& upstream, std::optional<double> limit);
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -77,7 +77,7 @@
   std::function<void(const UpstreamId&, double rate_per_s, Millis max_wait,
                      std::function<void(Permit)> done)>
       acquire_permit;
-  // A granted permit is not used.
+  // A permit that the first issuer has granted is not used.
   std::function<void(const UpstreamId&)> return_permit;
   // A response of the upstream states another rate limit, or none any more.
   std::function<void(const UpstreamId&, std::optional<double> limit)>
@@ -204,6 +204,7 @@
 
   // The upstream for which the request has a permit; empty: none.
   UpstreamId permit_upstream_;
+  bool permit_returnable_ = false;
   Millis permit_turn_at_;        // Not to be used before.
   bool permit_pending_ = false;  // It was asked for.
   uint32_t permit_denials_ = 0;
--- a/libs/gateway/src/permit_service.cc
+++ b/libs/gateway/src/permit_service.cc
@@ -1,6 +1,7 @@
 // Questions for permits with their answers, and the spreading of limits.
 #include "gateway/permit_service.h"
 
+#include <algorithm>
 #include <cmath>
 #include <vector>
 
@@ -17,10 +18,21 @@
 
 // An issuer that runs answers within this time.
 constexpr Millis kAnswerTimeout{60};
+// When the issuers are asked again after neither has answered.
+constexpr Millis kIssuerRetryTime{1000};
+// An instance that was idle doesn't save up its own share.
+constexpr Millis kOwnShareCredit{1000};
 constexpr size_t kMaxKnownIssuers = 4096;
 // A limit that changes by less is not spread again.
 constexpr double kMinChange = 0.1;
 
+// In [0, 1), spread over the instances, so that they don't use their own shares
+// at the same time.
+double StartFraction(const MachineId& machine) {
+  constexpr uint64_t kParts = 1024;
+  return static_cast<double>(StableHash(machine.str()) % kParts) / kParts;
+}
+
 }  // namespace
 
 // A question that has no answer yet.
@@ -40,6 +52,7 @@
       self_(self),
       upstreams_(upstreams),
       peers_(peers),
+      own_share_(-StartFraction(self), kOwnShareCredit),
       // Random, so that an earlier process of this machine used other numbers.
       last_number_(StableHash(RandomHex(8)) >> 1) {}
 
@@ -83,10 +96,8 @@
   bool is_substitute = question.rank > 0;
   const MachineId& machine = issuers[question.rank];
   if (machine == self_) {
-    double share = is_substitute ? kSubstituteShare : 1;
-    PermitIssuer& issuer = is_substitute ? substitute_issuer_ : issuer_;
-    Finish(number, issuer.Issue(question.upstream, share * question.rate_per_s,
-                                question.max_wait, EventLoop::Now()));
+    Finish(number, Issue(question.upstream, question.rate_per_s, is_substitute,
+                         question.max_wait));
     return;
   }
   schema::PeerItem item;
@@ -103,11 +114,26 @@
   });
 }
 
+Permit PermitService::Issue(const UpstreamId& upstream, double rate_per_s,
+                            bool substitute, Millis max_wait) {
+  PermitIssuer& issuer = substitute ? substitute_issuer_ : issuer_;
+  double share = substitute ? kSubstituteShare : 1;
+  Permit permit =
+      issuer.Issue(upstream, rate_per_s, share, max_wait, EventLoop::Now());
+  permit.by_first_issuer = !substitute;
+  return permit;
+}
+
 Permit PermitService::IssueOwnShare(const PendingQuestion& question) {
   auto members = static_cast<double>(peers_->peers().size() + 1);
-  return own_share_.Issue(question.upstream,
-                          kIsolatedShare * question.rate_per_s / members,
-                          question.max_wait, EventLoop::Now());
+  Permit permit = own_share_.Issue(question.upstream, question.rate_per_s,
+                                   kIsolatedShare / members, question.max_wait,
+                                   EventLoop::Now());
+  permit.by_first_issuer = false;
+  if (!permit.granted) {
+    permit.wait = std::min(permit.wait, kIssuerRetryTime);
+  }
+  return permit;
 }
 
 void PermitService::Finish(uint64_t number, const Permit& permit) {
@@ -129,22 +155,20 @@
 
 void PermitService::OnQuestion(const MachineId& from,
                                const schema::PermitQuestion& question) {
-  bool is_substitute = question.substitute();
-  PermitIssuer& issuer = is_substitute ? substitute_issuer_ : issuer_;
-  double share = is_substitute ? kSubstituteShare : 1;
-  Permit permit = issuer.Issue(
-      UpstreamId(question.upstream()), share * question.rate_per_s(),
-      Millis(question.max_wait_ms()), EventLoop::Now());
+  Permit permit = Issue(UpstreamId(question.upstream()), question.rate_per_s(),
+                        question.substitute(), Millis(question.max_wait_ms()));
   schema::PeerItem item;
   item.mutable_permit_answer()->set_number(question.number());
   item.mutable_permit_answer()->set_granted(permit.granted);
   item.mutable_permit_answer()->set_wait_ms(permit.wait.count());
+  item.mutable_permit_answer()->set_substitute(question.substitute());
   peers_->Send(from, std::move(item));
 }
 
 void PermitService::OnAnswer(const schema::PermitAnswer& answer) {
   if (pending_.count(answer.number()) > 0) {
-    Finish(answer.number(), {answer.granted(), Millis(answer.wait_ms())});
+    Finish(answer.number(),
+           {answer.granted(), Millis(answer.wait_ms()), !answer.substitute()});
   }
 }
 
--- a/libs/gateway/src/request_waits.cc
+++ b/libs/gateway/src/request_waits.cc
@@ -60,7 +60,7 @@
 void RequestHandler::OnPermit(const UpstreamId& id, const Permit& permit) {
   permit_pending_ = false;
   if (finished_ || call_id_ != 0) {
-    if (permit.granted) {
+    if (permit.granted && permit.by_first_issuer) {
       deps_->hooks.return_permit(id);
     }
     return;
@@ -75,6 +75,7 @@
       (static_cast<double>(permit.wait.count()) - average_wait_ms);
   if (permit.granted) {
     permit_upstream_ = id;
+    permit_returnable_ = permit.by_first_issuer;
     permit_turn_at_ = now + permit.wait;
     KeepAdapter(id);
     Dispatch();
@@ -111,10 +112,10 @@
 }
 
 void RequestHandler::ReturnPermit() {
-  if (!permit_upstream_.empty()) {
+  if (!permit_upstream_.empty() && permit_returnable_) {
     deps_->hooks.return_permit(permit_upstream_);
-    permit_upstream_ = UpstreamId();
   }
+  permit_upstream_ = UpstreamId();
 }
 
 // Starts the attempt when the owner of the engine grants the prefill, or at
--- a/libs/serving/include/serving/permit_issuer.h
+++ b/libs/serving/include/serving/permit_issuer.h
@@ -20,6 +20,7 @@
 struct Permit {
   bool granted = false;
   Millis wait;
+  bool by_first_issuer = true;  // Otherwise it is not returned if not used.
 };
 
 // The two machines that issue permits for the upstream, the first one by
@@ -34,19 +35,27 @@
 // The share that all instances together take that reach neither issuer.
 constexpr double kIsolatedShare = 0.25;
 
-// A rate limit is at least this, so that its end is noticed.
+// Requests go to an upstream at least at this rate, so that the end of its
+// limit is noticed.
 constexpr double kMinRatePerS = 0.1;
 
 // Token buckets by upstream, in which a permit for later leaves a debt.
 // State machine without I/O. Not thread-safe.
 class PermitIssuer {
  public:
+  // A new bucket begins with `start_level`, and the time for which nobody asked
+  // counts up to `longest_credit`.
+  explicit PermitIssuer(double start_level = 0,
+                        Millis longest_credit = Millis(60 * 1000))
+      : start_level_(start_level), longest_credit_(longest_credit) {}
+
   // The members have changed, so that this instance may become an issuer while
   // another one still acts as it.
   void OnMembersChanged(Millis now) { members_changed_at_ = now; }
-  // Issues a permit if its turn is within `max_wait`.
-  Permit Issue(const UpstreamId& upstream, double rate_per_s, Millis max_wait,
-               Millis now);
+  // Issues a permit if its turn is within `max_wait`. `share`: part of the
+  // upstream's limit that this issuer gives out.
+  Permit Issue(const UpstreamId& upstream, double limit_per_s, double share,
+               Millis max_wait, Millis now);
   // A permit was not used.
   void Return(const UpstreamId& upstream);
   size_t size() const { return buckets_.size(); }
@@ -60,6 +69,8 @@
 
   void DropUnused(Millis now);
 
+  const double start_level_;
+  const Millis longest_credit_;
   std::optional<Millis> members_changed_at_;
   std::map<UpstreamId, Bucket> buckets_;
 };
--- a/libs/serving/src/permit_issuer.cc
+++ b/libs/serving/src/permit_issuer.cc
@@ -39,20 +39,22 @@
   return issuers;
 }
 
-Permit PermitIssuer::Issue(const UpstreamId& upstream, double rate_per_s,
-                           Millis max_wait, Millis now) {
+Permit PermitIssuer::Issue(const UpstreamId& upstream, double limit_per_s,
+                           double share, Millis max_wait, Millis now) {
   DropUnused(now);
   auto [it, added] = buckets_.try_emplace(upstream);
   Bucket& bucket = it->second;
   if (added) {
+    bucket.level = start_level_;
     bucket.starts_until = members_changed_at_.value_or(now) + kStartTime;
     bucket.filled_at = now;
   }
-  double rate = std::max(rate_per_s, kMinRatePerS);
+  double rate = share * std::max(limit_per_s, kMinRatePerS);
   if (members_changed_at_ && now < bucket.starts_until) {
     rate *= kSubstituteShare;
   }
-  double filled = rate * (now - bucket.filled_at).seconds();
+  Millis credit = std::min(now - bucket.filled_at, longest_credit_);
+  double filled = rate * credit.seconds();
   bucket.level = std::min(1 + rate * kBurstS, bucket.level + filled);
   bucket.filled_at = now;
   Permit permit;
--- a/libs/serving/test/permit_issuer_test.cc
+++ b/libs/serving/test/permit_issuer_test.cc
@@ -15,10 +15,10 @@
 // Asks at each step from `begin` for `duration` and returns the permits whose
 // turn comes at once.
 int CountPermits(PermitIssuer* issuer, double rate, Millis begin,
-                 Millis duration) {
+                 Millis duration, double share = 1) {
   int n = 0;
   for (Millis now = begin; now < begin + duration; now = now + kStep) {
-    n += issuer->Issue(kUpstream, rate, Millis(0), now).granted ? 1 : 0;
+    n += issuer->Issue(kUpstream, rate, share, Millis(0), now).granted ? 1 : 0;
   }
   return n;
 }
@@ -44,17 +44,17 @@
 TEST_CASE("permits in advance come one after the other", "[permits]") {
   PermitIssuer issuer;
   Millis now(1000);
-  issuer.Issue(kUpstream, 2, Millis(0), now);
+  issuer.Issue(kUpstream, 2, 1, Millis(0), now);
   std::vector<int64_t> waits;
   for (int i = 0; i < 3; ++i) {
-    Permit permit = issuer.Issue(kUpstream, 2, Millis(2000), now);
+    Permit permit = issuer.Issue(kUpstream, 2, 1, Millis(2000), now);
     REQUIRE(permit.granted);
     waits.push_back(permit.wait.count());
   }
   REQUIRE(waits == std::vector<int64_t>{500, 1000, 1500});
-  REQUIRE_FALSE(issuer.Issue(kUpstream, 2, Millis(1900), now).granted);
+  REQUIRE_FALSE(issuer.Issue(kUpstream, 2, 1, Millis(1900), now).granted);
   issuer.Return(kUpstream);
-  REQUIRE(issuer.Issue(kUpstream, 2, Millis(1900), now).granted);
+  REQUIRE(issuer.Issue(kUpstream, 2, 1, Millis(1900), now).granted);
 }
 
 TEST_CASE("a limit of zero still lets a request through now and then",
@@ -70,12 +70,16 @@
 TEST_CASE("all issuers together stay within what an upstream bears",
           "[permits]") {
   constexpr double kRate = 3;
-  constexpr int kMembers = 8;
+  constexpr int kMembers = 195;
   PermitIssuer old_issuer;
   PermitIssuer new_issuer;
   new_issuer.OnMembersChanged(Millis(20000));
   PermitIssuer substitute;
-  std::vector<PermitIssuer> isolated(kMembers);
+  std::vector<PermitIssuer> isolated;
+  isolated.reserve(kMembers);
+  for (int i = 0; i < kMembers; ++i) {
+    isolated.emplace_back(-static_cast<double>(i) / kMembers, Millis(1000));
+  }
   // The first issuer has run for long; its successor begins at 20 s while some
   // still ask it.
   CountPermits(&old_issuer, kRate, Millis(0), Millis(20000));
@@ -84,18 +88,50 @@
     n += CountPermits(&new_issuer, kRate, Millis(20000), Millis(4000));
   }
   SECTION("with a substitute") {
-    n += CountPermits(&substitute, kSubstituteShare * kRate, Millis(20000),
-                      Millis(4000));
+    n += CountPermits(&substitute, kRate, Millis(20000), Millis(4000),
+                      kSubstituteShare);
   }
   SECTION("with instances that reach nobody") {
     for (PermitIssuer& issuer : isolated) {
-      n += CountPermits(&issuer, kIsolatedShare * kRate / kMembers,
-                        Millis(20000), Millis(4000));
+      // They have asked in vain for some time.
+      CountPermits(&issuer, kRate, Millis(0), Millis(20000),
+                   kIsolatedShare / kMembers);
+      n += CountPermits(&issuer, kRate, Millis(20000), Millis(4000),
+                        kIsolatedShare / kMembers);
     }
   }
   REQUIRE(n <= 1.5 * kRate * 4 + 5);
 }
 
+// Guards against: instances that reach no issuer all use their share at once.
+TEST_CASE("own shares are used one after the other", "[permits]") {
+  constexpr double kRate = 3;
+  constexpr int kMembers = 195;
+  std::vector<PermitIssuer> isolated;
+  isolated.reserve(kMembers);
+  for (int i = 0; i < kMembers; ++i) {
+    isolated.emplace_back(-static_cast<double>(i) / kMembers, Millis(1000));
+  }
+  constexpr size_t kSeconds = 600;
+  std::vector<int> granted(kSeconds);
+  for (size_t second = 0; second < kSeconds; ++second) {
+    Millis now(static_cast<int64_t>(second) * 1000);
+    for (PermitIssuer& issuer : isolated) {
+      Permit permit = issuer.Issue(kUpstream, kRate, kIsolatedShare / kMembers,
+                                   Millis(0), now);
+      granted[second] += permit.granted ? 1 : 0;
+    }
+  }
+  int total = 0;
+  for (size_t second = 3; second < kSeconds; ++second) {
+    int in_window = granted[second] + granted[second - 1] +
+                    granted[second - 2] + granted[second - 3];
+    REQUIRE(in_window <= kIsolatedShare * kRate * 4 + 2);
+    total += granted[second];
+  }
+  REQUIRE(total >= 100);
+}
+
 TEST_CASE("the issuers of upstreams are spread over the members", "[permits]") {
   std::vector<MachineId> members(20);
   for (size_t i = 0; i < members.size(); ++i) {
@@ -119,7 +155,7 @@
 TEST_CASE("buckets that nobody asks are dropped", "[permits]") {
   PermitIssuer issuer;
   for (int i = 0; i < 5000; ++i) {
-    issuer.Issue(UpstreamId(fmt::format("u{}", i)), 1, Millis(0),
+    issuer.Issue(UpstreamId(fmt::format("u{}", i)), 1, 1, Millis(0),
                  Millis(i * 1000));
   }
   REQUIRE(issuer.size() <= 256);
