--- /dev/null
+++ b/libs/gateway/include/gateway/peer_dispatcher.h
@@ -0,0 +1,43 @@
+// Passes the items of other instances to the services that they concern.
+#pragma once
+
+#include "serving/ids.h"
+
+namespace bilberrypitch {
+
+class AdapterService;
+class CrashService;
+class FreshnessService;
+class PartCrashService;
+class PermitService;
+class PrefillService;
+class RateLimitService;
+class UpstreamRegistry;
+namespace schema {
+class PeerItem;
+}
+
+// Must be used on the event loop's thread only.
+class PeerDispatcher {
+ public:
+  // The pointers are not owned and must outlive the dispatcher.
+  struct Deps {
+    UpstreamRegistry* upstreams = nullptr;
+    AdapterService* adapters = nullptr;
+    RateLimitService* rate_limits = nullptr;
+    PrefillService* prefills = nullptr;
+    CrashService* crashes = nullptr;
+    PartCrashService* part_crashes = nullptr;
+    PermitService* permits = nullptr;
+    FreshnessService* freshness = nullptr;
+  };
+
+  explicit PeerDispatcher(const Deps& deps);
+
+  void OnItem(const MachineId& from, const schema::PeerItem& item);
+
+ private:
+  const Deps deps_;
+};
+
+}  // namespace bilberrypitch
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -14,6 +14,7 @@
 #include "gateway/metrics_page.h"
 #include "gateway/order_service.h"
 #include "gateway/part_crash_service.h"
+#include "gateway/peer_dispatcher.h"
 #include "gateway/peer_messenger.h"
 #include "gateway/permit_service.h"
 #include "gateway/prefill_service.h"
@@ -61,7 +62,7 @@
         reader_service_(loop_, &store_sync_.view(), store_sync_.follower()),
         peers_(loop_, self_,
                [this](const MachineId& from, const schema::PeerItem& item) {
-                 OnPeerItem(from, item);
+                 dispatcher_->OnItem(from, item);
                }),
         membership_(loop_, gateway_deps_.store, self_,
                     std::max(kLeaseTtl, settings.min_lease_ttl),
@@ -90,6 +91,7 @@
     freshness_service_ = std::make_unique<FreshnessService>(
         loop_, gateway_deps_.client, &peers_, &store_sync_, &state_.freshness,
         PeerQueryAge(settings.bounds));
+    dispatcher_ = std::make_unique<PeerDispatcher>(DispatcherDeps());
     InitRequestDeps();
     Listen();
     store_sync_.Start();
@@ -195,6 +197,19 @@
     return deps;
   }
 
+  PeerDispatcher::Deps DispatcherDeps() {
+    PeerDispatcher::Deps deps;
+    deps.upstreams = &state_.upstreams;
+    deps.adapters = &adapters_;
+    deps.rate_limits = &rate_limits_;
+    deps.prefills = &prefills_;
+    deps.crashes = &crashes_;
+    deps.part_crashes = &part_crashes_;
+    deps.permits = &permits_;
+    deps.freshness = freshness_service_.get();
+    return deps;
+  }
+
   OrderService::Hooks OrderHooks() {
     OrderService::Hooks hooks;
     hooks.notify_status =
@@ -387,83 +402,6 @@
     }
   }
 
-  // Peers.
-
-  void OnPeerItem(const MachineId& from, const schema::PeerItem& item) {
-    rate_limits_.OnMessageFrom(from);
-    switch (item.body_case()) {
-      case schema::PeerItem::kWant:
-        adapters_.OnLoadRequest(from, item.want());
-        break;
-      case schema::PeerItem::kState:
-        adapters_.OnAdapterStatus(item.state());
-        break;
-      case schema::PeerItem::kUse:
-        adapters_.OnUsage(from, item.use());
-        break;
-      case schema::PeerItem::kMissing:
-        adapters_.OnAdapterMissing(item.missing());
-        break;
-      case schema::PeerItem::kRateQuestion:
-        rate_limits_.OnRequest(from, item.rate_question());
-        break;
-      case schema::PeerItem::kRateAnswer:
-        rate_limits_.OnResponse(item.rate_answer());
-        break;
-      case schema::PeerItem::kLoad:
-        state_.upstreams.OnPeerLoad(
-            UpstreamId(item.load().engine()), from,
-            {item.load().in_flight(), item.load().tokens_unread(),
-             EventLoop::Now()});
-        break;
-      case schema::PeerItem::kReadingQuestion:
-        prefills_.OnRequest(from, item.reading_question());
-        break;
-      case schema::PeerItem::kReadingAnswer:
-        prefills_.OnResponse(item.reading_answer());
-        break;
-      case schema::PeerItem::kReadingDone:
-        prefills_.OnRelease(from, item.reading_done());
-        break;
-      case schema::PeerItem::kAlive:
-        break;  // A heartbeat; OnMessageFrom has noted it.
-      case schema::PeerItem::kCrash:
-        crashes_.OnCrashNotice(item.crash());
-        break;
-      case schema::PeerItem::kPartCrash:
-        part_crashes_.OnCrashNotice(item.part_crash());
-        break;
-      case schema::PeerItem::kPartAccusation:
-        part_crashes_.OnAccusation(from, item.part_accusation());
-        break;
-      case schema::PeerItem::kPartBegun:
-        part_crashes_.OnPartBegun(item.part_begun());
-        break;
-      case schema::PeerItem::kPermitQuestion:
-        permits_.OnQuestion(from, item.permit_question());
-        break;
-      case schema::PeerItem::kPermitAnswer:
-        permits_.OnAnswer(item.permit_answer());
-        break;
-      case schema::PeerItem::kPermitReturn:
-        permits_.OnReturn(item.permit_return());
-        break;
-      case schema::PeerItem::kRateLimitNews:
-        permits_.OnNews(item.rate_limit_news());
-        break;
-      case schema::PeerItem::kQuestion:
-        freshness_service_->OnQuery(item.question());
-        break;
-      case schema::PeerItem::kAnswer:
-        freshness_service_->OnQueryResponse(from, item.answer());
-        break;
-      case schema::PeerItem::BODY_NOT_SET:
-        LogWarning("peer", "Ignored an item of unknown type from {}.",
-                   from.str());
-        break;
-    }
-  }
-
   // Readiness and metrics.
 
   bool IsReady() const {
@@ -510,6 +448,7 @@
   PartCrashService part_crashes_;
   PermitService permits_;
   std::unique_ptr<FreshnessService> freshness_service_;
+  std::unique_ptr<PeerDispatcher> dispatcher_;
   RequestDeps request_deps_;
   RequestDeps completions_request_deps_;
   CallerFrontend callers_;
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -1,6 +1,6 @@
 // Admission of a request, selection of its upstream, and its end. Waiting for
-// an adapter or a prefill is in request_waits.cc, attempts are in
-// request_attempt.cc.
+// an adapter or a prefill is in request_waits.cc, permits are in
+// request_permits.cc, attempts are in request_attempt.cc.
 #include "gateway/request_handler.h"
 
 #include <algorithm>
