review: an engine whose entry returns under its id gets no more orders (case 2)

Cause: when an engine's entry is removed, OrderService drops its state of the engine, but the machine keeps the owner key. When the entry returns under the same id, the owner has not changed, so nothing creates that state again.

--- a/review/standin/case_1.cc
+++ b/review/standin/case_1.cc
@@ -3,7 +3,6 @@
 // once more on the same connection. Exits with 1 if a stream that can't be
 // resumed ran twice.
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <cstdio>
 #include <memory>
@@ -31,9 +30,6 @@
 constexpr uint32_t kCopyOneIn = 34;
 constexpr int64_t kFaultMs = 5000;
 constexpr int64_t kFaultPeriodMs = 6000;
-constexpr int kPrefillMs = 60;
-constexpr int kEvents = 11;
-constexpr int kEventMs = 21;
 
 struct Tally {
   std::atomic<int> sent = 0;
@@ -52,35 +48,6 @@
   return from != 0 && (NowMs() - from) % kFaultPeriodMs < kFaultMs;
 }
 
-std::string AdapterOf(const Message& request) {
-  std::string model = request.Header("model");
-  size_t slash = model.find('/');
-  return slash == std::string::npos ? "" : model.substr(slash + 1);
-}
-
-std::string Chunk(const std::string& text) {
-  std::array<char, 16> size{};
-  std::snprintf(size.data(), size.size(), "%zx", text.size());
-  return std::string(size.data()) + "\r\n" + text + "\r\n";
-}
-
-// Runs a stream and sends it.
-bool SendStream(Upstream* engine, UpstreamConnection* connection,
-                const std::string& id) {
-  SleepMs(kPrefillMs);
-  bool ok = connection->socket.Send(
-      "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
-      "\r\nAnswer-Stamp: " + engine->options().id + "." + id +
-      "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
-      "chunked\r\n\r\n");
-  for (int event = 1; ok && event <= kEvents; ++event) {
-    ok = connection->socket.Send(
-        Chunk("id: " + std::to_string(event) + "\ndata: " + id + "\n\n"));
-    SleepMs(kEventMs);
-  }
-  return ok && connection->socket.Send("0\r\n\r\n");
-}
-
 Upstream::Handler MakeHandler(std::shared_ptr<EngineContents> contents,
                               RunLog* runs, Record* record, Tally* tally,
                               bool faulty) {
@@ -88,16 +55,8 @@
              const Message& request) {
     const std::string& name = engine->options().id;
     std::string id = request.Header("request-id");
-    if (request.path() == "/report") {
-      return connection->socket.Send(
-          Upstream::Answer(200, id, "", contents->Report(engine->born_ms())));
-    }
-    if (request.path() == "/order") {
-      EngineContents::Result result = contents->Order(request.body);
-      record->Line(name + " answers " + std::to_string(result.status) +
-                   " to the order " + request.body);
-      return connection->socket.Send(
-          Upstream::Answer(result.status, id, "", result.body));
+    if (AnswerEngineCall(engine, contents.get(), connection, request, record)) {
+      return true;
     }
     if (!connection->last_answer.empty()) {
       ++tally->copies;
@@ -126,7 +85,7 @@
     }
     record->Line(name + " runs " + id + " on " + adapter);
     runs->Add(id, name);
-    bool ok = SendStream(engine, connection, id);
+    bool ok = SendStream(*engine, *connection, id);
     contents->EndRun(adapter);
     tally->answers += faulty ? 1 : 0;
     return ok;
@@ -141,15 +100,7 @@
     std::string id = "c" + std::to_string(number) + "-" + std::to_string(i);
     std::string adapter = "a" + std::to_string(1 + random() % kAdapters);
     Socket connection = Connect(port, 1000);
-    std::string request =
-        "POST /advice/x HTTP/1.1\r\nHost: club.example\r\nTokens: 1800,22\r\n"
-        "Deadline-Ms: 5000\r\nAuthorization: Token key-1\r\n"
-        "Content-Length: 6\r\nRequest-Id: ";
-    request += id;
-    request += "\r\nModel: base/";
-    request += adapter;
-    request += "\r\n\r\nprompt";
-    connection.Send(request);
+    connection.Send(StreamRequest(id, adapter));
     ++tally->sent;
     std::optional<Message> answer =
         Reader(connection.fd()).Read(NowMs() + 6000);
@@ -170,18 +121,7 @@
   if (!fleet.StartStore()) {
     return kCouldNotRun;
   }
-  ConfigText config;
-  config.services =
-      R"({"name":"llm","engine":{"capacity":64,"kvTokens":126653,)"
-      R"("weightsMb":44000,"adapterSlots":6,"loadsPerS":2.1,"models":)"
-      R"([{"name":"base","weightsMb":42700,"loadS":3.3,"adapters":3000,)"
-      R"("adapterMb":66}]}})";
-  config.routes =
-      R"({"name":"advice","host":"club.example","prefix":"/advice/",)"
-      R"("kind":"stream","attempts":1,"timeoutMs":5000,"goalMs":1000,)"
-      R"("gapAimMs":400,"service":"llm"})";
-  config.tenants = R"({"name":"t1","apiKeys":["key-1"]})";
-  fleet.WriteConfig(1, config);
+  fleet.WriteConfig(1, EngineConfig());
   RunLog runs;
   Tally tally;
   AdapterStore adapter_store;
--- a/review/standin/engine.cc
+++ b/review/standin/engine.cc
@@ -2,12 +2,23 @@
 #include "engine.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <cstdlib>
 
 namespace review {
 namespace {
 
 constexpr size_t kMaxInTransit = 4;
+constexpr int kPrefillMs = 60;
+constexpr int kEvents = 11;
+constexpr int kEventMs = 21;
+
+std::string Chunk(const std::string& text) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx", text.size());
+  return std::string(size.data()) + "\r\n" + text + "\r\n";
+}
 
 }  // namespace
 
@@ -159,4 +170,75 @@
   return exceeded_;
 }
 
+std::string AdapterOf(const Message& request) {
+  std::string model = request.Header("model");
+  size_t slash = model.find('/');
+  return slash == std::string::npos ? "" : model.substr(slash + 1);
+}
+
+bool AnswerEngineCall(Upstream* engine, EngineContents* contents,
+                      UpstreamConnection* connection, const Message& request,
+                      Record* record) {
+  const std::string& name = engine->options().id;
+  std::string id = request.Header("request-id");
+  if (request.path() == "/report") {
+    connection->socket.Send(
+        Upstream::Answer(200, id, "", contents->Report(engine->born_ms())));
+    return true;
+  }
+  if (request.path() == "/order") {
+    EngineContents::Result result = contents->Order(request.body);
+    record->Line(name + " answers " + std::to_string(result.status) +
+                 " to the order " + request.body);
+    connection->socket.Send(
+        Upstream::Answer(result.status, id, "", result.body));
+    return true;
+  }
+  return false;
+}
+
+bool SendStream(const Upstream& engine, const UpstreamConnection& connection,
+                const std::string& request_id) {
+  SleepMs(kPrefillMs);
+  bool ok = connection.socket.Send(
+      "HTTP/1.1 200 OK\r\nRequest-Id: " + request_id +
+      "\r\nAnswer-Stamp: " + engine.options().id + "." + request_id +
+      "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n");
+  for (int event = 1; ok && event <= kEvents; ++event) {
+    ok = connection.socket.Send(Chunk("id: " + std::to_string(event) +
+                                      "\ndata: " + request_id + "\n\n"));
+    SleepMs(kEventMs);
+  }
+  return ok && connection.socket.Send("0\r\n\r\n");
+}
+
+ConfigText EngineConfig() {
+  ConfigText config;
+  config.services =
+      R"({"name":"llm","engine":{"capacity":64,"kvTokens":126653,)"
+      R"("weightsMb":44000,"adapterSlots":6,"loadsPerS":2.1,"models":)"
+      R"([{"name":"base","weightsMb":42700,"loadS":3.3,"adapters":3000,)"
+      R"("adapterMb":66}]}})";
+  config.routes =
+      R"({"name":"advice","host":"club.example","prefix":"/advice/",)"
+      R"("kind":"stream","attempts":1,"timeoutMs":5000,"goalMs":1000,)"
+      R"("gapAimMs":400,"service":"llm"})";
+  config.tenants = R"({"name":"t1","apiKeys":["key-1"]})";
+  return config;
+}
+
+std::string StreamRequest(const std::string& request_id,
+                          const std::string& adapter) {
+  std::string request =
+      "POST /advice/x HTTP/1.1\r\nHost: club.example\r\nTokens: 1800,22\r\n"
+      "Deadline-Ms: 5000\r\nAuthorization: Token key-1\r\n"
+      "Content-Length: 6\r\nRequest-Id: ";
+  request += request_id;
+  request += "\r\nModel: base/";
+  request += adapter;
+  request += "\r\n\r\nprompt";
+  return request;
+}
+
 }  // namespace review
--- a/review/standin/engine.h
+++ b/review/standin/engine.h
@@ -8,7 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "fleet.h"
 #include "net.h"
+#include "upstream.h"
 
 namespace review {
 
@@ -73,6 +75,22 @@
   bool exceeded_ = false;
 };
 
+// The adapter that a request names; empty: none.
+std::string AdapterOf(const Message& request);
+// Answers a report or an order. Returns false if the request is neither.
+bool AnswerEngineCall(Upstream* engine, EngineContents* contents,
+                      UpstreamConnection* connection, const Message& request,
+                      Record* record);
+// Runs a stream and sends it. Returns false if the connection has ended.
+bool SendStream(const Upstream& engine, const UpstreamConnection& connection,
+                const std::string& request_id);
+// The service of the engines and a stream route, at most once, for one tenant
+// with the key "key-1".
+ConfigText EngineConfig();
+// A request of that tenant to that route.
+std::string StreamRequest(const std::string& request_id,
+                          const std::string& adapter);
+
 // Returns the text or the number of a field of flat JSON; empty: there is none.
 std::string JsonField(const std::string& json, const std::string& name);
 
--- a/review/standin/upstream.cc
+++ b/review/standin/upstream.cc
@@ -139,8 +139,10 @@
         R"(,"state":"ready","coldLeftMs":0,"seq":0,"born":)" +
         std::to_string(born_ms_) +
         (options_.entry_fields ? options_.entry_fields() : "") + "}";
-    fleet_->WriteItem("servers/" + options_.id, entry,
-                      int64_t{kBeatsUntilExpiry} * options_.beat_ms);
+    if (NowMs() >= cut_until_ms_) {
+      fleet_->WriteItem("servers/" + options_.id, entry,
+                        int64_t{kBeatsUntilExpiry} * options_.beat_ms);
+    }
     for (int64_t end = NowMs() + options_.beat_ms;
          NowMs() < end && !stopping_;) {
       SleepMs(20);
--- a/review/standin/upstream.h
+++ b/review/standin/upstream.h
@@ -61,6 +61,8 @@
   // Takes a slot; false if all are taken.
   bool TakeSlot();
   void FreeSlot();
+  // Cuts its link to the store for some time: it can't renew its entry.
+  void CutFromStore(int64_t ms) { cut_until_ms_ = NowMs() + ms; }
   const UpstreamOptions& options() const { return options_; }
   int64_t born_ms() const { return born_ms_; }
   int running() const { return running_; }
@@ -86,6 +88,7 @@
   Socket listener_;
   std::atomic<int> running_ = 0;
   std::atomic<bool> stopping_ = false;
+  std::atomic<int64_t> cut_until_ms_ = 0;
   std::mutex mutex_;
   std::set<int> open_fds_;
   std::vector<std::thread> threads_;  // Of connections.
