--- a/review/standin/fleet.cc
+++ b/review/standin/fleet.cc
@@ -115,7 +115,8 @@
 
 void Fleet::StartInstance(const std::string& name, const std::string& zone,
                           const std::vector<std::string>& zones,
-                          const std::map<std::string, std::string>& settings) {
+                          const std::map<std::string, std::string>& settings,
+                          const std::vector<std::string>& arguments) {
   fronts_[name] = FreePort();
   readies_[name] = FreePort();
   std::string peer = std::to_string(FreePort());
@@ -172,11 +173,15 @@
   }
   file.close();
   boot_files_[name] = path;
+  arguments_[name] = arguments;
   RestartInstance(name);
 }
 
 void Fleet::RestartInstance(const std::string& name) {
-  Start(name, {kProgram, "serve"}, boot_files_.at(name));
+  std::vector<std::string> args = {kProgram, "serve"};
+  const std::vector<std::string>& further = arguments_.at(name);
+  args.insert(args.end(), further.begin(), further.end());
+  Start(name, args, boot_files_.at(name));
 }
 
 bool Fleet::WaitUntilReady(const std::string& name, int64_t timeout_ms) {
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -45,10 +45,12 @@
   Fleet& operator=(const Fleet&) = delete;
 
   bool StartStore();
-  // `zones`: all zones of the deployment.
+  // `zones`: all zones of the deployment. `arguments` follow the command of the
+  // deploy file.
   void StartInstance(const std::string& name, const std::string& zone,
                      const std::vector<std::string>& zones,
-                     const std::map<std::string, std::string>& settings = {});
+                     const std::map<std::string, std::string>& settings = {},
+                     const std::vector<std::string>& arguments = {});
   // Starts the process of an instance again, with the same settings.
   void RestartInstance(const std::string& name);
   bool WaitUntilReady(const std::string& name, int64_t timeout_ms);
@@ -76,6 +78,7 @@
   std::map<std::string, uint16_t> readies_;
   std::map<std::string, pid_t> pids_;
   std::map<std::string, std::string> boot_files_;
+  std::map<std::string, std::vector<std::string>> arguments_;
 };
 
 // Whether the disruption is to happen: the variable TROUBLE is not "0".
--- a/review/standin/net.cc
+++ b/review/standin/net.cc
@@ -240,8 +240,9 @@
   while ((line = ReadLine(deadline_ms)) && !line->empty()) {
     size_t colon = line->find(':');
     size_t value = line->find_first_not_of(' ', colon + 1);
-    message.headers[LowerCase(line->substr(0, colon))] =
-        value == std::string::npos ? "" : line->substr(value);
+    message.headers.emplace(
+        LowerCase(line->substr(0, colon)),
+        value == std::string::npos ? "" : line->substr(value));
   }
   if (!line) {
     return std::nullopt;
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -43,7 +43,8 @@
 // A request or a response.
 struct Message {
   std::string start_line;
-  std::map<std::string, std::string> headers;  // Names in lower case.
+  std::map<std::string, std::string> headers;  // Names in lower case;
+                                               // the first of each counts.
   std::string body;
   bool complete = false;  // The body ended as its framing says.
   int status() const;     // Of a response.
