--- a/review/standin/case_3.cc
+++ b/review/standin/case_3.cc
@@ -55,8 +55,8 @@
     std::string value = request.Header(LowerCaseName(field));
     if (!value.empty()) {
       ++tally->run_with_reserved_field;
-      record->Line("BROKEN: " + id + " runs with " + LowerCaseName(field) +
-                   ": " + value + ", as its caller sent it");
+      record->Line("BROKEN: " + id + " runs with " + field +
+                   ", as its caller sent it");
     }
   }
 }
--- a/review/standin/fleet.cc
+++ b/review/standin/fleet.cc
@@ -96,6 +96,7 @@
     execv(argv[0], argv.data());
     _exit(127);
   }
+  std::lock_guard lock(mutex_);
   pids_[name] = child;
   return child;
 }
@@ -218,12 +219,17 @@
             0);
 }
 
+pid_t Fleet::pid(const std::string& name) {
+  std::lock_guard lock(mutex_);
+  return pids_.at(name);
+}
+
 void Fleet::Signal(const std::string& name, int signal) {
-  kill(pids_.at(name), signal);
+  kill(pid(name), signal);
 }
 
 bool Fleet::HasEnded(const std::string& name, int* status) {
-  return waitpid(pids_.at(name), status, WNOHANG) > 0;
+  return waitpid(pid(name), status, WNOHANG) > 0;
 }
 
 }  // namespace review
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -62,7 +62,7 @@
   uint16_t front_port(const std::string& name) { return fronts_.at(name); }
   uint16_t ready_port(const std::string& name) { return readies_.at(name); }
   uint16_t store_port() const { return store_port_; }
-  pid_t pid(const std::string& name) { return pids_.at(name); }
+  pid_t pid(const std::string& name);
   void Signal(const std::string& name, int signal);
   // Whether the process has ended; stores its wait status.
   bool HasEnded(const std::string& name, int* status);
@@ -76,6 +76,7 @@
   uint16_t store_port_ = 0;
   std::map<std::string, uint16_t> fronts_;
   std::map<std::string, uint16_t> readies_;
+  std::mutex mutex_;  // Guards `pids_`.
   std::map<std::string, pid_t> pids_;
   std::map<std::string, std::string> boot_files_;
   std::map<std::string, std::vector<std::string>> arguments_;
--- a/review/standin/net.cc
+++ b/review/standin/net.cc
@@ -183,6 +183,7 @@
   static thread_local std::array<char, kReadBytes> bytes;
   ssize_t n = recv(fd_, bytes.data(), bytes.size(), 0);
   if (n <= 0) {
+    ended_ = true;
     return false;
   }
   buffer_.append(bytes.data(), static_cast<size_t>(n));
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -59,6 +59,8 @@
   // Returns nothing if the connection ended, or the time was over, before the
   // head was complete.
   std::optional<Message> Read(int64_t deadline_ms);
+  // The peer has closed the connection.
+  bool ended() const { return ended_; }
 
  private:
   bool Fill(int64_t deadline_ms);
@@ -68,6 +70,7 @@
 
   const int fd_;
   std::string buffer_;
+  bool ended_ = false;
 };
 
 // Sends a request on a new connection and reads its response.
