--- a/review/standin/case_5.cc
+++ b/review/standin/case_5.cc
@@ -144,9 +144,12 @@
     int given = signatures->StatusOf(stamp);
     if (!stamp.empty() && given != status) {
       ++tally->mixed;
-      record->Line("BROKEN: client got " + std::to_string(status) + " for " +
-                   id + ", signed " + stamp + ", body \"" + answer->body +
-                   "\"; the server gave " + std::to_string(given));
+      std::string line = "BROKEN: client got " + std::to_string(status);
+      line += " for " + id;
+      line += ", signed " + stamp;
+      line += ", body \"" + answer->body;
+      line += "\"; the server gave " + std::to_string(given);
+      record->Line(line);
     }
     SleepMs(kPauseMs);
   }
