--- a/review/standin/engine.cc
+++ b/review/standin/engine.cc
@@ -130,10 +130,10 @@
   }
 }
 
-std::string EngineContents::ModelsLocked() const {
+std::string EngineContents::ModelsAt(int64_t now_ms) const {
   std::string names;
   for (const auto& [name, adapter] : adapters_) {
-    if (adapter.ready_at_ms <= NowMs()) {
+    if (adapter.ready_at_ms <= now_ms) {
       names += (names.empty() ? "\"" : ",\"") + name + "@" +
                std::to_string(adapter.version) + "\"";
     }
@@ -144,21 +144,23 @@
 
 std::string EngineContents::Models() {
   std::lock_guard lock(mutex_);
-  return ModelsLocked();
+  return ModelsAt(NowMs());
 }
 
 std::string EngineContents::Report(int64_t born_ms) {
   std::lock_guard lock(mutex_);
+  // One time for both lists, so that each adapter is in one of them.
+  int64_t now_ms = NowMs();
   std::string pending;
   int running = 0;
   for (const auto& [name, adapter] : adapters_) {
     running += adapter.running;
-    if (adapter.ready_at_ms > NowMs()) {
+    if (adapter.ready_at_ms > now_ms) {
       pending += (pending.empty() ? "\"" : ",\"") + options_.model + "/" +
                  name + "@" + std::to_string(adapter.version) + "\"";
     }
   }
-  return R"({"phase":"mixed","models":)" + ModelsLocked() +
+  return R"({"phase":"mixed","models":)" + ModelsAt(now_ms) +
          R"(,"busy":false,"seq":)" + std::to_string(seq_) +
          R"(,"queued":0,"active":)" + std::to_string(running) +
          R"(,"kvUsed":0,"kvTotal":90000,"served":0,"pending":[)" + pending +
--- a/review/standin/engine.h
+++ b/review/standin/engine.h
@@ -64,7 +64,7 @@
   };
   Result Load(const std::string& adapter, int64_t version);
   Result Unload(const std::string& adapter);
-  std::string ModelsLocked() const;
+  std::string ModelsAt(int64_t now_ms) const;
 
   const EngineOptions options_;
   AdapterStore* const store_;
