--- a/review/standin/fleet.cc
+++ b/review/standin/fleet.cc
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -89,6 +90,8 @@
   argv.push_back(nullptr);
   pid_t child = fork();
   if (child == 0) {
+    // The process ends with this one, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
