Send a request again to the same upstream on a new connection only

Cause: an engine rejects a request (421, Not-Run) and writes a second copy of the rejection when the next request arrives on the connection. The next one is the same request, sent again with the same id, so the copy passes for its answer: the request counts as not run and is sent a third time while it runs.

The new field reused= of the attempt's log line tells kept connections from new ones: rejected (new), rejected (kept), answered; no connection broke. Ruled out by it: a repetition by libcurl, another engine.

Change: an attempt at an address to which this request was sent before opens a new connection. Nothing that answers an earlier attempt can arrive there; copies of answers to other requests are told by their id, as before.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -233,6 +233,8 @@
   UpstreamId last_upstream_;  // Upstream of the last attempt, for the log.
   // Upstreams that failed or rejected the request, adapter misses excluded.
   std::vector<UpstreamId> tried_upstreams_;
+  // Connections to these may still carry a response to an earlier attempt.
+  std::set<std::string> sent_to_addresses_;
   uint32_t attempts_ = 0;
   uint32_t upstreams_maybe_run_ = 0;
   uint32_t adapter_misses_ = 0;  // Engines that did not hold the adapter.
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -70,6 +70,9 @@
                        route_->latency_target * kFirstByteTimeoutFactor));
   }
   call.send_once = !route_->IsIdempotent();
+  // A late copy of the response to an earlier attempt names the same request
+  // id, so it is told apart only by its connection.
+  call.new_connection = sent_to_addresses_.count(call.address) > 0;
   // A second less than the upstream's timeout, so that no request is sent on a
   // connection that the upstream is closing.
   call.max_connection_idle_s = std::max(1, upstream.idle_timeout_s - 1);
@@ -86,6 +89,7 @@
   }
   ReturnPermit();
   HttpCall call = MakeCall(*upstream);
+  sent_to_addresses_.insert(call.address);
   UpstreamCallOptions options;
   options.upstream = upstream->entry.id;
   if (workspace_ != nullptr) {
@@ -380,11 +384,11 @@
   AttemptDecision decision = DecideNextStep(attempt);
   LogInfo("request",
           "Attempt id={} send={} upstream={} end={} status={} "
-          "ms={} next={} begun={} parts={}.",
+          "ms={} next={} begun={} reused={} parts={}.",
           request_.id.str(), attempts_, upstream.str(), static_cast<int>(end),
           outcome->status, (EventLoop::Now() - sent_at_).count(),
           static_cast<int>(decision.step), first_event_seen_ ? 1 : 0,
-          PartsText(shared_parts_));
+          outcome->reused_connection ? 1 : 0, PartsText(shared_parts_));
   bool retry =
       decision.step == NextStep::kRetry || decision.step == NextStep::kResume;
   if (retry && (end == AttemptOutcome::kNotSent ||
--- a/libs/transport/include/transport/http_call.h
+++ b/libs/transport/include/transport/http_call.h
@@ -69,6 +69,9 @@
   // Prevents libcurl from resending the request on a pooled connection. This
   // requires a body; a call without one gets a new connection instead.
   bool send_once = false;
+  // Opens a new connection for this call, which may be used again afterwards.
+  // Nothing that was sent in response to an earlier call can arrive there.
+  bool new_connection = false;
   // Pooled connections that were idle for longer, in seconds, are not used. 0
   // means no limit.
   int max_connection_idle_s = 0;
--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -169,8 +169,8 @@
                        static_cast<long>(call.max_connection_idle_s));
     }
     SetBody(transfer);
-    bool new_connection =
-        call.dedicated_connection || (call.send_once && call.body.empty());
+    bool new_connection = call.new_connection || call.dedicated_connection ||
+                          (call.send_once && call.body.empty());
     if (new_connection) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     }
