Have at most one write of a response under way

Cause: each event was a write of its own with a callback. RESTinio keeps the writes of a connection in a vector and takes each from its front, so a close with n of them costs n squared; the unread bytes were bounded, the writes were not. Beyond the bound each further event logged a line and posted a close, too.

Evidence: the stack of the hanging process is in connection_t::close(), eleven seconds after the stream had ended. Ruled out by it: streams that still arrive, the log writer.

Change: WriteQueue joins what comes during a write into the next one. The handler checks the bound after each write and cancels the call to the upstream at once. Callbacks for each write are gone; nothing else used them. Other responses are one write each, and the server takes four pipelined requests at most; datagrams are sent without a queue. So this was the only list of writes without a bound.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -163,7 +163,8 @@
   void ReportBegun();
   // Whether the stream of the attempt, which has ended, is not broken off.
   bool StreamEndsWhole() const;
-  void OnEventsWritten(size_t bytes);
+  // Whether the caller leaves too much of its stream unread.
+  bool CallerTooSlow() const;
   void OnCallDone(CallOutcome outcome);
   AttemptOutcome ClassifyOutcome(const CallOutcome& outcome) const;
   void OnCompleteResponse(const CallOutcome& outcome, bool failed);
@@ -247,7 +248,6 @@
   Millis last_event_at_;
   Millis max_event_gap_;  // Longest time between two events so far.
   EventSplitter event_splitter_;
-  size_t unwritten_bytes_ = 0;  // Events that the caller has yet to take.
   bool finished_ = false;
 };
 
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -181,7 +181,7 @@
   if (!events.empty()) {
     ForwardEvents(std::move(events));
   }
-  return !event_splitter_.event_too_large();
+  return !event_splitter_.event_too_large() && !CallerTooSlow();
 }
 
 void RequestHandler::ForwardEvents(std::string events) {
@@ -205,18 +205,12 @@
     first_event_latency_ = now - arrived_at_;
     responder_->StartStream(200, response_info_.forward);
   }
-  size_t size = events.size();
-  unwritten_bytes_ += size;
-  responder_->WriteChunk(
-      std::move(events),
-      [self = shared_from_this(), size](bool) { self->OnEventsWritten(size); });
-  if (unwritten_bytes_ > kMaxUnwrittenBytes) {
-    LogWarning("request", "Caller too slow id={} unwritten_bytes={}.",
-               request_.id.str(), unwritten_bytes_);
-    // Not within the callback of the call that this cancels.
-    deps_->loop->Post(
-        [self = shared_from_this()] { self->OnCallerDisconnected(); });
-  }
+  responder_->Write(std::move(events));
+}
+
+bool RequestHandler::CallerTooSlow() const {
+  return response_started_ &&
+         responder_->unwritten_bytes() > kMaxUnwrittenBytes;
 }
 
 void RequestHandler::ReportBegun() {
@@ -225,10 +219,6 @@
   }
 }
 
-void RequestHandler::OnEventsWritten(size_t bytes) {
-  unwritten_bytes_ -= std::min(bytes, unwritten_bytes_);
-}
-
 AttemptOutcome RequestHandler::ClassifyOutcome(
     const CallOutcome& outcome) const {
   switch (outcome.result) {
@@ -272,6 +262,12 @@
   if (finished_) {
     return;
   }
+  if (outcome.result == CallResult::kCancelled && CallerTooSlow()) {
+    LogWarning("request", "Caller too slow id={} unwritten_bytes={}.",
+               request_.id.str(), responder_->unwritten_bytes());
+    OnCallerDisconnected();
+    return;
+  }
   bool complete = outcome.result == CallResult::kComplete &&
                   response_info_.matches_request &&
                   response_info_.has_signature && !response_info_.not_run;
--- a/libs/gateway/test/gateway_test.cc
+++ b/libs/gateway/test/gateway_test.cc
@@ -144,7 +144,7 @@
   fixture.first.SetHandler(
       [](const HttpRequest& request, Responder* responder) {
         responder->StartStream(200, FakeUpstream::OkResponse(request).headers);
-        responder->WriteChunk("id: 1\ndata: a\n\nid: 2\ndata", {});
+        responder->Write("id: 1\ndata: a\n\nid: 2\ndata");
         responder->AbortStream();
       });
   CallOutcome outcome = fixture.SendRequest("/stream/x");
@@ -197,8 +197,8 @@
   fixture.first.SetHandler(
       [](const HttpRequest& request, Responder* responder) {
         responder->StartStream(200, FakeUpstream::OkResponse(request).headers);
-        responder->WriteChunk("id: 1\ndata: a\n\n", {});
-        responder->WriteChunk(std::string(2 << 20, 'x'), {});
+        responder->Write("id: 1\ndata: a\n\n");
+        responder->Write(std::string(2 << 20, 'x'));
       });
   Millis started_at = EventLoop::Now();
   CallOutcome outcome = fixture.SendRequest("/stream/x");
@@ -217,7 +217,7 @@
   size_t written = 0;
   Timer write_timer(&fixture.loop);
   std::function<void(Responder*)> write_next = [&](Responder* responder) {
-    responder->WriteChunk(event, {});
+    responder->Write(event);
     written += event.size();
     write_timer.Start(Millis(1), [&, responder] { write_next(responder); });
   };
@@ -303,7 +303,7 @@
     return [&, id, upstream](const HttpRequest& request, Responder* responder) {
       responder->StartStream(200, FakeUpstream::OkResponse(request).headers);
       if (request.body.find("dead") == std::string::npos) {
-        responder->WriteChunk("id: 1\ndata: a\n\n", {});
+        responder->Write("id: 1\ndata: a\n\n");
         responder->EndStream();
         return;
       }
--- a/libs/transport/include/transport/responder.h
+++ b/libs/transport/include/transport/responder.h
@@ -1,7 +1,7 @@
 // The interface through which a server's handler responds to a request.
 #pragma once
 
-#include <functional>
+#include <cstddef>
 #include <string>
 
 #include "transport/http_message.h"
@@ -18,10 +18,11 @@
   virtual void Send(HttpResponse response) = 0;
   // Starts a response with chunked transfer encoding.
   virtual void StartStream(int status, const HttpHeaders& headers) = 0;
-  // Sends one chunk. `on_written` (may be empty) is called once, on any thread,
-  // with false when the client has disconnected.
-  virtual void WriteChunk(std::string data,
-                          std::function<void(bool)> on_written) = 0;
+  // Sends a part of the stream. Parts that wait because the client reads slowly
+  // are joined; nothing bounds their size but the caller of this function.
+  virtual void Write(std::string data) = 0;
+  // Bytes of the stream that the connection has not taken yet.
+  virtual size_t unwritten_bytes() const = 0;
   // Ends the stream with the final chunk.
   virtual void EndStream() = 0;
   // Closes the connection without the final chunk, so that the client notices
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -12,6 +12,7 @@
 #include "base/error.h"
 #include "base/json.h"
 #include "transport/event_loop.h"
+#include "transport/write_queue.h"
 
 namespace bilberrypitch {
 
@@ -113,7 +114,9 @@
       ReasonPhrase(status)};
 }
 
-class RestinioResponder : public Responder {
+class RestinioResponder
+    : public Responder,
+      public std::enable_shared_from_this<RestinioResponder> {
  public:
   explicit RestinioResponder(restinio::request_handle_t request)
       : request_(std::move(request)) {}
@@ -165,37 +168,32 @@
     request_.reset();
   }
 
-  void WriteChunk(std::string data,
-                  std::function<void(bool)> on_written) override {
+  void Write(std::string data) override {
     std::lock_guard lock(lock_);
-    if (!stream_ || data.empty()) {
-      return;
-    }
-    stream_->append_body(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
-    if (!on_written) {
-      stream_->flush();
-      return;
+    if (stream_ && !data.empty()) {
+      StartWrite(queue_.Push(std::move(data)));
     }
-    stream_->flush([on_written = std::move(on_written)](
-                       const restinio::asio_ns::error_code& ec) noexcept {
-      on_written(!ec);
-    });
+  }
+
+  size_t unwritten_bytes() const override {
+    std::lock_guard lock(lock_);
+    return queue_.unwritten_bytes();
   }
 
   void EndStream() override {
     std::lock_guard lock(lock_);
     if (stream_) {
+      AppendChunk(queue_.TakeWaiting());
       stream_->append_body("0\r\n\r\n");
-      stream_->done();
-      stream_.reset();
+      CloseStream();
     }
   }
 
   void AbortStream() override {
     std::lock_guard lock(lock_);
     if (stream_) {
-      stream_->done();
-      stream_.reset();
+      AppendChunk(queue_.TakeWaiting());
+      CloseStream();
     }
   }
 
@@ -203,9 +201,44 @@
   using Stream =
       restinio::response_builder_t<restinio::user_controlled_output_t>;
 
-  std::mutex lock_;
+  void AppendChunk(const std::string& data) {
+    if (!data.empty()) {
+      stream_->append_body(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
+    }
+  }
+
+  void StartWrite(const std::string& data) {
+    if (data.empty()) {
+      return;
+    }
+    AppendChunk(data);
+    stream_->flush([weak = weak_from_this()](
+                       const restinio::asio_ns::error_code& ec) noexcept {
+      if (auto self = weak.lock()) {
+        self->OnWritten(!ec);
+      }
+    });
+  }
+
+  // After a failed write nothing more is written; the server reports that the
+  // connection is closed.
+  void OnWritten(bool ok) {
+    std::lock_guard lock(lock_);
+    if (stream_ && ok) {
+      StartWrite(queue_.OnWritten());
+    }
+  }
+
+  void CloseStream() {
+    stream_->done();
+    stream_.reset();
+  }
+
+  // RESTinio may report a failed write from within the call that starts it.
+  mutable std::recursive_mutex lock_;
   restinio::request_handle_t request_;  // Null once a response has started.
   std::unique_ptr<Stream> stream_;      // Set while a stream is open.
+  WriteQueue queue_;                    // Of the stream.
 };
 
 HttpRequest ToHttpRequest(const restinio::request_handle_t& from) {
--- a/libs/transport/test/transport_test.cc
+++ b/libs/transport/test/transport_test.cc
@@ -77,8 +77,8 @@
   HttpServer server(options, [](HttpRequest request, auto responder) {
     if (request.path == "/stream") {
       responder->StartStream(200, {});
-      responder->WriteChunk("one", {});
-      responder->WriteChunk("two", {});
+      responder->Write("one");
+      responder->Write("two");
       responder->EndStream();
       return;
     }
--- a/tools/bilberrypitch_lab/fake_upstream.cc
+++ b/tools/bilberrypitch_lab/fake_upstream.cc
@@ -341,8 +341,8 @@
   --state->tokens_left;
   ++state->tokens_made;
   if (state->is_stream) {
-    state->responder->WriteChunk(
-        fmt::format("id: {0}\ndata: t{0}\n\n", state->tokens_made), {});
+    state->responder->Write(
+        fmt::format("id: {0}\ndata: t{0}\n\n", state->tokens_made));
     if (faults_.truncate && state->tokens_made >= 2) {
       state->responder->AbortStream();
       return false;
