Read a stream no faster than its caller takes it

Cause: libcurl passes on up to a hundred buffers in one go, each event was handled there, and the only bound was an end at 1 MB unread.

Change: beyond 16 KB that the caller has yet to take, the call to the upstream is paused, and resumed when all is written. Memory for a caller that doesn't read is bounded by that; its connection ends with the server's write timeout or the request's deadline, as before for callers that stop reading later.

Tests: "a fast stream of several megabytes reaches a caller that reads" failed before (cut at 1 MB). The test of a caller that does not read counted what the stand-in had queued at the upstream, whatever the gateway read; it counts what the connection has taken now, with the same bound. The store stand-in counted its timer's steps as time, so that a watch took longer on a busy loop and keys grew too old; it measures the time now.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -163,8 +163,7 @@
   void ReportBegun();
   // Whether the stream of the attempt, which has ended, is not broken off.
   bool StreamEndsWhole() const;
-  // Whether the caller leaves too much of its stream unread.
-  bool CallerTooSlow() const;
+  void PauseCall();
   void OnCallDone(CallOutcome outcome);
   AttemptOutcome ClassifyOutcome(const CallOutcome& outcome) const;
   void OnCompleteResponse(const CallOutcome& outcome, bool failed);
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -30,8 +30,9 @@
 constexpr int64_t kFirstByteTimeoutFactor = 3;
 constexpr Millis kMinFirstByteTimeout{400};
 
-// A caller that does not take its events would otherwise fill the memory.
-constexpr size_t kMaxUnwrittenBytes = 1 << 20;
+// The stream of an upstream is not read further while the caller has yet to
+// take more than this.
+constexpr size_t kMaxUnwrittenBytes = 16 << 10;
 
 bool IsServerError(int status) { return status >= 500; }
 
@@ -181,7 +182,20 @@
   if (!events.empty()) {
     ForwardEvents(std::move(events));
   }
-  return !event_splitter_.event_too_large() && !CallerTooSlow();
+  if (responder_->unwritten_bytes() > kMaxUnwrittenBytes) {
+    PauseCall();
+  }
+  return !event_splitter_.event_too_large();
+}
+
+// Lets the loop write to the caller, and serve others, before the upstream is
+// read further.
+void RequestHandler::PauseCall() {
+  deps_->client->Pause(call_id_);
+  responder_->OnceWritten([deps = deps_, call = call_id_] {
+    // Not within a callback of the client.
+    deps->loop->Post([deps, call] { deps->client->Resume(call); });
+  });
 }
 
 void RequestHandler::ForwardEvents(std::string events) {
@@ -208,11 +222,6 @@
   responder_->Write(std::move(events));
 }
 
-bool RequestHandler::CallerTooSlow() const {
-  return response_started_ &&
-         responder_->unwritten_bytes() > kMaxUnwrittenBytes;
-}
-
 void RequestHandler::ReportBegun() {
   if (!shared_parts_.empty()) {
     deps_->hooks.response_begun(shared_parts_);
@@ -262,12 +271,6 @@
   if (finished_) {
     return;
   }
-  if (outcome.result == CallResult::kCancelled && CallerTooSlow()) {
-    LogWarning("request", "Caller too slow id={} unwritten_bytes={}.",
-               request_.id.str(), responder_->unwritten_bytes());
-    OnCallerDisconnected();
-    return;
-  }
   bool complete = outcome.result == CallResult::kComplete &&
                   response_info_.matches_request &&
                   response_info_.has_signature && !response_info_.not_run;
--- a/libs/gateway/test/endless_stream_test.cc
+++ b/libs/gateway/test/endless_stream_test.cc
@@ -102,4 +102,28 @@
   REQUIRE(longest < kMaxDelay);
 }
 
+// Guards against: a sound stream is cut since it arrives faster than the loop
+// writes it.
+TEST_CASE("a fast stream of several megabytes reaches a caller that reads",
+          "[endless]") {
+  constexpr size_t kEvents = 400000;
+  const std::string event = "data: abcd\n\n";
+  ScriptedUpstream upstream(
+      [&](ScriptedConnection* connection, const ScriptedRequest& request) {
+        std::string response = "HTTP/1.1 200 OK\r\nRequest-Id: " + request.id +
+                               "\r\nAnswer-Stamp: stamp\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+        for (size_t i = 0; i < kEvents; ++i) {
+          response += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+        }
+        connection->Write(response + "0\r\n\r\n");
+      });
+  Fixture fixture;
+  fixture.PutUpstream("i-1", upstream.address(), "ready", 2);
+  fixture.WaitUntilReady();
+  CallOutcome outcome = fixture.SendRequest("/stream/x");
+  REQUIRE(outcome.result == CallResult::kComplete);
+  REQUIRE(outcome.body.size() == kEvents * event.size());
+}
+
 }  // namespace bilberrypitch
--- a/libs/gateway/test/fake_store.h
+++ b/libs/gateway/test/fake_store.h
@@ -76,8 +76,10 @@
                         result.events.empty() && timeout > Millis(0);
     if (keep_waiting) {
       // Checks again after the delay, until the timeout has passed.
-      RunLater([this, prefix, revision, timeout, done] {
-        Watch(prefix, revision, timeout - kDelay, done);
+      Millis checked_at = EventLoop::Now();
+      RunLater([this, prefix, revision, timeout, done, checked_at] {
+        Watch(prefix, revision, timeout - (EventLoop::Now() - checked_at),
+              done);
       });
       return;
     }
--- a/libs/gateway/test/gateway_test.cc
+++ b/libs/gateway/test/gateway_test.cc
@@ -213,12 +213,17 @@
   Fixture fixture;
   fixture.WaitUntilReady();
   constexpr size_t kEventBytes = 64 << 10;
+  constexpr size_t kMaxUnwritten = 4 << 20;  // At the upstream.
   const std::string event = "data: " + std::string(kEventBytes, 'x') + "\n\n";
-  size_t written = 0;
+  size_t written = 0;  // What the connection of the upstream has taken.
+  size_t given = 0;
   Timer write_timer(&fixture.loop);
   std::function<void(Responder*)> write_next = [&](Responder* responder) {
-    responder->Write(event);
-    written += event.size();
+    if (responder->unwritten_bytes() < kMaxUnwritten) {
+      responder->Write(event);
+      given += event.size();
+    }
+    written = given - responder->unwritten_bytes();
     write_timer.Start(Millis(1), [&, responder] { write_next(responder); });
   };
   fixture.first.SetHandler(
--- a/libs/transport/include/transport/event_loop_http_client.h
+++ b/libs/transport/include/transport/event_loop_http_client.h
@@ -25,6 +25,12 @@
   // Calls `on_done` with kCancelled and closes the connection; without effect
   // on a call that has ended.
   void Cancel(CallId id);
+  // Stops reading the response until Resume; a few buffers may still be passed
+  // on. The total timeout goes on. To be called from within the call's
+  // `on_data`, before it returns.
+  void Pause(CallId id);
+  // Unknown ids and calls that are not paused are ignored.
+  void Resume(CallId id);
   // Cancels all open calls.
   void CancelAll();
   // The number of connections opened by ended calls since construction.
--- a/libs/transport/include/transport/responder.h
+++ b/libs/transport/include/transport/responder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <string>
 
 #include "transport/http_message.h"
@@ -23,6 +24,10 @@
   virtual void Write(std::string data) = 0;
   // Bytes of the stream that the connection has not taken yet.
   virtual size_t unwritten_bytes() const = 0;
+  // Calls `done` once, on any thread, when the connection has taken all bytes;
+  // not if the client disconnects or the stream ends before. Replaces an
+  // earlier callback.
+  virtual void OnceWritten(std::function<void()> done) = 0;
   // Ends the stream with the final chunk.
   virtual void EndStream() = 0;
   // Closes the connection without the final chunk, so that the client notices
--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -109,6 +109,34 @@
     }
   }
 
+  void Pause(CallId id) {
+    auto it = transfers_.find(id);
+    if (it != transfers_.end()) {
+      it->second->paused = true;
+    }
+  }
+
+  void Resume(CallId id) {
+    auto it = transfers_.find(id);
+    if (it == transfers_.end() || !it->second->paused) {
+      return;
+    }
+    // libcurl passes on what it has kept from within the call below.
+    BP_CHECK(!inside_libcurl_, "a call was resumed within a callback");
+    Transfer* transfer = it->second.get();
+    transfer->paused = false;
+    transfer->last_progress = EventLoop::Now();
+    inside_libcurl_ = true;
+    CURLcode code = curl_easy_pause(transfer->easy, CURLPAUSE_CONT);
+    inside_libcurl_ = false;
+    if (code != CURLE_OK) {
+      Finish(transfer, Classify(*transfer, code));
+      return;
+    }
+    StartTimeoutTimer(transfer);
+    FinishCompletedTransfers();
+  }
+
  private:
   // A call in progress.
   struct Transfer {
@@ -127,6 +155,7 @@
     bool response_started = false;
     bool cancelled_by_callback = false;
     bool response_too_large = false;
+    bool paused = false;  // No more is read until it is resumed.
   };
 
   // A socket that libcurl asked to be polled. libcurl owns the descriptor.
@@ -290,6 +319,9 @@
         transfer->cancelled_by_callback = true;
         return 0;
       }
+      if (transfer->paused) {
+        curl_easy_pause(transfer->easy, CURLPAUSE_RECV);
+      }
       return bytes;
     }
     if (transfer->outcome.body.size() + bytes >
@@ -506,6 +538,10 @@
 
 void EventLoopHttpClient::Cancel(CallId id) { impl_->Cancel(id); }
 
+void EventLoopHttpClient::Pause(CallId id) { impl_->Pause(id); }
+
+void EventLoopHttpClient::Resume(CallId id) { impl_->Resume(id); }
+
 void EventLoopHttpClient::CancelAll() { impl_->CancelAll(); }
 
 uint64_t EventLoopHttpClient::connections_opened() const {
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -180,6 +180,11 @@
     return queue_.unwritten_bytes();
   }
 
+  void OnceWritten(std::function<void()> done) override {
+    std::lock_guard lock(lock_);
+    on_all_written_ = std::move(done);
+  }
+
   void EndStream() override {
     std::lock_guard lock(lock_);
     if (stream_) {
@@ -223,13 +228,20 @@
   // After a failed write nothing more is written; the server reports that the
   // connection is closed.
   void OnWritten(bool ok) {
-    std::lock_guard lock(lock_);
-    if (stream_ && ok) {
-      StartWrite(queue_.OnWritten());
+    std::unique_lock lock(lock_);
+    if (!stream_ || !ok) {
+      return;
+    }
+    StartWrite(queue_.OnWritten());
+    if (queue_.unwritten_bytes() == 0 && on_all_written_) {
+      auto done = std::exchange(on_all_written_, nullptr);
+      lock.unlock();
+      done();
     }
   }
 
   void CloseStream() {
+    on_all_written_ = nullptr;
     stream_->done();
     stream_.reset();
   }
@@ -239,6 +251,7 @@
   restinio::request_handle_t request_;  // Null once a response has started.
   std::unique_ptr<Stream> stream_;      // Set while a stream is open.
   WriteQueue queue_;                    // Of the stream.
+  std::function<void()> on_all_written_;
 };
 
 HttpRequest ToHttpRequest(const restinio::request_handle_t& from) {
