Don't read two responses as one head

Cause: bytes of an earlier response that break off within its head are followed by the head of the next one. libcurl reads on: the first status, the second's fields. The gateway forgot fields at a line that begins with "HTTP/", but not the status, and a status line within a value went unseen.

Evidence: a test that cuts a rejection (two orders of fields), an answer with a length and one in chunks at each byte, in the packet of the answer or before the next one. Ruled out by it: bytes in the packet of the answer (libcurl closes or drops them; sound at each cut), and whole copies (told by their id).

Change: ResponseHead checks each line and ends the call as malformed, which counts as an invalid response: may have run, no repetition unless the kind allows it. It takes the limit of a head's bytes with it, out of the long client file. Trailers are no longer added to the fields.

After: no request of the test is answered with another status or body than its own, or 502, and none runs twice.

--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -243,6 +243,7 @@
       return AttemptOutcome::kDeadlineExceeded;
     case CallResult::kCancelled:
     case CallResult::kResponseTooLarge:
+    case CallResult::kMalformedResponse:
       return AttemptOutcome::kInvalidResponse;
     case CallResult::kConnectionBroken:
       return AttemptOutcome::kConnectionBroken;
--- a/libs/gateway/test/kept_connection_test.cc
+++ b/libs/gateway/test/kept_connection_test.cc
@@ -1,5 +1,6 @@
 // Tests of upstreams that send bytes of an earlier response once more on a
 // connection that is in use again.
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -57,4 +58,75 @@
   REQUIRE(runs.Of(std::string(outcome.headers.Get("Request-Id"))) == 1);
 }
 
+namespace {
+
+// When the bytes of the earlier response arrive.
+enum class CopyTime : uint8_t { kWithAnswer, kWithNextAnswer };
+
+std::string ChunkedText(const std::string& status, const std::string& fields) {
+  return "HTTP/1.1 " + status + "\r\n" + fields +
+         "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n";
+}
+
+// The responses of which a part is sent once more.
+std::vector<std::string> EarlierResponses(const std::string& id) {
+  const std::string fields = IdLine(id) + "Answer-Stamp: stamp\r\n";
+  return {RejectionText("503 Busy", id), ResponseText("200 OK", fields, "done"),
+          ChunkedText("200 OK", fields),
+          "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nNot-Run: 1\r\n" +
+              IdLine(id) + "\r\n"};
+}
+
+}  // namespace
+
+// Guards against: the status or fields of a broken-off copy are read as part of
+// the next response (a success in place of a failure, a run taken for
+// rejected).
+TEST_CASE("a part of an earlier response is never taken for the next one",
+          "[kept]") {
+  const size_t kind = GENERATE(0U, 1U, 2U, 3U);
+  const CopyTime time =
+      GENERATE(CopyTime::kWithAnswer, CopyTime::kWithNextAnswer);
+  RunCounter runs;
+  std::atomic<size_t> cut = 0;
+  ScriptedUpstream upstream(
+      [&](ScriptedConnection* connection, const ScriptedRequest& request) {
+        runs.Add(request.id);
+        const bool fails = request.path == "/once/fails";
+        std::string answer = ResponseText(
+            fails ? "500 Failed" : "200 OK",
+            IdLine(request.id) + "Answer-Stamp: stamp\r\n", request.body);
+        std::string copy = std::exchange(connection->last_response, "");
+        if (request.path == "/once/copy") {
+          copy = EarlierResponses(request.id)[kind];
+          const size_t at = std::min<size_t>(cut, copy.size());
+          bool with_answer = time == CopyTime::kWithAnswer;
+          connection->last_response =
+              with_answer ? copy.substr(at) : copy.substr(0, at);
+          connection->Write(answer + (with_answer ? copy.substr(0, at) : ""));
+          return;
+        }
+        connection->Write(copy);
+        connection->Write(answer);
+      });
+  Fixture fixture;
+  fixture.PutUpstream("i-1", upstream.address(), "ready", 2);
+  fixture.WaitUntilReady();
+  const size_t size = EarlierResponses("id1000")[kind].size();
+  for (cut = 1; cut <= size; ++cut) {
+    CAPTURE(kind, static_cast<int>(time), cut.load());
+    for (const char* path : {"/once/copy", "/once/fails", "/once/works"}) {
+      HttpCall call = fixture.CallTo(path, "k1");
+      std::string id(call.headers.Get("Request-Id"));
+      call.body = "body of " + id;
+      CallOutcome outcome = fixture.Send(call);
+      int expected = std::string(path) == "/once/fails" ? 500 : 200;
+      CAPTURE(path, outcome.status);
+      REQUIRE((outcome.status == expected || outcome.status == 502));
+      REQUIRE(runs.Of(id) <= 1);
+      REQUIRE((outcome.status == 502 || outcome.body == "body of " + id));
+    }
+  }
+}
+
 }  // namespace bilberrypitch
--- a/libs/transport/include/transport/http_call.h
+++ b/libs/transport/include/transport/http_call.h
@@ -28,6 +28,8 @@
   kTotalTimeout,
   // The response body exceeds `max_response_bytes`.
   kResponseTooLarge,
+  // What arrived is not one response.
+  kMalformedResponse,
   // Cancelled by Cancel, by a callback or by the client's destructor.
   kCancelled,
 };
--- /dev/null
+++ b/libs/transport/include/transport/response_head.h
@@ -0,0 +1,51 @@
+// Reads the head of a response line by line and finds heads that are made of
+// the bytes of two responses.
+//
+// An upstream in trouble may send a part of an earlier response once more. If
+// that part breaks off within the head, the head of the next response follows
+// it, and both would be read as one: with the status of the one and the fields
+// of the other.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "transport/http_message.h"
+
+namespace bilberrypitch {
+
+class ResponseHead {
+ public:
+  // For all lines of a response: of its head, its interim responses and its
+  // trailers.
+  static constexpr size_t kMaxBytes = 64 << 10;
+
+  enum class Progress : uint8_t {
+    kIncomplete,
+    kComplete,   // The head of the final response.
+    kMalformed,  // Not the head of one response; nothing of it can be trusted.
+    kTooLarge,
+  };
+
+  // Reads one line, with the end of the line.
+  Progress Feed(std::string_view line);
+  int status() const { return status_; }
+  const HttpHeaders& headers() const { return headers_; }
+
+ private:
+  Progress ReadLine(std::string_view line);
+  Progress ReadStatusLine(std::string_view line);
+  Progress ReadField(std::string_view line);
+  Progress EndBlock();
+
+  // What the next line is a part of.
+  enum class Part : uint8_t { kStatusLine, kFields, kTrailers };
+
+  Part part_ = Part::kStatusLine;
+  int status_ = 0;  // Of the latest status line.
+  HttpHeaders headers_;
+  size_t bytes_ = 0;
+};
+
+}  // namespace bilberrypitch
--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -19,14 +19,13 @@
 
 #include "base/check.h"
 #include "transport/event_loop.h"
+#include "transport/response_head.h"
 #include "transport/timer.h"
 
 namespace bilberrypitch {
 namespace {
 
 constexpr long kMaxPooledConnections = 512;
-// For all header fields of a response, its interim responses and trailers.
-constexpr size_t kMaxHeaderBytes = 64 << 10;
 // The system closes a connection whose sent data remains unacknowledged for
 // this time.
 constexpr int kTcpUserTimeoutMs = 3000;
@@ -145,7 +144,7 @@
     Impl* owner = nullptr;
     HttpCall call;
     size_t body_bytes_sent = 0;
-    size_t header_bytes = 0;  // Received, over all header blocks.
+    ResponseHead head;
     CURL* easy = nullptr;
     curl_slist* header_list = nullptr;
     CallOutcome outcome;
@@ -155,6 +154,7 @@
     bool response_started = false;
     bool cancelled_by_callback = false;
     bool response_too_large = false;
+    bool response_malformed = false;
     bool paused = false;  // No more is read until it is resumed.
   };
 
@@ -265,44 +265,27 @@
                          void* user_data) {
     auto* transfer = static_cast<Transfer*>(user_data);
     RecordProgress(transfer);
-    std::string_view line(data, size * count);
-    // Interim responses and trailers count too: each of them can be repeated
-    // without end.
-    transfer->header_bytes += line.size();
-    if (transfer->header_bytes > kMaxHeaderBytes) {
-      transfer->response_too_large = true;
-      return 0;
-    }
-    if (line.substr(0, 5) == "HTTP/") {
-      transfer->outcome.headers = HttpHeaders();
-      return size * count;
-    }
-    if (line == "\r\n" || line == "\n") {
-      return OnHeadersComplete(transfer) ? size * count : 0;
-    }
-    size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-      size_t first = line.find_first_not_of(" \t", colon + 1);
-      size_t last = line.find_last_not_of(" \t\r\n");
-      std::string value;
-      if (first != std::string_view::npos && last >= first) {
-        value = std::string(line.substr(first, last - first + 1));
-      }
-      transfer->outcome.headers.Add(std::string(line.substr(0, colon)),
-                                    std::move(value));
+    switch (transfer->head.Feed(std::string_view(data, size * count))) {
+      case ResponseHead::Progress::kIncomplete:
+        return size * count;
+      case ResponseHead::Progress::kComplete:
+        return OnHeadComplete(transfer) ? size * count : 0;
+      case ResponseHead::Progress::kMalformed:
+        transfer->response_malformed = true;
+        return 0;
+      case ResponseHead::Progress::kTooLarge:
+        transfer->response_too_large = true;
+        return 0;
     }
-    return size * count;
+    return 0;
   }
 
-  // Called at the end of each header block. Returns false to cancel.
-  static bool OnHeadersComplete(Transfer* transfer) {
-    long status = 0;
-    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-    transfer->outcome.status = static_cast<int>(status);
-    if (status < 200 || !transfer->call.on_headers) {
-      return true;
-    }
-    if (transfer->call.on_headers(transfer->outcome.status,
+  // Returns false to cancel.
+  static bool OnHeadComplete(Transfer* transfer) {
+    transfer->outcome.status = transfer->head.status();
+    transfer->outcome.headers = transfer->head.headers();
+    if (!transfer->call.on_headers ||
+        transfer->call.on_headers(transfer->outcome.status,
                                   transfer->outcome.headers)) {
       return true;
     }
@@ -444,6 +427,12 @@
     if (transfer.cancelled_by_callback) {
       return CallResult::kCancelled;
     }
+    bool malformed = transfer.response_malformed ||
+                     code == CURLE_UNSUPPORTED_PROTOCOL ||
+                     code == CURLE_WEIRD_SERVER_REPLY;
+    if (malformed) {
+      return CallResult::kMalformedResponse;
+    }
     // libcurl has a limit of its own for a single line.
     bool line_too_long = code == CURLE_OUT_OF_MEMORY;
     if (transfer.response_too_large || line_too_long) {
@@ -492,9 +481,7 @@
 
   // Removes the transfer, calls `on_done` and destroys the transfer.
   void Finish(Transfer* transfer, CallResult result) {
-    long status = 0;
     long new_connections = 0;
-    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(transfer->easy, CURLINFO_NUM_CONNECTS, &new_connections);
     connections_opened_ += static_cast<uint64_t>(new_connections);
     curl_multi_remove_handle(multi_, transfer->easy);
@@ -503,7 +490,6 @@
     // Destroys the transfer at the end of this function.
     auto extracted = transfers_.extract(transfer->id);
     transfer->outcome.result = result;
-    transfer->outcome.status = static_cast<int>(status);
     transfer->outcome.reused_connection = new_connections == 0;
     if (transfer->call.on_done) {
       transfer->call.on_done(std::move(transfer->outcome));
--- /dev/null
+++ b/libs/transport/src/response_head.cc
@@ -0,0 +1,138 @@
+// Checks and reads the lines of a response's head.
+#include "transport/response_head.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+
+namespace bilberrypitch {
+namespace {
+
+constexpr std::string_view kProtocol = "HTTP/";
+constexpr std::string_view kVersions = "HTTP/1.";
+// "HTTP/1.1 200".
+constexpr size_t kVersionEnd = 8;
+constexpr size_t kStatusEnd = 12;
+constexpr int kFirstFinalStatus = 200;
+
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+// Characters of a field's name.
+bool IsTokenChar(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+// Characters that no line of a head contains.
+bool IsControl(char c) {
+  constexpr char kDelete = 127;
+  return (c >= 0 && c < ' ' && c != '\t') || c == kDelete;
+}
+
+// True for a text that begins like a status line.
+bool BeginsStatusLine(std::string_view text) {
+  return text.size() >= kStatusEnd && text.starts_with(kVersions) &&
+         IsDigit(text[kVersions.size()]) && text[kVersionEnd] == ' ' &&
+         std::all_of(text.begin() + kVersionEnd + 1, text.begin() + kStatusEnd,
+                     IsDigit);
+}
+
+// True if a status line begins at `from` or later.
+bool ContainsStatusLine(std::string_view text, size_t from) {
+  for (size_t at = text.find(kProtocol, from); at != std::string_view::npos;
+       at = text.find(kProtocol, at + 1)) {
+    if (BeginsStatusLine(text.substr(at))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string_view WithoutLineEnd(std::string_view line) {
+  if (line.ends_with('\n')) {
+    line.remove_suffix(1);
+  }
+  if (line.ends_with('\r')) {
+    line.remove_suffix(1);
+  }
+  return line;
+}
+
+std::string_view Trim(std::string_view text) {
+  size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+}  // namespace
+
+ResponseHead::Progress ResponseHead::Feed(std::string_view line) {
+  bytes_ += line.size();
+  if (bytes_ > kMaxBytes) {
+    return Progress::kTooLarge;
+  }
+  line = WithoutLineEnd(line);
+  if (std::any_of(line.begin(), line.end(), IsControl)) {
+    return Progress::kMalformed;
+  }
+  return ReadLine(line);
+}
+
+ResponseHead::Progress ResponseHead::ReadLine(std::string_view line) {
+  if (part_ == Part::kStatusLine) {
+    return ReadStatusLine(line);
+  }
+  if (line.empty()) {
+    return EndBlock();
+  }
+  return ReadField(line);
+}
+
+ResponseHead::Progress ResponseHead::ReadStatusLine(std::string_view line) {
+  bool ends_after_status =
+      line.size() == kStatusEnd ||
+      (line.size() > kStatusEnd && line[kStatusEnd] == ' ');
+  if (!BeginsStatusLine(line) || !ends_after_status ||
+      ContainsStatusLine(line, 1)) {
+    return Progress::kMalformed;
+  }
+  status_ = 0;
+  for (char c : line.substr(kVersionEnd + 1, kStatusEnd - kVersionEnd - 1)) {
+    status_ = status_ * 10 + (c - '0');
+  }
+  headers_ = HttpHeaders();
+  part_ = Part::kFields;
+  return Progress::kIncomplete;
+}
+
+ResponseHead::Progress ResponseHead::ReadField(std::string_view line) {
+  size_t colon = line.find(':');
+  if (colon == std::string_view::npos || colon == 0 ||
+      ContainsStatusLine(line, 0)) {
+    return Progress::kMalformed;
+  }
+  std::string_view name = line.substr(0, colon);
+  if (!std::all_of(name.begin(), name.end(), IsTokenChar)) {
+    return Progress::kMalformed;
+  }
+  if (part_ == Part::kFields) {
+    headers_.Add(std::string(name), std::string(Trim(line.substr(colon + 1))));
+  }
+  return Progress::kIncomplete;
+}
+
+// An interim response is followed by another head, the final one perhaps by
+// trailers.
+ResponseHead::Progress ResponseHead::EndBlock() {
+  if (status_ < kFirstFinalStatus) {
+    part_ = Part::kStatusLine;
+    return Progress::kIncomplete;
+  }
+  bool is_head = part_ == Part::kFields;
+  part_ = Part::kTrailers;
+  return is_head ? Progress::kComplete : Progress::kIncomplete;
+}
+
+}  // namespace bilberrypitch
