Don't trust a response that names no request on a kept connection

Callers would see: "not run" for a request that runs, or a second run of it.

Cause: a response without a request id passed for the answer to whatever request waited on its connection. On a kept connection it may answer an earlier one, as a second copy of a rejection that was written before the request could be read.

Ruled out as a way in: orders and reports, which name no request; they use another client with a pool of its own, so their answers never meet a request.

Change: a response has to name the request, or name none on a connection that no earlier call used. Load, rate limit and idle time are read from such responses only; a late copy could bring an old rate limit back. on_headers gets the head as one typed value that says whether the connection was used before. The lab's upstream names the request in its rejections, as the platform's do.

--- a/libs/completions/test/completions_test.cc
+++ b/libs/completions/test/completions_test.cc
@@ -23,7 +23,7 @@
   ResponseInfo DecodeResponse(const ServingRequest&, int,
                               const HttpHeaders&) const override {
     ResponseInfo info;
-    info.matches_request = true;
+    info.names_request = true;
     return info;
   }
   HttpResponse EncodeError(const Error&, const RequestId&,
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -146,7 +146,7 @@
   void WaitForAdapter(const UpstreamChoice& choice);
   void StartAttempt(UpstreamState* upstream);
   HttpCall MakeCall(const UpstreamState& upstream) const;
-  bool OnHeaders(int status, const HttpHeaders& headers);
+  bool OnHeaders(const ResponseStart& start);
   bool OnData(std::string_view bytes);
   void ForwardEvents(std::string events);
   // True also for upstreams without a rate limit.
@@ -229,6 +229,8 @@
   bool response_is_stream_ = false;
   bool response_is_framed_ = false;  // It states its length or is chunked.
   ResponseInfo response_info_;
+  // It names this request, or none on a connection without an earlier call.
+  bool response_matches_ = false;
 
   UpstreamId last_upstream_;  // Upstream of the last attempt, for the log.
   // Upstreams that failed or rejected the request, adapter misses excluded.
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -118,6 +118,7 @@
   response_is_stream_ = false;
   response_is_framed_ = false;
   response_info_ = ResponseInfo();
+  response_matches_ = false;
   if (attempts_ > 0) {
     ++state_->counters.retries;
   }
@@ -128,8 +129,8 @@
   }
   EndAdapterWaits();
   auto self = shared_from_this();
-  call.on_headers = [self](int status, const HttpHeaders& headers) {
-    return self->OnHeaders(status, headers);
+  call.on_headers = [self](const ResponseStart& start) {
+    return self->OnHeaders(start);
   };
   if (IsStream()) {
     call.on_data = [self](std::string_view bytes) {
@@ -142,8 +143,15 @@
   call_id_ = deps_->client->Start(std::move(call));
 }
 
-bool RequestHandler::OnHeaders(int status, const HttpHeaders& headers) {
-  response_info_ = deps_->codec->DecodeResponse(request_, status, headers);
+bool RequestHandler::OnHeaders(const ResponseStart& start) {
+  response_info_ =
+      deps_->codec->DecodeResponse(request_, start.status, start.headers);
+  response_matches_ =
+      response_info_.names_request ||
+      (!response_info_.names_other_request && !start.reused_connection);
+  if (!response_matches_) {
+    return false;
+  }
   UpstreamState* upstream = state_->upstreams.Find(upstream_);
   if (upstream != nullptr) {
     if (response_info_.load) {
@@ -155,14 +163,11 @@
       upstream->idle_timeout_s = response_info_.idle_timeout_s;
     }
   }
-  if (!response_info_.matches_request) {
-    return false;
-  }
-  response_is_framed_ = !headers.Get("Content-Length").empty() ||
-                        !headers.Get("Transfer-Encoding").empty();
+  response_is_framed_ = !start.headers.Get("Content-Length").empty() ||
+                        !start.headers.Get("Transfer-Encoding").empty();
   response_is_stream_ =
-      IsStream() && status < 300 && response_info_.has_signature;
-  return status >= 300 || response_info_.has_signature;
+      IsStream() && start.status < 300 && response_info_.has_signature;
+  return start.status >= 300 || response_info_.has_signature;
 }
 
 void RequestHandler::OnRateLimit(UpstreamState* upstream) {
@@ -248,7 +253,7 @@
     case CallResult::kConnectionBroken:
       return AttemptOutcome::kConnectionBroken;
   }
-  if (!response_info_.matches_request) {
+  if (!response_matches_) {
     return AttemptOutcome::kInvalidResponse;
   }
   if (response_info_.not_run) {
@@ -273,8 +278,8 @@
     return;
   }
   bool complete = outcome.result == CallResult::kComplete &&
-                  response_info_.matches_request &&
-                  response_info_.has_signature && !response_info_.not_run;
+                  response_matches_ && response_info_.has_signature &&
+                  !response_info_.not_run;
   if (complete && IsStream() && response_is_stream_ && !StreamEndsWhole()) {
     complete = false;
     outcome.result = CallResult::kConnectionBroken;
--- a/libs/gateway/test/kept_connection_test.cc
+++ b/libs/gateway/test/kept_connection_test.cc
@@ -129,4 +129,49 @@
   }
 }
 
+// Guards against: a rejection that names no request is taken for the answer to
+// the next one, although that one runs.
+TEST_CASE(
+    "a response that names no request is not trusted on a kept connection",
+    "[kept]") {
+  RunCounter runs;
+  const std::string rejection =
+      ResponseText("503 Busy", "Not-Run: 1\r\n", "not run");
+  ScriptedUpstream upstream(
+      [&](ScriptedConnection* connection, const ScriptedRequest& request) {
+        bool names_none = request.path == "/once/none";
+        if (connection->requests > 1 && names_none) {
+          connection->Write(rejection);  // To no request.
+        }
+        runs.Add(request.id);
+        std::this_thread::sleep_for(kPause);
+        connection->Write(SignedText(request.id));
+      });
+  Fixture fixture;
+  fixture.PutUpstream("i-1", upstream.address(), "ready", 2);
+  fixture.WaitUntilReady();
+  REQUIRE(fixture.SendRequest("/once/x").status == 200);
+  HttpCall call = fixture.CallTo("/once/none", "k1");
+  std::string id(call.headers.Get("Request-Id"));
+  CallOutcome outcome = fixture.Send(call);
+  REQUIRE(runs.Of(id) == 1);
+  REQUIRE(outcome.status == 502);
+}
+
+TEST_CASE("a rejection that names no request is trusted on a new connection",
+          "[kept]") {
+  std::atomic<int> requests = 0;
+  ScriptedUpstream upstream(
+      [&](ScriptedConnection* connection, const ScriptedRequest& request) {
+        connection->Write(++requests == 1
+                              ? ResponseText("503 Busy", "Not-Run: 1\r\n", "")
+                              : SignedText(request.id));
+      });
+  Fixture fixture;
+  fixture.PutUpstream("i-1", upstream.address(), "ready", 2);
+  fixture.WaitUntilReady();
+  REQUIRE(fixture.SendRequest("/once/x").status == 200);
+  REQUIRE(requests == 2);
+}
+
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/request.h
+++ b/libs/serving/include/serving/request.h
@@ -57,8 +57,9 @@
 
 // What the head of an upstream's response says.
 struct ResponseInfo {
-  bool matches_request = false;  // It names the request that was sent.
-  bool not_run = false;          // The upstream states that it did not run it.
+  bool names_request = false;        // By its id.
+  bool names_other_request = false;  // Otherwise it names none, or this one.
+  bool not_run = false;  // The upstream states that it did not run it.
   bool has_signature = false;
   bool closes_connection = false;
   std::optional<UpstreamLoadReport> load;
--- a/libs/transport/include/transport/http_call.h
+++ b/libs/transport/include/transport/http_call.h
@@ -56,6 +56,14 @@
   bool reused_connection = false;  // No connection was opened.
 };
 
+// What is known when the head of a response has arrived.
+struct ResponseStart {
+  int status = 0;
+  HttpHeaders headers;
+  // Earlier calls used the connection, so this may answer one of them.
+  bool reused_connection = false;
+};
+
 struct HttpCall {
   std::string method = "GET";
   std::string address;  // IP:port.
@@ -77,9 +85,9 @@
   // Pooled connections that were idle for longer, in seconds, are not used. 0
   // means no limit.
   int max_connection_idle_s = 0;
-  // Called once with the status and header fields of the final response, before
-  // its body. Returning false cancels the call. May be empty.
-  std::function<bool(int status, const HttpHeaders& headers)> on_headers;
+  // Called once with the head of the final response, before its body. Returning
+  // false cancels the call. May be empty.
+  std::function<bool(const ResponseStart&)> on_headers;
   // Called with each part of a 2xx body, which is then not buffered. Returning
   // false cancels the call. May be empty.
   std::function<bool(std::string_view)> on_data;
--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -280,13 +280,25 @@
     return 0;
   }
 
+  // Connections that the transfer has opened so far.
+  static uint64_t NewConnections(const Transfer& transfer) {
+    long count = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &count);
+    return static_cast<uint64_t>(count);
+  }
+
   // Returns false to cancel.
   static bool OnHeadComplete(Transfer* transfer) {
     transfer->outcome.status = transfer->head.status();
     transfer->outcome.headers = transfer->head.headers();
-    if (!transfer->call.on_headers ||
-        transfer->call.on_headers(transfer->outcome.status,
-                                  transfer->outcome.headers)) {
+    if (!transfer->call.on_headers) {
+      return true;
+    }
+    ResponseStart start;
+    start.status = transfer->head.status();
+    start.headers = transfer->head.headers();
+    start.reused_connection = NewConnections(*transfer) == 0;
+    if (transfer->call.on_headers(start)) {
       return true;
     }
     transfer->cancelled_by_callback = true;
@@ -481,9 +493,8 @@
 
   // Removes the transfer, calls `on_done` and destroys the transfer.
   void Finish(Transfer* transfer, CallResult result) {
-    long new_connections = 0;
-    curl_easy_getinfo(transfer->easy, CURLINFO_NUM_CONNECTS, &new_connections);
-    connections_opened_ += static_cast<uint64_t>(new_connections);
+    uint64_t new_connections = NewConnections(*transfer);
+    connections_opened_ += new_connections;
     curl_multi_remove_handle(multi_, transfer->easy);
     curl_easy_cleanup(transfer->easy);
     curl_slist_free_all(transfer->header_list);
--- a/tools/bilberrypitch_lab/fake_upstream.cc
+++ b/tools/bilberrypitch_lab/fake_upstream.cc
@@ -28,9 +28,11 @@
   return text.empty() ? fallback : std::atoll(std::string(text).c_str());
 }
 
-HttpResponse RejectionResponse(int status) {
+HttpResponse RejectionResponse(int status, const HttpRequest& request) {
   HttpResponse response = JsonResponse(status, json::object());
   response.headers.Add("Not-Run", "1");
+  response.headers.Add("Request-Id",
+                       std::string(request.headers.Get("Request-Id")));
   return response;
 }
 
@@ -90,7 +92,7 @@
   std::string_view expected_instance = request.headers.Get("Expect-Instance");
   if (!expected_instance.empty() && expected_instance != options_.id) {
     ++counters_.misdirected;
-    responder->Send(RejectionResponse(421));
+    responder->Send(RejectionResponse(421, request));
   } else if (request.path == "/report") {
     responder->Send(JsonResponse(200, ReportJson()));
   } else if (request.path == "/order") {
@@ -124,14 +126,14 @@
               adapter_entry->second.version >= needed;
   }
   if (!present) {
-    responder->Send(RejectionResponse(421));
+    responder->Send(RejectionResponse(421, request));
     return;
   }
   bool unload_pending =
       adapter_entry != adapters_.end() && adapter_entry->second.unload_pending;
   if (faults_.refuse || unload_pending ||
       waiting_.size() >= options_.queue_length) {
-    responder->Send(RejectionResponse(503));
+    responder->Send(RejectionResponse(503, request));
     return;
   }
   std::string_view tokens = request.headers.Get("Tokens");
