Break off a stream that an error follows

Cause: a complete signed response below 500 ended the request as answered, and the end of an answered request that has begun to stream is the final chunk.

Change: only a stream completes a stream that the caller has a part of. Everything else is an error of the attempt: resumed again if the route allows, else broken off.

--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -279,12 +279,13 @@
   }
   bool complete = outcome.result == CallResult::kComplete &&
                   response_matches_ && response_info_.has_signature &&
-                  !response_info_.not_run;
-  if (complete && IsStream() && response_is_stream_ && !StreamEndsWhole()) {
+                  !response_info_.not_run && !IsServerError(outcome.status);
+  if (complete && response_is_stream_ && !StreamEndsWhole()) {
     complete = false;
     outcome.result = CallResult::kConnectionBroken;
   }
-  if (complete && !IsServerError(outcome.status)) {
+  // Only a stream can complete one that the caller has a part of.
+  if (complete && (response_is_stream_ || !response_started_)) {
     OnCompleteResponse(outcome, false);
     return;
   }
--- a/libs/gateway/test/gateway_fixture.h
+++ b/libs/gateway/test/gateway_fixture.h
@@ -138,7 +138,10 @@
       {{"name":"read","host":"h","prefix":"/read/","kind":"idempotent",
         "timeoutMs":2000,"goalMs":300,"attempts":2,"service":"s"}},
       {{"name":"stream","host":"h","prefix":"/stream/","kind":"stream",
-        "timeoutMs":2000,"goalMs":300,"attempts":1,"service":"s"}}],
+        "timeoutMs":2000,"goalMs":300,"attempts":1,"service":"s"}},
+      {{"name":"resume","host":"h","prefix":"/resume/","kind":"stream",
+        "canResume":true,"timeoutMs":2000,"goalMs":300,"attempts":2,
+        "service":"s"}}],
       "services":[{{"name":"s"}}],
       "tenants":[{{"name":"w","apiKeys":[{}]}}]}})",
                                        version, keys));
