End a stream of more events than its request may produce

A stream of line ends, or of one event again and again, went on until the deadline of its request and kept an upstream's slot and the loop busy, now that it no longer hangs the process.

Cause: events had a bound in size, none in number, and line ends counted as events.

Change: EventSplitter takes a stream as malformed after 64 events in a row without content; the handler ends one that has a hundred events more than the request's output tokens, since each event holds one. Both end the attempt as an invalid response. Requests without token counts keep the deadline as their bound.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -164,6 +164,7 @@
   // Whether the stream of the attempt, which has ended, is not broken off.
   bool StreamEndsWhole() const;
   void PauseCall();
+  bool HasTooManyEvents() const;
   void OnCallDone(CallOutcome outcome);
   AttemptOutcome ClassifyOutcome(const CallOutcome& outcome) const;
   void OnCompleteResponse(const CallOutcome& outcome, bool failed);
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -30,6 +30,8 @@
 constexpr int64_t kFirstByteTimeoutFactor = 3;
 constexpr Millis kMinFirstByteTimeout{400};
 
+// Events beyond the tokens that a request may produce, such as a last one.
+constexpr uint64_t kMaxExtraEvents = 100;
 // The stream of an upstream is not read further while the caller has yet to
 // take more than this.
 constexpr size_t kMaxUnwrittenBytes = 16 << 10;
@@ -190,7 +192,17 @@
   if (responder_->unwritten_bytes() > kMaxUnwrittenBytes) {
     PauseCall();
   }
-  return !event_splitter_.event_too_large();
+  return !event_splitter_.malformed() && !HasTooManyEvents();
+}
+
+// Each event of a response to a request with token counts holds a token.
+bool RequestHandler::HasTooManyEvents() const {
+  if (!request_.has_token_counts) {
+    return false;
+  }
+  auto most =
+      static_cast<uint64_t>(request_.max_output_tokens) + kMaxExtraEvents;
+  return event_splitter_.events() > most;
 }
 
 // Lets the loop write to the caller, and serve others, before the upstream is
--- a/libs/gateway/test/endless_stream_test.cc
+++ b/libs/gateway/test/endless_stream_test.cc
@@ -126,4 +126,24 @@
   REQUIRE(outcome.body.size() == kEvents * event.size());
 }
 
+// Guards against: an upstream that repeats events without end keeps its stream
+// until the deadline.
+TEST_CASE("a stream with more events than its request may produce is ended",
+          "[endless]") {
+  std::atomic<int> ended = 0;
+  ScriptedUpstream upstream(
+      [&](ScriptedConnection* connection, const ScriptedRequest& request) {
+        RespondWithoutEnd(connection, request, "id: 1\ndata: a\n\n", &ended);
+      });
+  Fixture fixture;
+  fixture.PutUpstream("i-1", upstream.address(), "ready", 2);
+  fixture.WaitUntilReady();
+  HttpCall call = fixture.CallTo("/stream/x", "k1");
+  call.headers.Add("Tokens", "1,20");
+  Millis sent_at = EventLoop::Now();
+  CallOutcome outcome = fixture.Send(call);
+  REQUIRE(outcome.result == CallResult::kConnectionBroken);
+  REQUIRE(EventLoop::Now() - sent_at < kMaxDelay);
+}
+
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/event_splitter.h
+++ b/libs/serving/include/serving/event_splitter.h
@@ -14,17 +14,21 @@
  public:
   // A stream without an event boundary would otherwise fill the memory.
   static constexpr size_t kMaxEventBytes = 256 << 10;
+  // In a row. Line ends alone are no event, and each costs as much as one.
+  static constexpr uint32_t kMaxEmptyEvents = 64;
 
   // Appends `bytes` and returns the events that are now complete, unchanged.
   std::string Feed(std::string_view bytes);
-  // An event exceeded `kMaxEventBytes`; its bytes are discarded.
-  bool event_too_large() const { return event_too_large_; }
+  // The bytes are no stream of events: a limit above was exceeded. What follows
+  // is discarded.
+  bool malformed() const { return malformed_; }
   // Returns true if no incomplete event is buffered.
-  bool AtBoundary() const { return pending_.empty() && !event_too_large_; }
+  bool AtBoundary() const { return pending_.empty() && !malformed_; }
   // Discards an incomplete event whose rest will never arrive.
   void DropPartial() {
     pending_.clear();
-    event_too_large_ = false;
+    empty_events_ = 0;
+    malformed_ = false;
   }
   // Id of the last complete event that had one; empty if there was none.
   const std::string& last_id() const { return last_id_; }
@@ -35,8 +39,9 @@
   // Counts a complete event and stores its id.
   void RecordEvent(std::string_view event);
 
-  std::string pending_;  // Start of an incomplete event.
-  bool event_too_large_ = false;
+  std::string pending_;        // Start of an incomplete event.
+  uint32_t empty_events_ = 0;  // Since the latest event with content.
+  bool malformed_ = false;
   std::string last_id_;
   uint64_t events_ = 0;
 };
--- a/libs/serving/src/event_splitter.cc
+++ b/libs/serving/src/event_splitter.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 std::string EventSplitter::Feed(std::string_view bytes) {
-  if (event_too_large_) {
+  if (malformed_) {
     return "";
   }
   // What was pending holds no boundary, but one may have begun at its end.
@@ -42,18 +42,24 @@
     }
     RecordEvent(text.substr(from, end - from));
     from = end;
+    if (empty_events_ > kMaxEmptyEvents) {
+      malformed_ = true;
+      break;
+    }
   }
   std::string complete = pending_.substr(0, from);
   pending_.erase(0, from);
-  if (pending_.size() > kMaxEventBytes) {
+  malformed_ = malformed_ || pending_.size() > kMaxEventBytes;
+  if (malformed_) {
     pending_.clear();
-    event_too_large_ = true;
   }
   return complete;
 }
 
 void EventSplitter::RecordEvent(std::string_view event) {
   ++events_;
+  bool empty = event.find_first_not_of("\r\n") == std::string_view::npos;
+  empty_events_ = empty ? empty_events_ + 1 : 0;
   size_t at = event.rfind("id:", 0) == 0 ? 0 : event.find("\nid:");
   if (at == std::string_view::npos) {
     return;
--- a/libs/serving/test/decisions_test.cc
+++ b/libs/serving/test/decisions_test.cc
@@ -177,7 +177,7 @@
   const std::string piece(16 << 10, 'x');
   REQUIRE(splitter.Feed("id: 1\ndata: a\n\n") != "");
   size_t fed = 0;
-  while (!splitter.event_too_large() && fed < (64U << 20)) {
+  while (!splitter.malformed() && fed < (64U << 20)) {
     REQUIRE(splitter.Feed(piece).empty());
     fed += piece.size();
   }
@@ -188,6 +188,27 @@
   REQUIRE(splitter.last_id() == "1");
 }
 
+// Guards against: line ends without end are forwarded, each as an event.
+TEST_CASE("a stream of line ends is no stream of events", "[splitter]") {
+  for (const std::string& line_end : {std::string("\n"), std::string("\r\n")}) {
+    EventSplitter splitter;
+    // A sound stream may hold some.
+    REQUIRE(splitter.Feed("data: x" + line_end + line_end) != "");
+    uint32_t forwarded = 0;
+    while (!splitter.malformed() && forwarded < 1000) {
+      forwarded += splitter.Feed(line_end + line_end).empty() ? 0 : 1;
+    }
+    REQUIRE(forwarded == EventSplitter::kMaxEmptyEvents + 1);
+    REQUIRE_FALSE(splitter.AtBoundary());
+    REQUIRE(splitter.Feed("data: y\n\n").empty());
+  }
+  EventSplitter sound;
+  for (uint32_t i = 0; i < 3 * EventSplitter::kMaxEmptyEvents; ++i) {
+    REQUIRE(sound.Feed("\n\ndata: x\n\n") != "");
+  }
+  REQUIRE(sound.AtBoundary());
+}
+
 TEST_CASE("a missing upstream is used until its return deadline",
           "[upstreams]") {
   UpstreamRegistry::Hooks hooks;
