Send orders to an engine whose entry was away

Cause: the owner's state of an engine ends with the entry, the owner's key does not. The state was made again only when the ownership changed.

Evidence: the test's log has "Owns" once, before the entry leaves, and requests asked for the load twenty times each. Ruled out: the takeover delay (twelve seconds without an order), another engine's choice (there is one).

Change: an entry that names an engine that isn't draining lets its owner make that state if it has none.

--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -109,6 +109,11 @@
   if (upstream != nullptr && record.entry) {
     AddEngineResource(*upstream);
     deps_.state->residency.SetBaseModels(record.id, record.entry->models);
+    if (!upstream->entry.draining) {
+      // The owner may have stayed the same while the entry was away; what it
+      // knew of the engine has ended with the entry.
+      NotifyOwnershipChanged(EngineResource(record.id));
+    }
   }
   ExpireMissingUpstreams();
 }
