--- a/libs/gateway/test/odd_entry_test.cc
+++ b/libs/gateway/test/odd_entry_test.cc
@@ -54,9 +54,9 @@
   const std::string port = address.substr(address.find(':') + 1);
   for (const std::string& odd :
        {ip, ip + ":", ip + ":0", ip + ":-1", ip + ":65536",
-        ip + ":99999999999999999999", ip + ":" + port + "x",
-        ip + ":" + port + "/path", "user@" + address, "localhost:" + port,
-        "[::1]:" + port, ip + ": " + port, std::string("256.0.0.1:80"),
+        ip + ":99999999999999999999", address + "x", address + "/path",
+        "user@" + address, "localhost:" + port, "[::1]:" + port,
+        fmt::format("{}: {}", ip, port), std::string("256.0.0.1:80"),
         std::string()}) {
     entries.push_back(Entry(address, "addr", "\"" + odd + "\""));
   }
--- a/libs/serving/test/decisions_test.cc
+++ b/libs/serving/test/decisions_test.cc
@@ -193,10 +193,11 @@
   for (const std::string& line_end : {std::string("\n"), std::string("\r\n")}) {
     EventSplitter splitter;
     // A sound stream may hold some.
-    REQUIRE(splitter.Feed("data: x" + line_end + line_end) != "");
+    const std::string empty_event = line_end + line_end;
+    REQUIRE(splitter.Feed("data: x" + empty_event) != "");
     uint32_t forwarded = 0;
     while (!splitter.malformed() && forwarded < 1000) {
-      forwarded += splitter.Feed(line_end + line_end).empty() ? 0 : 1;
+      forwarded += splitter.Feed(empty_event).empty() ? 0 : 1;
     }
     REQUIRE(forwarded == EventSplitter::kMaxEmptyEvents + 1);
     REQUIRE_FALSE(splitter.AtBoundary());
