Drop the start of an event that an earlier attempt began

Cause: what the splitter keeps of an incomplete event was dropped only when the stream was resumed after an event. A run that breaks off within its first event has sent the caller nothing, so the request begins anew, and the rest was kept.

Ruled out: bytes of another connection (the response named the request, and the text is the request's own).

Change: each attempt begins with an empty splitter.

--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -107,9 +107,10 @@
       options.minimum_version = required_version->second;
     }
   }
+  // The rest of an event that the attempt before began will never arrive.
+  event_splitter_.DropPartial();
   if (response_started_) {
     options.resume_after_event = event_splitter_.last_id();
-    event_splitter_.DropPartial();
   }
   deps_->codec->EncodeCall(request_, options, &call);
   upstream_ = upstream->entry.id;
--- a/libs/gateway/test/resumed_stream_test.cc
+++ b/libs/gateway/test/resumed_stream_test.cc
@@ -92,4 +92,33 @@
   REQUIRE(outcome.body == std::string(kFirstEvent) + "id: 2\ndata: b\n\n");
 }
 
+// Guards against: the start of an event of one run is joined with the first
+// event of the next, when the first run broke off before any event was whole.
+TEST_CASE("a stream that breaks off within its first event begins anew",
+          "[resume]") {
+  const std::string event = kFirstEvent;
+  const size_t cut = GENERATE_COPY(range<size_t>(1, event.size()));
+  CAPTURE(event.substr(0, cut));
+  Fixture fixture;
+  int attempts = 0;
+  auto handler = [&](const HttpRequest& request, Responder* responder) {
+    bool breaks_off = ++attempts == 1;
+    responder->StartStream(200, FakeUpstream::OkResponse(request).headers);
+    responder->Write(breaks_off ? event.substr(0, cut) : event);
+    if (breaks_off) {
+      responder->AbortStream();
+    } else {
+      responder->EndStream();
+    }
+  };
+  fixture.first.SetHandler(handler);
+  fixture.second.SetHandler(handler);
+  fixture.PutUpstream("i-2", fixture.second.address(), "ready");
+  fixture.WaitUntilReady();
+  CallOutcome outcome = fixture.SendRequest("/resume/x");
+  REQUIRE(attempts == 2);
+  REQUIRE(outcome.result == CallResult::kComplete);
+  REQUIRE(outcome.body == event);
+}
+
 }  // namespace bilberrypitch
