--- a/libs/gateway/test/faulty_upstream_soak_test.cc
+++ b/libs/gateway/test/faulty_upstream_soak_test.cc
@@ -33,8 +33,9 @@
   kReject,
   kMisdirect,
   kRejectWithoutId,
-  kRepeatAnswer,         // Before the next answer on the connection.
-  kRepeatPart,           // The same, up to a random byte.
+  kRepeatRejection,      // Before the next answer on the connection.
+  kRepeatAnswer,         // The same with an answer.
+  kRepeatPart,           // Up to a random byte.
   kRepeatRejectionPart,  // A part of a rejection that was never sent.
   kLoseAnswer,
   kBreakOff,
@@ -46,12 +47,18 @@
 
 // What the upstreams did with a request.
 struct RequestRecord {
+  int arrivals = 0;
   int runs = 0;
   std::set<int> statuses;  // Of the signed answers that were begun.
 };
 
 class Records {
  public:
+  // Returns how often the request has arrived.
+  int OnArrival(const std::string& id) {
+    std::lock_guard lock(mutex_);
+    return ++records_[id].arrivals;
+  }
   void OnRun(const std::string& id) {
     std::lock_guard lock(mutex_);
     ++records_[id].runs;
@@ -117,7 +124,8 @@
   return ResponseText(status, id_line + "Not-Run: 1\r\n", "not run");
 }
 
-// One of the upstreams. Its choices depend on the seed and the request alone.
+// One of the upstreams. Its choices depend on the seed, the request and how
+// often that has arrived.
 class FaultyUpstream {
  public:
   FaultyUpstream(uint64_t seed, Records* records)
@@ -132,7 +140,9 @@
 
  private:
   void Handle(ScriptedConnection* connection, const ScriptedRequest& request) {
-    std::mt19937_64 random(seed_ ^ StableHash(request.id, address()));
+    const int arrival = records_->OnArrival(request.id);
+    std::mt19937_64 random(seed_ ^
+                           StableHash(request.id, std::to_string(arrival)));
     Fault fault = Fault::kNone;
     if (random() % 100 < kFaultyPercent) {
       fault = static_cast<Fault>(random() % static_cast<int>(Fault::kCount));
@@ -146,6 +156,10 @@
       case Fault::kMisdirect:
         connection->Write(RejectionText("421 Elsewhere", id_line));
         return;
+      case Fault::kRepeatRejection:
+        connection->last_response = RejectionText("503 Busy", id_line);
+        connection->Write(connection->last_response);
+        return;
       case Fault::kRejectWithoutId:
         connection->Write(RejectionText("503 Busy", ""));
         return;
