Try again for twelve seconds in the case of an engine that returns

Trace: the process was held up for 1.36 s between two lines of its log, so its keys were older than the bound of the fixture, and requests were rejected at once, as they must be; four tries took 15 ms. The case bounds the time now, twelve seconds as four tries had before, and pauses between tries. An engine without orders still fails it.

--- a/libs/gateway/test/returning_engine_test.cc
+++ b/libs/gateway/test/returning_engine_test.cc
@@ -75,17 +75,22 @@
   int accepted_ = 0;  // Since the start.
 };
 
-// A caller waits for three seconds, and an owner for as long before it acts.
-constexpr int kTries = 4;
+// Longer than an owner waits before it acts.
+constexpr Millis kServedWithin{12 * 1000};
+// Between two requests; one is rejected at once while the process has just been
+// held up and its keys are too old.
+constexpr Millis kPause{50};
 
 bool IsServed(Fixture* fixture, const std::string& adapter) {
-  for (int i = 0; i < kTries; ++i) {
+  Millis end = EventLoop::Now() + kServedWithin;
+  while (EventLoop::Now() < end) {
     HttpCall call = fixture->CallTo("/ask/x", "k1");
     call.headers.Add("Model", "m/" + adapter);
     call.headers.Add("Tokens", "10,5");
     if (fixture->Send(std::move(call)).status == 200) {
       return true;
     }
+    fixture->WaitFor(kPause);
   }
   return false;
 }
