Tell a call how the body of its response ends

Callers of the client could not tell a body with a length or chunks from one that ends with its connection. Whatever else arrives on the connection passes for a part of the latter, so it needs other care on a connection that earlier calls used.

Change: ResponseStart has the framing, read from the head's fields; HEAD, 204 and 304 have no body and count as a length. Chunks take precedence over a length, as libcurl reads them. A length that isn't a plain number of at most 18 digits is none.

The test ('the framing of a body follows from its head') was seen to fail with the check of the length's digits taken out.

--- a/libs/transport/include/transport/http_call.h
+++ b/libs/transport/include/transport/http_call.h
@@ -48,6 +48,13 @@
   Millis total{600 * 1000};      // From the start to the end of the call.
 };
 
+// What marks the end of a response's body.
+enum class BodyFraming : uint8_t {
+  kLength,      // A length, or there can't be a body.
+  kChunked,     // The last chunk.
+  kUntilClose,  // Neither: the end of the connection.
+};
+
 struct CallOutcome {
   CallResult result = CallResult::kCancelled;
   int status = 0;
@@ -62,6 +69,7 @@
   HttpHeaders headers;
   // Earlier calls used the connection, so this may answer one of them.
   bool reused_connection = false;
+  BodyFraming framing = BodyFraming::kUntilClose;
 };
 
 struct HttpCall {
--- a/libs/transport/include/transport/response_head.h
+++ b/libs/transport/include/transport/response_head.h
@@ -15,6 +15,8 @@
 
 namespace bilberrypitch {
 
+enum class BodyFraming : uint8_t;
+
 class ResponseHead {
  public:
   // For all lines of a response: of its head, its interim responses and its
@@ -32,6 +34,9 @@
   Progress Feed(std::string_view line);
   int status() const { return status_; }
   const HttpHeaders& headers() const { return headers_; }
+  // How the body ends that follows the complete head of the response to a
+  // request with `method`.
+  BodyFraming framing(std::string_view method) const;
 
  private:
   Progress ReadLine(std::string_view line);
--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -298,6 +298,7 @@
     start.status = transfer->head.status();
     start.headers = transfer->head.headers();
     start.reused_connection = NewConnections(*transfer) == 0;
+    start.framing = transfer->head.framing(transfer->call.method);
     if (transfer->call.on_headers(start)) {
       return true;
     }
--- a/libs/transport/src/response_head.cc
+++ b/libs/transport/src/response_head.cc
@@ -5,6 +5,8 @@
 #include <cctype>
 #include <string>
 
+#include "transport/http_call.h"
+
 namespace bilberrypitch {
 namespace {
 
@@ -14,6 +16,10 @@
 constexpr size_t kVersionEnd = 8;
 constexpr size_t kStatusEnd = 12;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+// Of a length that the HTTP library surely reads as a number.
+constexpr size_t kMaxLengthDigits = 18;
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
@@ -66,8 +72,36 @@
   return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
+// True for a Transfer-Encoding with chunks.
+bool NamesChunks(std::string_view value) {
+  std::string lower(value);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower.find("chunked") != std::string::npos;
+}
+
+bool IsLength(std::string_view value) {
+  return !value.empty() && value.size() <= kMaxLengthDigits &&
+         std::all_of(value.begin(), value.end(), IsDigit);
+}
+
 }  // namespace
 
+BodyFraming ResponseHead::framing(std::string_view method) const {
+  if (method == "HEAD" || status_ == kNoContent || status_ == kNotModified) {
+    return BodyFraming::kLength;
+  }
+  // Chunks take precedence over a length, wherever the fields stand.
+  for (const HttpHeader& field : headers_.fields()) {
+    if (EqualFieldNames(field.name, "Transfer-Encoding") &&
+        NamesChunks(field.value)) {
+      return BodyFraming::kChunked;
+    }
+  }
+  return IsLength(headers_.Get("Content-Length")) ? BodyFraming::kLength
+                                                  : BodyFraming::kUntilClose;
+}
+
 ResponseHead::Progress ResponseHead::Feed(std::string_view line) {
   bytes_ += line.size();
   if (bytes_ > kMaxBytes) {
--- a/libs/transport/test/response_head_test.cc
+++ b/libs/transport/test/response_head_test.cc
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "transport/http_call.h"
+
 namespace bilberrypitch {
 namespace {
 
@@ -82,4 +84,38 @@
   REQUIRE(lines * 14 <= ResponseHead::kMaxBytes);
 }
 
+// Guards against: a body without a stated end is taken for one with a length or
+// chunks.
+TEST_CASE("the framing of a body follows from its head", "[head]") {
+  struct Case {
+    std::string head;
+    std::string method;
+    BodyFraming framing;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = "transfer-encoding: gzip, Chunked\r\n";
+  const std::string length = "content-length: 0\r\n";
+  const std::string length_and_chunked = length + chunked;
+  for (const Case& it : {
+           Case{ok, "GET", BodyFraming::kUntilClose},
+           Case{ok, "HEAD", BodyFraming::kLength},
+           Case{"HTTP/1.1 204 None\r\n", "GET", BodyFraming::kLength},
+           Case{"HTTP/1.1 304 Same\r\n", "GET", BodyFraming::kLength},
+           Case{ok + length, "POST", BodyFraming::kLength},
+           Case{ok + chunked, "POST", BodyFraming::kChunked},
+           Case{ok + length_and_chunked, "GET", BodyFraming::kChunked},
+           Case{ok + "Transfer-Encoding: identity\r\n", "GET",
+                BodyFraming::kUntilClose},
+           Case{ok + "Content-Length: -1\r\n", "GET", BodyFraming::kUntilClose},
+           Case{ok + "Content-Length: 9999999999999999999\r\n", "GET",
+                BodyFraming::kUntilClose},
+       }) {
+    CAPTURE(it.head, it.method);
+    ResponseHead head;
+    REQUIRE(FeedAll(&head, it.head) == Progress::kIncomplete);
+    REQUIRE(head.Feed("\r\n") == Progress::kComplete);
+    REQUIRE(head.framing(it.method) == it.framing);
+  }
+}
+
 }  // namespace bilberrypitch
