--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -1,5 +1,4 @@
-// Implements EventLoopHttpClient with libcurl's multi interface, driven by
-// Asio.
+// Implements EventLoopHttpClient with libcurl's multi interface.
 //
 // Each transfer has its own timer for the first-byte, idle and total timeouts.
 // A transfer that ends early is removed from the multi handle unfinished, which
@@ -13,11 +12,11 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <asio.hpp>
 #include <mutex>
 #include <unordered_map>
 
 #include "base/check.h"
+#include "curl_socket_poller.h"
 #include "transport/event_loop.h"
 #include "transport/response_head.h"
 #include "transport/timer.h"
@@ -45,16 +44,15 @@
 
 class EventLoopHttpClient::Impl {
  public:
-  explicit Impl(EventLoop* loop)
-      : loop_(loop), multi_(nullptr), curl_timer_(loop) {
+  explicit Impl(EventLoop* loop) : loop_(loop) {
     std::call_once(curl_init_flag, [] { curl_global_init(CURL_GLOBAL_ALL); });
     multi_ = curl_multi_init();
     BP_CHECK(multi_ != nullptr, "curl_multi_init failed");
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxPooledConnections);
-    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
-    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
-    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
-    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+    poller_ = std::make_unique<CurlSocketPoller>(
+        loop, multi_, [this](curl_socket_t socket, int events) {
+          RunSocketAction(socket, events);
+        });
   }
 
   ~Impl() {
@@ -158,18 +156,6 @@
     bool paused = false;  // No more is read until it is resumed.
   };
 
-  // A socket that libcurl asked to be polled. libcurl owns the descriptor.
-  struct PolledSocket {
-    explicit PolledSocket(asio::io_context& context, int fd)
-        : descriptor(context, fd) {}
-    ~PolledSocket() { descriptor.release(); }
-    asio::posix::stream_descriptor descriptor;
-    int poll_events = 0;  // CURL_POLL_IN, CURL_POLL_OUT or both.
-    bool read_wait_pending = false;
-    bool write_wait_pending = false;
-    bool removed = false;
-  };
-
   void SetOptions(Transfer* transfer) {
     CURL* easy = transfer->easy;
     const HttpCall& call = transfer->call;
@@ -334,83 +320,6 @@
     transfer->response_started = true;
   }
 
-  static int OnSocket(CURL* /*easy*/, curl_socket_t fd, int poll_events,
-                      void* user_data, void* /*socket_data*/) {
-    static_cast<Impl*>(user_data)->UpdateSocket(fd, poll_events);
-    return 0;
-  }
-
-  void UpdateSocket(int fd, int poll_events) {
-    auto it = polled_sockets_.find(fd);
-    if (poll_events == CURL_POLL_REMOVE) {
-      if (it != polled_sockets_.end()) {
-        it->second->removed = true;
-        it->second->descriptor.release();
-        polled_sockets_.erase(it);
-      }
-      return;
-    }
-    if (it == polled_sockets_.end()) {
-      auto added = std::make_shared<PolledSocket>(loop_->context(), fd);
-      it = polled_sockets_.emplace(fd, std::move(added)).first;
-    }
-    it->second->poll_events = poll_events;
-    WaitForEvents(fd, it->second);
-  }
-
-  // Starts an asynchronous wait for each requested event that has none pending.
-  void WaitForEvents(int fd, const std::shared_ptr<PolledSocket>& socket) {
-    if ((socket->poll_events & CURL_POLL_IN) != 0 &&
-        !socket->read_wait_pending) {
-      socket->read_wait_pending = true;
-      socket->descriptor.async_wait(
-          asio::posix::stream_descriptor::wait_read,
-          [this, fd, socket](const asio::error_code& ec) {
-            socket->read_wait_pending = false;
-            OnSocketReady(fd, socket, CURL_CSELECT_IN, ec);
-          });
-    }
-    if ((socket->poll_events & CURL_POLL_OUT) != 0 &&
-        !socket->write_wait_pending) {
-      socket->write_wait_pending = true;
-      socket->descriptor.async_wait(
-          asio::posix::stream_descriptor::wait_write,
-          [this, fd, socket](const asio::error_code& ec) {
-            socket->write_wait_pending = false;
-            OnSocketReady(fd, socket, CURL_CSELECT_OUT, ec);
-          });
-    }
-  }
-
-  void OnSocketReady(int fd, const std::shared_ptr<PolledSocket>& socket,
-                     int events, const asio::error_code& ec) {
-    if (socket->removed || ec == asio::error::operation_aborted) {
-      return;
-    }
-    bool requested = (events == CURL_CSELECT_IN)
-                         ? (socket->poll_events & CURL_POLL_IN) != 0
-                         : (socket->poll_events & CURL_POLL_OUT) != 0;
-    if (!requested) {
-      return;
-    }
-    RunSocketAction(fd, ec ? CURL_CSELECT_ERR : events);
-    if (!socket->removed) {
-      WaitForEvents(fd, socket);
-    }
-  }
-
-  static int OnTimer(CURLM* /*multi*/, long timeout_ms, void* user_data) {
-    auto* self = static_cast<Impl*>(user_data);
-    if (timeout_ms < 0) {
-      self->curl_timer_.Cancel();
-    } else {
-      self->curl_timer_.Start(Millis(timeout_ms), [self] {
-        self->RunSocketAction(CURL_SOCKET_TIMEOUT, 0);
-      });
-    }
-    return 0;
-  }
-
   // Lets libcurl process the events of a socket or an expired timer.
   void RunSocketAction(curl_socket_t socket, int events) {
     int running_transfers = 0;
@@ -509,14 +418,13 @@
   }
 
   EventLoop* const loop_;
-  CURLM* multi_;
-  Timer curl_timer_;
+  CURLM* multi_ = nullptr;
+  std::unique_ptr<CurlSocketPoller> poller_;  // Used while `multi_` is.
   // True while libcurl may call back.
   bool inside_libcurl_ = false;
   CallId last_id_ = 0;
   uint64_t connections_opened_ = 0;
   std::unordered_map<CallId, std::unique_ptr<Transfer>> transfers_;
-  std::unordered_map<int, std::shared_ptr<PolledSocket>> polled_sockets_;
 };
 
 EventLoopHttpClient::EventLoopHttpClient(EventLoop* loop)
