Don't use a connection again that has bytes behind its response

A shown case: the next call gets an empty 202 that belongs to nobody.

Cause: libcurl reads no further than the length of a body; the rest stays in the socket, and a pooled connection with pending input counts as alive.

Change: when libcurl lets go of a socket, or at the end of a call that never had to wait for it, the client looks for pending bytes without reading them, shuts such a connection down and reports CallOutcome::trailing. libcurl then finds it dead before it sends anything and opens a new one, also for send_once calls. What libcurl has read beyond a length itself shows as a connection that it closed although neither side asked for it. Sockets are registered with the loop once, from their opening to their closing, in place of once a call.

With a full pool (512) a closed connection isn't reported as surplus.

--- a/libs/transport/include/transport/http_call.h
+++ b/libs/transport/include/transport/http_call.h
@@ -55,12 +55,22 @@
   kUntilClose,  // Neither: the end of the connection.
 };
 
+// What stood on the connection behind a complete response with a length or
+// chunks when the call ended. Such bytes belong to no request, and their
+// connection is not used again.
+enum class TrailingBytes : uint8_t {
+  kNone,
+  kNextResponse,  // They begin like a response.
+  kUnknown,       // Other bytes, or bytes that were dropped unseen.
+};
+
 struct CallOutcome {
   CallResult result = CallResult::kCancelled;
   int status = 0;
   HttpHeaders headers;
   std::string body;                // Empty when `on_data` received it.
   bool reused_connection = false;  // No connection was opened.
+  TrailingBytes trailing = TrailingBytes::kNone;
 };
 
 // What is known when the head of a response has arrived.
--- a/libs/transport/include/transport/response_head.h
+++ b/libs/transport/include/transport/response_head.h
@@ -37,6 +37,8 @@
   // How the body ends that follows the complete head of the response to a
   // request with `method`.
   BodyFraming framing(std::string_view method) const;
+  // Whether the connection may be used again after the response.
+  bool keeps_connection() const;
 
  private:
   Progress ReadLine(std::string_view line);
@@ -48,7 +50,8 @@
   enum class Part : uint8_t { kStatusLine, kFields, kTrailers };
 
   Part part_ = Part::kStatusLine;
-  int status_ = 0;  // Of the latest status line.
+  int status_ = 0;            // Of the latest status line.
+  bool is_http_1_0_ = false;  // As the latest status line says.
   HttpHeaders headers_;
   size_t bytes_ = 0;
 };
--- a/libs/transport/src/curl_socket_poller.cc
+++ b/libs/transport/src/curl_socket_poller.cc
@@ -1,31 +1,43 @@
 // Waits for libcurl's sockets with Asio.
 #include "curl_socket_poller.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <asio.hpp>
+#include <string_view>
 #include <system_error>
 #include <utility>
 
 #include "transport/event_loop.h"
 
 namespace bilberrypitch {
+namespace {
+
+constexpr std::string_view kResponseStart = "HTTP/1.";
 
-// A socket that libcurl asked to be polled. libcurl owns the descriptor.
-struct CurlSocketPoller::PolledSocket {
-  PolledSocket(asio::io_context& context, int fd) : descriptor(context, fd) {}
-  ~PolledSocket() { descriptor.release(); }
-  PolledSocket(const PolledSocket&) = delete;
-  PolledSocket& operator=(const PolledSocket&) = delete;
+}  // namespace
 
+class CurlSocket {
+ public:
+  CurlSocket(asio::io_context& context, int opened_fd)
+      : fd(opened_fd), descriptor(context, opened_fd) {}
+  ~CurlSocket() { descriptor.release(); }
+  CurlSocket(const CurlSocket&) = delete;
+  CurlSocket& operator=(const CurlSocket&) = delete;
+
+  const int fd;
   asio::posix::stream_descriptor descriptor;
-  int poll_events = 0;  // CURL_POLL_IN, CURL_POLL_OUT or both.
+  // CURL_POLL_IN, CURL_POLL_OUT or both; 0 while no transfer waits.
+  int poll_events = 0;
   bool read_wait_pending = false;
   bool write_wait_pending = false;
-  bool removed = false;
+  bool closed = false;
 };
 
-CurlSocketPoller::CurlSocketPoller(EventLoop* loop, CURLM* multi,
-                                   ActionHook on_action)
-    : loop_(loop), on_action_(std::move(on_action)), timer_(loop) {
+CurlSocketPoller::CurlSocketPoller(EventLoop* loop, CURLM* multi, Hooks hooks)
+    : loop_(loop), hooks_(std::move(hooks)), timer_(loop) {
   curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &OnSocket);
   curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
   curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
@@ -34,56 +46,108 @@
 
 CurlSocketPoller::~CurlSocketPoller() = default;
 
-int CurlSocketPoller::OnSocket(CURL* /*easy*/, curl_socket_t fd,
-                               int poll_events, void* user_data,
-                               void* /*socket_data*/) {
-  static_cast<CurlSocketPoller*>(user_data)->UpdateSocket(fd, poll_events);
+void CurlSocketPoller::Attach(CURL* easy) {
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OnOpen);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnClose);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+}
+
+curl_socket_t CurlSocketPoller::OnOpen(void* user_data,
+                                       curlsocktype /*purpose*/,
+                                       curl_sockaddr* address) {
+  auto* self = static_cast<CurlSocketPoller*>(user_data);
+  int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+                  address->protocol);
+  if (fd < 0) {
+    return CURL_SOCKET_BAD;
+  }
+  self->sockets_[fd] = std::make_shared<CurlSocket>(self->loop_->context(), fd);
+  return fd;
+}
+
+int CurlSocketPoller::OnClose(void* user_data, curl_socket_t fd) {
+  auto* self = static_cast<CurlSocketPoller*>(user_data);
+  auto it = self->sockets_.find(fd);
+  if (it != self->sockets_.end()) {
+    it->second->closed = true;
+    it->second->descriptor.release();
+    self->sockets_.erase(it);
+  }
+  return close(fd);
+}
+
+CurlSocketPtr CurlSocketPoller::Find(curl_socket_t fd) const {
+  auto it = sockets_.find(fd);
+  return it == sockets_.end() ? nullptr : it->second;
+}
+
+bool CurlSocketPoller::IsOpen(const CurlSocketPtr& socket) {
+  return !socket->closed;
+}
+
+bool CurlSocketPoller::InUse(const CurlSocketPtr& socket) {
+  return socket->poll_events != 0;
+}
+
+TrailingBytes CurlSocketPoller::ShutDownIfReadable(
+    const CurlSocketPtr& socket) {
+  std::array<char, kResponseStart.size()> buf{};
+  ssize_t n = recv(socket->fd, buf.data(), buf.size(), MSG_PEEK | MSG_DONTWAIT);
+  if (n <= 0) {
+    return TrailingBytes::kNone;
+  }
+  shutdown(socket->fd, SHUT_RDWR);
+  return std::string_view(buf.data(), n) == kResponseStart
+             ? TrailingBytes::kNextResponse
+             : TrailingBytes::kUnknown;
+}
+
+int CurlSocketPoller::OnSocket(CURL* easy, curl_socket_t fd, int poll_events,
+                               void* user_data, void* /*socket_data*/) {
+  static_cast<CurlSocketPoller*>(user_data)->UpdateSocket(easy, fd,
+                                                          poll_events);
   return 0;
 }
 
-void CurlSocketPoller::UpdateSocket(int fd, int poll_events) {
-  auto it = polled_sockets_.find(fd);
-  if (poll_events == CURL_POLL_REMOVE) {
-    if (it != polled_sockets_.end()) {
-      it->second->removed = true;
-      it->second->descriptor.release();
-      polled_sockets_.erase(it);
-    }
+void CurlSocketPoller::UpdateSocket(CURL* easy, int fd, int poll_events) {
+  CurlSocketPtr socket = Find(fd);
+  if (!socket) {
     return;
   }
-  if (it == polled_sockets_.end()) {
-    auto added = std::make_shared<PolledSocket>(loop_->context(), fd);
-    it = polled_sockets_.emplace(fd, std::move(added)).first;
+  if (poll_events == CURL_POLL_REMOVE) {
+    socket->poll_events = 0;
+    hooks_.on_released(easy, socket);
+    return;
   }
-  it->second->poll_events = poll_events;
-  WaitForEvents(fd, it->second);
+  socket->poll_events = poll_events;
+  hooks_.on_used(easy, socket);
+  WaitForEvents(socket);
 }
 
-void CurlSocketPoller::WaitForEvents(int fd, const SocketPtr& socket) {
+void CurlSocketPoller::WaitForEvents(const CurlSocketPtr& socket) {
   if ((socket->poll_events & CURL_POLL_IN) != 0 && !socket->read_wait_pending) {
     socket->read_wait_pending = true;
-    socket->descriptor.async_wait(
-        asio::posix::stream_descriptor::wait_read,
-        [this, fd, socket](const std::error_code& ec) {
-          socket->read_wait_pending = false;
-          OnSocketReady(fd, socket, CURL_CSELECT_IN, ec);
-        });
+    socket->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                  [this, socket](const asio::error_code& ec) {
+                                    socket->read_wait_pending = false;
+                                    OnSocketReady(socket, CURL_CSELECT_IN, ec);
+                                  });
   }
   if ((socket->poll_events & CURL_POLL_OUT) != 0 &&
       !socket->write_wait_pending) {
     socket->write_wait_pending = true;
-    socket->descriptor.async_wait(
-        asio::posix::stream_descriptor::wait_write,
-        [this, fd, socket](const std::error_code& ec) {
-          socket->write_wait_pending = false;
-          OnSocketReady(fd, socket, CURL_CSELECT_OUT, ec);
-        });
+    socket->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                  [this, socket](const asio::error_code& ec) {
+                                    socket->write_wait_pending = false;
+                                    OnSocketReady(socket, CURL_CSELECT_OUT, ec);
+                                  });
   }
 }
 
-void CurlSocketPoller::OnSocketReady(int fd, const SocketPtr& socket,
-                                     int events, const std::error_code& ec) {
-  if (socket->removed || ec == asio::error::operation_aborted) {
+void CurlSocketPoller::OnSocketReady(const CurlSocketPtr& socket, int events,
+                                     const std::error_code& ec) {
+  if (socket->closed || ec == asio::error::operation_aborted) {
     return;
   }
   bool requested = (events == CURL_CSELECT_IN)
@@ -92,9 +156,9 @@
   if (!requested) {
     return;
   }
-  on_action_(fd, ec ? CURL_CSELECT_ERR : events);
-  if (!socket->removed) {
-    WaitForEvents(fd, socket);
+  hooks_.on_action(socket->fd, ec ? CURL_CSELECT_ERR : events);
+  if (!socket->closed) {
+    WaitForEvents(socket);
   }
 }
 
@@ -104,8 +168,9 @@
   if (timeout_ms < 0) {
     self->timer_.Cancel();
   } else {
-    self->timer_.Start(Millis(timeout_ms),
-                       [self] { self->on_action_(CURL_SOCKET_TIMEOUT, 0); });
+    self->timer_.Start(Millis(timeout_ms), [self] {
+      self->hooks_.on_action(CURL_SOCKET_TIMEOUT, 0);
+    });
   }
   return 0;
 }
--- a/libs/transport/src/curl_socket_poller.h
+++ b/libs/transport/src/curl_socket_poller.h
@@ -9,43 +9,68 @@
 #include <system_error>
 #include <unordered_map>
 
+#include "transport/http_call.h"
 #include "transport/timer.h"
 
 namespace bilberrypitch {
 
 class EventLoop;
 
+// A connection of libcurl, from its opening to its closing. libcurl owns the
+// descriptor.
+class CurlSocket;
+using CurlSocketPtr = std::shared_ptr<CurlSocket>;
+
 // Not thread-safe: use it on the loop's thread only. To be destroyed after
 // `multi` has been cleaned up.
 class CurlSocketPoller {
  public:
-  // Receives the events of a socket (CURL_CSELECT_...), or the expiry of the
-  // timer as CURL_SOCKET_TIMEOUT, for curl_multi_socket_action.
-  using ActionHook = std::function<void(curl_socket_t socket, int events)>;
+  struct Hooks {
+    // Receives the events of a socket (CURL_CSELECT_...), or the expiry of the
+    // timer as CURL_SOCKET_TIMEOUT, for curl_multi_socket_action.
+    std::function<void(curl_socket_t socket, int events)> on_action;
+    // `easy` waits for this socket.
+    std::function<void(CURL* easy, const CurlSocketPtr& socket)> on_used;
+    // `easy` waits for the socket no longer. No other transfer has used the
+    // connection since.
+    std::function<void(CURL* easy, const CurlSocketPtr& socket)> on_released;
+  };
 
-  CurlSocketPoller(EventLoop* loop, CURLM* multi, ActionHook on_action);
+  CurlSocketPoller(EventLoop* loop, CURLM* multi, Hooks hooks);
   ~CurlSocketPoller();
   CurlSocketPoller(const CurlSocketPoller&) = delete;
   CurlSocketPoller& operator=(const CurlSocketPoller&) = delete;
 
- private:
-  struct PolledSocket;
-  using SocketPtr = std::shared_ptr<PolledSocket>;
+  // Lets this poller learn of the connections that `easy` opens.
+  void Attach(CURL* easy);
+  // Null if no connection with this descriptor is open.
+  CurlSocketPtr Find(curl_socket_t fd) const;
+  static bool IsOpen(const CurlSocketPtr& socket);
+  // Whether a transfer waits for the socket.
+  static bool InUse(const CurlSocketPtr& socket);
+  // Looks for bytes that wait to be read. A connection with such bytes is shut
+  // down, so that libcurl finds it dead and does not use it again.
+  static TrailingBytes ShutDownIfReadable(const CurlSocketPtr& socket);
+  size_t open_sockets() const { return sockets_.size(); }
 
+ private:
   static int OnSocket(CURL* easy, curl_socket_t fd, int poll_events,
                       void* user_data, void* socket_data);
   static int OnTimer(CURLM* multi, long timeout_ms, void* user_data);
+  static curl_socket_t OnOpen(void* user_data, curlsocktype purpose,
+                              curl_sockaddr* address);
+  static int OnClose(void* user_data, curl_socket_t fd);
 
-  void UpdateSocket(int fd, int poll_events);
+  void UpdateSocket(CURL* easy, int fd, int poll_events);
   // Starts an asynchronous wait for each requested event that has none pending.
-  void WaitForEvents(int fd, const SocketPtr& socket);
-  void OnSocketReady(int fd, const SocketPtr& socket, int events,
+  void WaitForEvents(const CurlSocketPtr& socket);
+  void OnSocketReady(const CurlSocketPtr& socket, int events,
                      const std::error_code& ec);
 
   EventLoop* const loop_;
-  const ActionHook on_action_;
+  const Hooks hooks_;
   Timer timer_;
-  std::unordered_map<int, SocketPtr> polled_sockets_;
+  std::unordered_map<int, CurlSocketPtr> sockets_;  // By descriptor; all open.
 };
 
 }  // namespace bilberrypitch
--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -24,7 +24,7 @@
 namespace bilberrypitch {
 namespace {
 
-constexpr long kMaxPooledConnections = 512;
+constexpr size_t kMaxPooledConnections = 512;
 // The system closes a connection whose sent data remains unacknowledged for
 // this time.
 constexpr int kTcpUserTimeoutMs = 3000;
@@ -48,11 +48,28 @@
     std::call_once(curl_init_flag, [] { curl_global_init(CURL_GLOBAL_ALL); });
     multi_ = curl_multi_init();
     BP_CHECK(multi_ != nullptr, "curl_multi_init failed");
-    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxPooledConnections);
-    poller_ = std::make_unique<CurlSocketPoller>(
-        loop, multi_, [this](curl_socket_t socket, int events) {
-          RunSocketAction(socket, events);
-        });
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
+                      static_cast<long>(kMaxPooledConnections));
+    CurlSocketPoller::Hooks hooks;
+    hooks.on_action = [this](curl_socket_t socket, int events) {
+      RunSocketAction(socket, events);
+    };
+    hooks.on_used = [](CURL* easy, const CurlSocketPtr& socket) {
+      if (Transfer* transfer = TransferOf(easy)) {
+        transfer->socket = socket;
+        transfer->looked_behind = false;
+        transfer->outcome.trailing = TrailingBytes::kNone;
+      }
+    };
+    hooks.on_released = [](CURL* easy, const CurlSocketPtr& socket) {
+      Transfer* transfer = TransferOf(easy);
+      // libcurl also waits no longer for the socket of a paused transfer.
+      if (transfer != nullptr && !transfer->paused) {
+        LookBehindResponse(transfer, socket);
+      }
+    };
+    poller_ =
+        std::make_unique<CurlSocketPoller>(loop, multi_, std::move(hooks));
   }
 
   ~Impl() {
@@ -153,7 +170,9 @@
     bool cancelled_by_callback = false;
     bool response_too_large = false;
     bool response_malformed = false;
-    bool paused = false;  // No more is read until it is resumed.
+    bool paused = false;         // No more is read until it is resumed.
+    CurlSocketPtr socket;        // That libcurl waited for last; may be null.
+    bool looked_behind = false;  // On `socket`, for trailing bytes.
   };
 
   void SetOptions(Transfer* transfer) {
@@ -183,6 +202,7 @@
       curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
                        static_cast<long>(call.max_connection_idle_s));
     }
+    poller_->Attach(easy);
     SetBody(transfer);
     bool new_connection = call.new_connection || call.dedicated_connection ||
                           (call.send_once && call.body.empty());
@@ -335,13 +355,65 @@
       if (message->msg != CURLMSG_DONE) {
         continue;
       }
-      char* user_data = nullptr;
-      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user_data);
-      auto* transfer = reinterpret_cast<Transfer*>(user_data);
+      Transfer* transfer = TransferOf(message->easy_handle);
       Finish(transfer, Classify(*transfer, message->data.result));
     }
   }
 
+  // Null for libcurl's own handles.
+  static Transfer* TransferOf(CURL* easy) {
+    char* user_data = nullptr;
+    if (easy != nullptr) {
+      curl_easy_getinfo(easy, CURLINFO_PRIVATE, &user_data);
+    }
+    return reinterpret_cast<Transfer*>(user_data);
+  }
+
+  static void LookBehindResponse(Transfer* transfer,
+                                 const CurlSocketPtr& socket) {
+    transfer->looked_behind = true;
+    transfer->outcome.trailing = CurlSocketPoller::ShutDownIfReadable(socket);
+  }
+
+  // Finds what stands behind a complete response.
+  void SetTrailingBytes(Transfer* transfer) {
+    if (!transfer->looked_behind) {
+      // The response arrived before libcurl had to wait for it.
+      curl_socket_t fd = CURL_SOCKET_BAD;
+      curl_easy_getinfo(transfer->easy, CURLINFO_ACTIVESOCKET, &fd);
+      transfer->socket = poller_->Find(fd);
+      bool in_use_again =
+          transfer->socket && CurlSocketPoller::InUse(transfer->socket);
+      if (transfer->socket && !in_use_again) {
+        LookBehindResponse(transfer, transfer->socket);
+      }
+    }
+    if (transfer->outcome.trailing == TrailingBytes::kNone &&
+        ClosedByLibcurl(*transfer)) {
+      transfer->outcome.trailing = TrailingBytes::kUnknown;
+    }
+  }
+
+  // Whether libcurl closed the connection of a complete response although
+  // neither side asked for it. It does so when it has read more than the
+  // stated length.
+  bool ClosedByLibcurl(const Transfer& transfer) const {
+    const HttpCall& call = transfer.call;
+    bool closed =
+        !transfer.socket || !CurlSocketPoller::IsOpen(transfer.socket);
+    bool pool_full = poller_->open_sockets() >= kMaxPooledConnections;
+    if (!closed || pool_full || call.dedicated_connection ||
+        transfer.head.framing(call.method) != BodyFraming::kLength ||
+        !transfer.head.keeps_connection()) {
+      return false;
+    }
+    // libcurl also closes if the response came before all of the request was
+    // sent.
+    curl_off_t sent = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    return sent == static_cast<curl_off_t>(call.body.size());
+  }
+
   static CallResult Classify(const Transfer& transfer, CURLcode code) {
     if (code == CURLE_OK) {
       return CallResult::kComplete;
@@ -403,6 +475,9 @@
 
   // Removes the transfer, calls `on_done` and destroys the transfer.
   void Finish(Transfer* transfer, CallResult result) {
+    if (result == CallResult::kComplete) {
+      SetTrailingBytes(transfer);
+    }
     uint64_t new_connections = NewConnections(*transfer);
     connections_opened_ += new_connections;
     curl_multi_remove_handle(multi_, transfer->easy);
--- a/libs/transport/src/response_head.cc
+++ b/libs/transport/src/response_head.cc
@@ -72,12 +72,22 @@
   return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
-// True for a Transfer-Encoding with chunks.
-bool NamesChunks(std::string_view value) {
-  std::string lower(value);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return lower.find("chunked") != std::string::npos;
+// Whether a field with this name has a value that contains `token`, which is
+// in lower case.
+bool FieldContains(const HttpHeaders& headers, std::string_view name,
+                   std::string_view token) {
+  for (const HttpHeader& field : headers.fields()) {
+    if (!EqualFieldNames(field.name, name)) {
+      continue;
+    }
+    std::string lower(field.value);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    if (lower.find(token) != std::string::npos) {
+      return true;
+    }
+  }
+  return false;
 }
 
 bool IsLength(std::string_view value) {
@@ -92,16 +102,17 @@
     return BodyFraming::kLength;
   }
   // Chunks take precedence over a length, wherever the fields stand.
-  for (const HttpHeader& field : headers_.fields()) {
-    if (EqualFieldNames(field.name, "Transfer-Encoding") &&
-        NamesChunks(field.value)) {
-      return BodyFraming::kChunked;
-    }
+  if (FieldContains(headers_, "Transfer-Encoding", "chunked")) {
+    return BodyFraming::kChunked;
   }
   return IsLength(headers_.Get("Content-Length")) ? BodyFraming::kLength
                                                   : BodyFraming::kUntilClose;
 }
 
+bool ResponseHead::keeps_connection() const {
+  return !is_http_1_0_ && !FieldContains(headers_, "Connection", "close");
+}
+
 ResponseHead::Progress ResponseHead::Feed(std::string_view line) {
   bytes_ += line.size();
   if (bytes_ > kMaxBytes) {
@@ -132,6 +143,7 @@
       ContainsStatusLine(line, 1)) {
     return Progress::kMalformed;
   }
+  is_http_1_0_ = line[kVersions.size()] == '0';
   status_ = 0;
   for (char c : line.substr(kVersionEnd + 1, kStatusEnd - kVersionEnd - 1)) {
     status_ = status_ * 10 + (c - '0');
