Say why a response was not passed on

Lines of attempts with `end=3` (invalid response) did not tell a response to another request from one that can't be read, is unsigned or holds no series of events.

Change: each response that isn't passed on has one fault. The line of the attempt names it (`fault=`), and the metrics page counts them (`responses_refused_total`). What is passed on is as before.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -17,6 +17,7 @@
 #include "serving/permit_issuer.h"
 #include "serving/rate_limiter.h"
 #include "serving/request.h"
+#include "serving/response_fault.h"
 #include "serving/upstream_chooser.h"
 #include "transport/http_call.h"
 #include "transport/timer.h"
@@ -167,6 +168,9 @@
   bool HasTooManyEvents() const;
   void OnCallDone(CallOutcome outcome);
   AttemptOutcome ClassifyOutcome(const CallOutcome& outcome) const;
+  ResponseFault FaultOfHead(const ResponseStart& start) const;
+  // Sets `response_fault_` to what the end of the call shows.
+  void RecordFault(AttemptOutcome end, const CallOutcome& outcome);
   void OnCompleteResponse(const CallOutcome& outcome, bool failed);
   void HandleFailedAttempt(AttemptOutcome end, CallOutcome* outcome);
   void EndAttempt(bool failed);
@@ -232,6 +236,8 @@
   ResponseInfo response_info_;
   // It names this request, or none on a connection without an earlier call.
   bool response_matches_ = false;
+  // Why the response is not passed on, as far as it has arrived.
+  ResponseFault response_fault_ = ResponseFault::kNone;
 
   UpstreamId last_upstream_;  // Upstream of the last attempt, for the log.
   // Upstreams that failed or rejected the request, adapter misses excluded.
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -1,6 +1,7 @@
 // State shared by all requests of an instance.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -14,6 +15,7 @@
 #include "serving/part_crash_tracker.h"
 #include "serving/permit_wait_estimate.h"
 #include "serving/residency_view.h"
+#include "serving/response_fault.h"
 #include "serving/retry_budget.h"
 #include "serving/upstream_registry.h"
 
@@ -32,6 +34,8 @@
   uint64_t prefill_waits = 0;     // Prefill requests that were renewed.
   uint64_t adapter_misses = 0;    // Attempts at engines without the adapter.
   uint64_t part_quarantined = 0;  // Ended for a quarantined prompt part.
+  // Responses of upstreams that were not passed on, by the fault.
+  std::array<uint64_t, kResponseFaultCount> response_faults{};
 };
 
 // Must be used on the event loop's thread only.
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -28,6 +28,11 @@
   add("prompt_part_quarantined_total", counters.part_quarantined);
   add("prompt_parts_quarantined",
       state.part_crash_tracker.Quarantined().size());
+  for (size_t i = 1; i < counters.response_faults.size(); ++i) {
+    text += fmt::format(
+        "bilberrypitch_responses_refused_total{{fault=\"{}\"}} {}\n",
+        NameOf(static_cast<ResponseFault>(i)), counters.response_faults[i]);
+  }
   add("orders_total", metrics.orders);
   add("reports_total", metrics.reports);
   add("upstream_connections_total", metrics.upstream_connections);
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -122,6 +122,7 @@
   response_is_framed_ = false;
   response_info_ = ResponseInfo();
   response_matches_ = false;
+  response_fault_ = ResponseFault::kNone;
   if (attempts_ > 0) {
     ++state_->counters.retries;
   }
@@ -149,9 +150,9 @@
 bool RequestHandler::OnHeaders(const ResponseStart& start) {
   response_info_ =
       deps_->codec->DecodeResponse(request_, start.status, start.headers);
-  response_matches_ =
-      response_info_.names_request ||
-      (!response_info_.names_other_request && !start.reused_connection);
+  response_fault_ = FaultOfHead(start);
+  response_matches_ = response_fault_ == ResponseFault::kNone ||
+                      response_fault_ == ResponseFault::kUnsigned;
   if (!response_matches_) {
     return false;
   }
@@ -166,13 +167,25 @@
       upstream->idle_timeout_s = response_info_.idle_timeout_s;
     }
   }
-  response_is_framed_ = !start.headers.Get("Content-Length").empty() ||
-                        !start.headers.Get("Transfer-Encoding").empty();
+  response_is_framed_ = start.framing != BodyFraming::kUntilClose;
   response_is_stream_ =
       IsStream() && start.status < 300 && response_info_.has_signature;
   return start.status >= 300 || response_info_.has_signature;
 }
 
+ResponseFault RequestHandler::FaultOfHead(const ResponseStart& start) const {
+  if (response_info_.names_other_request) {
+    return ResponseFault::kOtherRequest;
+  }
+  if (!response_info_.names_request && start.reused_connection) {
+    return ResponseFault::kNamesNone;
+  }
+  bool needs_signature = !response_info_.not_run;
+  return needs_signature && !response_info_.has_signature
+             ? ResponseFault::kUnsigned
+             : ResponseFault::kNone;
+}
+
 void RequestHandler::OnRateLimit(UpstreamState* upstream) {
   const std::optional<double>& limit = response_info_.rate_limit_per_s;
   if (state_->upstreams.OnRateLimit(upstream, limit, sent_at_,
@@ -193,7 +206,12 @@
   if (responder_->unwritten_bytes() > kMaxUnwrittenBytes) {
     PauseCall();
   }
-  return !event_splitter_.malformed() && !HasTooManyEvents();
+  if (event_splitter_.malformed()) {
+    response_fault_ = ResponseFault::kMalformedEvents;
+  } else if (HasTooManyEvents()) {
+    response_fault_ = ResponseFault::kTooManyEvents;
+  }
+  return response_fault_ == ResponseFault::kNone;
 }
 
 // Each event of a response to a request with token counts holds a token.
@@ -303,9 +321,24 @@
     return;
   }
   AttemptOutcome end = ClassifyOutcome(outcome);
+  RecordFault(end, outcome);
   HandleFailedAttempt(end, &outcome);
 }
 
+void RequestHandler::RecordFault(AttemptOutcome end,
+                                 const CallOutcome& outcome) {
+  if (end != AttemptOutcome::kInvalidResponse) {
+    response_fault_ = ResponseFault::kNone;
+    return;
+  }
+  if (outcome.result == CallResult::kMalformedResponse) {
+    response_fault_ = ResponseFault::kMalformed;
+  } else if (outcome.result == CallResult::kResponseTooLarge) {
+    response_fault_ = ResponseFault::kTooLarge;
+  }
+  ++state_->counters.response_faults[static_cast<size_t>(response_fault_)];
+}
+
 void RequestHandler::OnCompleteResponse(const CallOutcome& outcome,
                                         bool failed) {
   EndAttempt(failed);
@@ -405,11 +438,12 @@
   AttemptDecision decision = DecideNextStep(attempt);
   LogInfo("request",
           "Attempt id={} send={} upstream={} end={} status={} "
-          "ms={} next={} begun={} reused={} parts={}.",
+          "ms={} next={} begun={} reused={} parts={} fault={}.",
           request_.id.str(), attempts_, upstream.str(), static_cast<int>(end),
           outcome->status, (EventLoop::Now() - sent_at_).count(),
           static_cast<int>(decision.step), first_event_seen_ ? 1 : 0,
-          outcome->reused_connection ? 1 : 0, PartsText(shared_parts_));
+          outcome->reused_connection ? 1 : 0, PartsText(shared_parts_),
+          NameOf(response_fault_));
   bool retry =
       decision.step == NextStep::kRetry || decision.step == NextStep::kResume;
   if (retry && (end == AttemptOutcome::kNotSent ||
--- /dev/null
+++ b/libs/serving/include/serving/response_fault.h
@@ -0,0 +1,28 @@
+// Why the bytes that an upstream sent in response to a request are not passed
+// on as its answer.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace bilberrypitch {
+
+enum class ResponseFault : uint8_t {
+  kNone,
+  kOtherRequest,     // It names another request.
+  kNamesNone,        // It names none, on a connection that was used before.
+  kUnsigned,         // A success, or an error to pass on, without signature.
+  kMalformed,        // The head or the framing can't be read.
+  kTooLarge,         // It exceeds the limit of a response.
+  kMalformedEvents,  // The body is no series of events.
+  kTooManyEvents,    // More than the request may produce.
+};
+
+inline constexpr size_t kResponseFaultCount =
+    static_cast<size_t>(ResponseFault::kTooManyEvents) + 1;
+
+// Returns the name in log lines and metrics; "none" for kNone.
+std::string_view NameOf(ResponseFault fault);
+
+}  // namespace bilberrypitch
--- /dev/null
+++ b/libs/serving/src/response_fault.cc
@@ -0,0 +1,28 @@
+// Names of the reasons for which responses are refused.
+#include "serving/response_fault.h"
+
+namespace bilberrypitch {
+
+std::string_view NameOf(ResponseFault fault) {
+  switch (fault) {
+    case ResponseFault::kNone:
+      return "none";
+    case ResponseFault::kOtherRequest:
+      return "other_request";
+    case ResponseFault::kNamesNone:
+      return "names_none";
+    case ResponseFault::kUnsigned:
+      return "unsigned";
+    case ResponseFault::kMalformed:
+      return "malformed";
+    case ResponseFault::kTooLarge:
+      return "too_large";
+    case ResponseFault::kMalformedEvents:
+      return "malformed_events";
+    case ResponseFault::kTooManyEvents:
+      return "too_many_events";
+  }
+  return "unknown";
+}
+
+}  // namespace bilberrypitch
