Keep requests from being passed on that the end of a stop would cut

With any grace, a request that waited for an upstream was passed on just before the end, and requests after 2.6 s were rejected even if they would have ended in time.

Cause: what may be passed on was decided once, on arrival, by a fixed time that doesn't depend on the grace. Ruled out: requests that are rejected and run nevertheless (no 503 had a run).

Change: ShutdownSchedule (no I/O, no clock) decides at arrival, before each attempt and while a request waits. A request whose deadline lies before the end is served at any time. Others are served only if they arrived while the balancer still sent connections and the time left holds the latency target of the route, three times that where a cut request is lost. The rest gets 503 at once. Nothing is passed on once the open requests were ended. The moment of the end depends on the grace: in the last eighth, 0.7 s before the end with 8 s as before.

--- a/libs/gateway/include/gateway/caller_frontend.h
+++ b/libs/gateway/include/gateway/caller_frontend.h
@@ -35,9 +35,10 @@
   void OnRequestEnded(uint64_t connection_id);
   std::vector<std::shared_ptr<RequestHandler>> open_requests() const;
 
-  // Accepts requests until the load balancer has removed this instance and
-  // rejects them afterwards. Ends the requests that are still open before the
-  // platform would kill the process, and then calls `done`.
+  // Rejects requests that can't be served before the process ends, waits at
+  // least until the load balancer has removed this instance, ends the requests
+  // that are still open before the platform would kill the process, and then
+  // calls `done`.
   void StartShutdown(std::function<void()> done);
 
  private:
@@ -53,7 +54,7 @@
   // By connection id. A connection can carry several requests.
   std::unordered_multimap<uint64_t, std::shared_ptr<RequestHandler>> handlers_;
   Timer shutdown_timer_;
-  Millis shutdown_started_at_;
+  bool is_closing_ = false;  // All requests are rejected from now on.
   std::function<void()> on_shutdown_done_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
 };
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -121,6 +121,9 @@
   void OnAdapterLoading(const UpstreamId& engine, const ModelRef& target);
   // The engine has no free slot for the adapter.
   void OnEngineFull(const UpstreamId& engine, const ModelRef& target);
+  // Ends the request if it waits to be sent and the instance stops before it
+  // could be served. Returns whether the request was ended.
+  bool EndIfTooLateToSend();
   // The process is about to exit: ends the request with an error.
   void OnShutdown();
   bool finished() const { return finished_; }
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -17,6 +17,7 @@
 #include "serving/residency_view.h"
 #include "serving/response_fault.h"
 #include "serving/retry_budget.h"
+#include "serving/shutdown_schedule.h"
 #include "serving/upstream_registry.h"
 
 namespace bilberrypitch {
@@ -43,6 +44,7 @@
   explicit ServingState(const InstanceSettings& instance_settings,
                         UpstreamRegistry::Hooks hooks)
       : settings(instance_settings),
+        shutdown(instance_settings.bounds.shutdown_grace),
         freshness(instance_settings.bounds.strict_revocation
                       ? instance_settings.bounds.key_revocation
                       : Millis(0)),
@@ -56,6 +58,7 @@
   }
 
   const InstanceSettings settings;
+  ShutdownSchedule shutdown;
   std::shared_ptr<const ActiveConfig> config;  // Null: none received yet.
   Freshness freshness;
   UpstreamRegistry upstreams;
--- a/libs/gateway/src/caller_frontend.cc
+++ b/libs/gateway/src/caller_frontend.cc
@@ -1,6 +1,7 @@
 // Connections and requests of callers, and their shutdown.
 #include "gateway/caller_frontend.h"
 
+#include <algorithm>
 #include <optional>
 
 #include "base/log.h"
@@ -13,11 +14,6 @@
 namespace bilberrypitch {
 namespace {
 
-// The load balancer checks readiness once a second and removes an instance
-// after two failed checks.
-constexpr Millis kBalancerRemovalDelay{2600};
-// Open requests are ended this long before the platform kills the process.
-constexpr Millis kShutdownMargin{700};
 constexpr Millis kShutdownPollInterval{50};
 // Time for the last responses to be sent.
 constexpr Millis kFlushDelay{150};
@@ -71,10 +67,7 @@
   uint64_t connection_id = request.connection_id;
   RequestId id = deps.codec->RequestIdOf(request);
   Error error;
-  if (state_->stopping &&
-      EventLoop::Now() - shutdown_started_at_ > kBalancerRemovalDelay) {
-    // The caller still uses an old connection; it should connect to another
-    // instance.
+  if (is_closing_) {
     error = {ErrorKind::kStopping, "This instance is stopping.", NotRun::kTrue};
     Reject(*deps.codec, error, id, kStoppingRetryAfter, responder.get());
     return;
@@ -137,22 +130,27 @@
 }
 
 void CallerFrontend::StartShutdown(std::function<void()> done) {
-  shutdown_started_at_ = EventLoop::Now();
+  state_->shutdown.Start(EventLoop::Now());
   on_shutdown_done_ = std::move(done);
   LogInfo("gateway", "Stopping with {} open requests.", handlers_.size());
   CheckShutdown();
 }
 
 void CallerFrontend::CheckShutdown() {
-  Millis elapsed = EventLoop::Now() - shutdown_started_at_;
-  Millis time_limit = state_->settings.bounds.shutdown_grace - kShutdownMargin;
-  bool done = elapsed >= kBalancerRemovalDelay && handlers_.empty();
-  if (!done && elapsed < time_limit) {
-    shutdown_timer_.Start(kShutdownPollInterval, [this] { CheckShutdown(); });
+  Millis now = EventLoop::Now();
+  for (const auto& handler : open_requests()) {
+    handler->EndIfTooLateToSend();
+  }
+  bool done = state_->shutdown.IsOutOfRotation(now) && handlers_.empty();
+  Millis left = state_->shutdown.requests_end_at() - now;
+  if (!done && left > Millis(0)) {
+    shutdown_timer_.Start(std::min(left, kShutdownPollInterval),
+                          [this] { CheckShutdown(); });
     return;
   }
-  LogInfo("gateway", "Stopped after {} ms with {} open requests.",
-          elapsed.count(), handlers_.size());
+  is_closing_ = true;
+  LogInfo("gateway", "Stops {} ms before its requests have to end, {} open.",
+          std::max(Millis(0), left).count(), handlers_.size());
   for (const auto& handler : open_requests()) {
     handler->OnShutdown();
   }
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -27,6 +27,7 @@
 // Retry-After times for callers.
 constexpr Millis kRejectionRetryAfter{400};
 constexpr Millis kSuspectRetryAfter{1000};
+constexpr Millis kStoppingRetryAfter{50};
 
 }  // namespace
 
@@ -83,6 +84,9 @@
   service_ = PickService(*route_, StableHash(request_.id.str()));
   deadline_ = arrived_at_ + std::min(request_.timeout.value_or(kDefaultTimeout),
                                      route_->timeout);
+  if (EndIfTooLateToSend()) {
+    return false;
+  }
   WorkspaceId id = workspace_ != nullptr ? workspace_->id : WorkspaceId();
   fingerprint_ =
       RequestFingerprint(request_.method, request_.target, id, request_.body);
@@ -198,7 +202,8 @@
 // again before its first attempt; after it, only the key is looked up there.
 // Ends the request and returns false if it may not run.
 bool RequestHandler::Revalidate() {
-  if (RejectIfQuarantined() || RejectIfPartQuarantined()) {
+  if (EndIfTooLateToSend() || RejectIfQuarantined() ||
+      RejectIfPartQuarantined()) {
     return false;
   }
   Millis now = EventLoop::Now();
@@ -291,6 +296,20 @@
         "The time for the request is over.");
 }
 
+bool RequestHandler::EndIfTooLateToSend() {
+  bool waits = !finished_ && call_id_ == 0 && !response_started_;
+  if (!waits || state_->shutdown.MaySend(*route_, arrived_at_, deadline_,
+                                         EventLoop::Now())) {
+    return false;
+  }
+  if (may_have_run_) {
+    Fail({ErrorKind::kOutcomeUnknown, "The instance stops.", NotRun::kUnknown});
+  } else {
+    Reject(ErrorKind::kStopping, "The instance stops.", kStoppingRetryAfter);
+  }
+  return true;
+}
+
 void RequestHandler::OnShutdown() {
   Abort(ErrorKind::kOutcomeUnknown, ErrorKind::kStopping,
         "The instance stops.");
--- /dev/null
+++ b/libs/gateway/test/planned_stop_test.cc
@@ -0,0 +1,97 @@
+// Tests of an instance that stops while callers go on to use it.
+#include <catch2/catch.hpp>
+
+#include "stop_fixture.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr Millis kLongDeadline{30 * 1000};
+// Of the upstream, for a request that it doesn't end while the instance stops.
+constexpr const char* kEndlessWork = "20000";
+
+}  // namespace
+
+// Guards against: requests that come late are passed on and then cut, without
+// an answer or with one that leaves open whether they ran (LOST).
+TEST_CASE("requests during a stop end whole or are rejected unrun", "[stop]") {
+  constexpr Millis kLatencyTarget{500};
+  constexpr Millis kSendInterval{25};
+  // The last takes less than three times the target of the route.
+  const std::vector<std::string> paths = {"/once/30", "/once/400",
+                                          "/once/1200"};
+  StopFixture fixture(Millis(3000), kLatencyTarget);
+  auto instance = fixture.StartInstance();
+  Millis next_at = EventLoop::Now();
+  size_t count = 0;
+  fixture.Send(instance->address(), "/once/0", kLongDeadline);
+  fixture.WaitUntilAllEnded();
+  fixture.Stop(instance.get());
+  fixture.WaitUntil([&] {
+    if (EventLoop::Now() >= next_at) {
+      next_at = next_at + kSendInterval;
+      const std::string& path = paths[count % paths.size()];
+      bool new_connection = count % 2 == 0;
+      fixture.Send(instance->address(), path, kLongDeadline, new_connection);
+      ++count;
+    }
+    return instance->gone();
+  });
+  fixture.WaitUntilAllEnded();
+  for (const StopCall& call : fixture.calls()) {
+    const Millis sent_at = call.sent_at - fixture.stop_started_at();
+    const size_t runs = fixture.RunsOf(call.id).size();
+    CAPTURE(call.path, sent_at.count(), runs, call.outcome->status);
+    REQUIRE((runs == 0 || call.answered_whole()));
+    REQUIRE((runs <= 1 && !(call.rejected() && runs > 0)));
+  }
+}
+
+// Guards against: a request that waits for an upstream is passed on just before
+// the process ends.
+TEST_CASE("a request that can't be served before the end stops waiting",
+          "[stop]") {
+  constexpr Millis kRejectedWithin{1000};
+  constexpr Millis kUpstreamStartsAt{3000};
+  StopFixture fixture(Millis(4000), Millis(4000));
+  auto instance = fixture.StartInstance(/*with_upstream=*/false);
+  const std::string path = std::string("/once/") + kEndlessWork;
+  StopCall* call = fixture.Send(instance->address(), path, kLongDeadline);
+  fixture.WaitFor(Millis(100));
+  fixture.Stop(instance.get());
+  fixture.WaitUntilElapsed(kUpstreamStartsAt);
+  instance->ChangeStore([text = fixture.UpstreamText()](FakeStore* store) {
+    store->Put("servers/i-1", text);
+  });
+  fixture.WaitUntilAllEnded();
+  REQUIRE(call->rejected());
+  REQUIRE(fixture.RunsOf(call->id).empty());
+  REQUIRE(call->ended_at - fixture.stop_started_at() < kRejectedWithin);
+}
+
+// Guards against: callers that still reach the instance are sent away although
+// it can serve them in time.
+TEST_CASE("requests whose deadline is before the end are served", "[stop]") {
+  StopFixture fixture(Millis(4500), Millis(500));
+  auto instance = fixture.StartInstance();
+  const std::string path = std::string("/once/") + kEndlessWork;
+  StopCall* open = fixture.Send(instance->address(), path, kLongDeadline);
+  StopCall* kept =
+      fixture.Send(instance->address(), "/once/2800", kLongDeadline);
+  fixture.WaitFor(Millis(100));
+  fixture.Stop(instance.get());
+  fixture.WaitUntilElapsed(Millis(3000));
+  for (const char* late : {"/once/30", "/read/30", "/stream/30"}) {
+    CAPTURE(late);
+    StopCall* call = fixture.Send(instance->address(), late, Millis(500));
+    StopCall* unserved = fixture.Send(instance->address(), late, kLongDeadline);
+    fixture.WaitUntil([&] { return call->outcome && unserved->outcome; });
+    REQUIRE(call->answered_whole());
+    REQUIRE(unserved->rejected());
+  }
+  fixture.WaitUntilAllEnded();
+  REQUIRE(kept->answered_whole());
+  REQUIRE(open->outcome->status == 502);
+}
+
+}  // namespace bilberrypitch
