--- a/libs/gateway/include/gateway/freshness_service.h
+++ b/libs/gateway/include/gateway/freshness_service.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 
 #include "serving/ids.h"
+#include "serving/store_revision.h"
 #include "transport/http_message.h"
 #include "transport/timer.h"
 
@@ -37,7 +38,7 @@
                    Millis query_from_age);
 
   // A configuration record of this store revision was seen.
-  void OnConfigRevision(int64_t revision);
+  void OnConfigRevision(StoreRevision revision);
 
   // The sender need not be a member: its record may have expired.
   void OnQuery(const schema::FreshnessQuestion& query);
@@ -58,9 +59,9 @@
   StoreSync* const sync_;
   Freshness* const freshness_;
   const Millis query_from_age_;
-  int64_t config_revision_ = 0;  // 0 while none is known.
+  StoreRevision config_revision_;  // Default: none is known.
   // Highest store revision of an applied peer state.
-  int64_t peer_revision_ = 0;
+  StoreRevision peer_revision_;
   uint64_t query_nonce_ = 0;  // Of the last query.
   Millis query_sent_at_;
   Millis next_fetch_at_;
--- a/libs/gateway/include/gateway/known_items.h
+++ b/libs/gateway/include/gateway/known_items.h
@@ -1,6 +1,7 @@
 // Store records in messages between instances.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -12,6 +13,11 @@
 class KnownItem;
 }  // namespace schema
 
+// A revision in a message is one integer, the era above the number, so that
+// integers compare as revisions do. Without an era it is the number.
+int64_t EncodeRevision(StoreRevision revision);
+StoreRevision DecodeRevision(int64_t encoded);
+
 void EncodeItem(const StoreItem& item, schema::KnownItem* encoded);
 StoreItem DecodeItem(const schema::KnownItem& encoded);
 
--- a/libs/gateway/include/gateway/membership.h
+++ b/libs/gateway/include/gateway/membership.h
@@ -52,7 +52,8 @@
   // Start and end of a full read of the store. `keys` are all keys that were
   // found at `revision` or later.
   void OnFullReadStarted();
-  void OnFullReadCompleted(const std::set<std::string>& keys, int64_t revision);
+  void OnFullReadCompleted(const std::set<std::string>& keys,
+                           StoreRevision revision);
 
   Ownership* ownership() { return &ownership_; }
   LeaseManager* lease_manager() { return &lease_manager_; }
--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -42,7 +42,7 @@
     CallerFrontend* callers = nullptr;
     StoreRecordDecoder decode_record;
     // A configuration of this store revision was seen.
-    std::function<void(int64_t revision)> on_config_revision;
+    std::function<void(StoreRevision revision)> on_config_revision;
   };
 
   RecordApplier(EventLoop* loop, Deps deps);
@@ -53,7 +53,7 @@
   // instance uses.
   bool Apply(const StoreItem& item, Millis return_deadline);
   // All records were applied that exist at `revision`: removes the others.
-  void OnFullRead(const std::vector<StoreItem>& items, int64_t revision,
+  void OnFullRead(const std::vector<StoreItem>& items, StoreRevision revision,
                   Millis return_deadline);
 
   // An upstream is new or restarted.
@@ -70,7 +70,7 @@
   // Whether the record states nothing new about the upstream.
   bool IsHeartbeat(const UpstreamRecord& record);
   void OnHeartbeat(const UpstreamRecord& record, Millis now);
-  void OnConfigRecord(ServingConfig config, int64_t revision);
+  void OnConfigRecord(ServingConfig config, StoreRevision revision);
   void ApplyRateLimits();
   void OnUpstreamRecord(const UpstreamRecord& record, Millis now,
                         Millis return_deadline);
--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -41,8 +41,8 @@
     std::function<void()> on_full_read_started;
     // A full read ended. Keys that are not among `all` did not exist at
     // `revision`.
-    std::function<void(const std::vector<StoreItem>& all, int64_t revision,
-                       Millis return_deadline)>
+    std::function<void(const std::vector<StoreItem>& all,
+                       StoreRevision revision, Millis return_deadline)>
         on_full_read_completed;
     // This instance's view of the store was up to date at `at`.
     std::function<void(Millis at)> on_confirmed;
@@ -80,8 +80,8 @@
                       Millis sent_at);
   void OnStoreFailure(const char* activity);
   void ApplyItems(const std::vector<StoreItem>& items, Millis return_deadline);
-  void ApplyAllItems(const std::vector<StoreItem>& items, int64_t revision,
-                     Millis return_deadline);
+  void ApplyAllItems(const std::vector<StoreItem>& items,
+                     StoreRevision revision, Millis return_deadline);
   // Logs that the store responds again, after `was_unavailable`.
   void LogRecovery(bool was_unavailable) const;
 
@@ -95,7 +95,7 @@
   // The pages of a read in progress.
   StoreCallKind read_kind_ = StoreCallKind::kReadAll;
   std::vector<StoreItem> read_items_;
-  int64_t read_revision_ = 0;
+  StoreRevision read_revision_;
   Millis read_sent_at_;
   MachineId current_reader_;  // For the log; empty: the store.
 };
--- a/libs/gateway/src/freshness_service.cc
+++ b/libs/gateway/src/freshness_service.cc
@@ -38,7 +38,7 @@
   CheckAge();
 }
 
-void FreshnessService::OnConfigRevision(int64_t revision) {
+void FreshnessService::OnConfigRevision(StoreRevision revision) {
   config_revision_ = std::max(config_revision_, revision);
 }
 
@@ -73,15 +73,15 @@
 }
 
 void FreshnessService::OnQuery(const schema::FreshnessQuestion& query) {
-  if (!freshness_->ever_confirmed() || config_revision_ == 0) {
+  if (!freshness_->ever_confirmed() || config_revision_ == StoreRevision()) {
     return;
   }
   schema::PeerItem item;
   auto* response = item.mutable_answer();
   response->set_nonce(query.nonce());
   response->set_age_ms(freshness_->Age(EventLoop::Now()).count());
-  response->set_config_revision(config_revision_);
-  response->set_store_revision(sync_->follower()->revision());
+  response->set_config_revision(EncodeRevision(config_revision_));
+  response->set_store_revision(EncodeRevision(sync_->follower()->revision()));
   peers_->SendToAddress(query.address(), std::move(item));
 }
 
@@ -91,13 +91,16 @@
     return;  // Responds to an earlier query, whose send time is not kept.
   }
   Millis now = EventLoop::Now();
-  if (config_revision_ != 0 && response.config_revision() == config_revision_) {
+  StoreRevision config_revision = DecodeRevision(response.config_revision());
+  StoreRevision store_revision = DecodeRevision(response.store_revision());
+  if (config_revision_ != StoreRevision() &&
+      config_revision == config_revision_) {
     freshness_->OnConfirmed(query_sent_at_ - Millis(response.age_ms()));
   }
-  int64_t known_revision =
+  StoreRevision known_revision =
       std::max(sync_->follower()->revision(), peer_revision_);
-  bool newer = response.config_revision() > config_revision_ ||
-               response.store_revision() > known_revision;
+  bool newer =
+      config_revision > config_revision_ || store_revision > known_revision;
   if (newer && now >= next_fetch_at_) {
     next_fetch_at_ = now + kFetchPeriod;
     FetchState(from);
@@ -136,20 +139,21 @@
   if (!sync_->follower()->unavailable() && sync_->follower()->has_synced()) {
     return;  // The store itself has responded in the meantime.
   }
-  LogInfo("peer", "Took the state up to revision={} from a peer.",
-          state.store_revision());
+  StoreRevision store_revision = DecodeRevision(state.store_revision());
+  LogInfo("peer", "Took the state up to era={} revision={} from a peer.",
+          store_revision.era, store_revision.number);
   for (const schema::KnownItem& known : state.items()) {
     sync_->ApplyForeignItem(DecodeItem(known));
   }
-  peer_revision_ = std::max(peer_revision_, state.store_revision());
-  if (state.config_revision() == config_revision_) {
+  peer_revision_ = std::max(peer_revision_, store_revision);
+  if (DecodeRevision(state.config_revision()) == config_revision_) {
     freshness_->OnConfirmed(requested_at - Millis(state.age_ms()));
   }
 }
 
 HttpResponse FreshnessService::OnStateRequest(const HttpRequest& request) {
   HttpResponse response;
-  if (request.path != kStatePath || config_revision_ == 0) {
+  if (request.path != kStatePath || config_revision_ == StoreRevision()) {
     response.status = kServiceUnavailableStatus;
     return response;
   }
@@ -160,8 +164,8 @@
     }
   }
   state.set_store_revision(
-      std::max(sync_->follower()->revision(), peer_revision_));
-  state.set_config_revision(config_revision_);
+      EncodeRevision(std::max(sync_->follower()->revision(), peer_revision_)));
+  state.set_config_revision(EncodeRevision(config_revision_));
   state.set_age_ms(freshness_->Age(EventLoop::Now()).count());
   response.body = state.SerializeAsString();
   return response;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -164,7 +164,7 @@
     };
     hooks.on_full_read_started = [this] { membership_.OnFullReadStarted(); };
     hooks.on_full_read_completed = [this](const std::vector<StoreItem>& items,
-                                          int64_t revision,
+                                          StoreRevision revision,
                                           Millis return_deadline) {
       records_.OnFullRead(items, revision, return_deadline);
     };
@@ -191,7 +191,7 @@
     deps.rate_limits = &rate_limits_;
     deps.callers = &callers_;
     deps.decode_record = gateway_deps_.decode_record;
-    deps.on_config_revision = [this](int64_t revision) {
+    deps.on_config_revision = [this](StoreRevision revision) {
       freshness_service_->OnConfigRevision(revision);
     };
     return deps;
--- a/libs/gateway/src/known_items.cc
+++ b/libs/gateway/src/known_items.cc
@@ -1,14 +1,33 @@
 // Conversion between store records and protobuf messages.
 #include "gateway/known_items.h"
 
+#include <algorithm>
+
 #include "schema/cluster.pb.h"
 
 namespace bilberrypitch {
+namespace {
+
+constexpr int kWireNumberBits = 48;
+constexpr int64_t kMaxWireNumber = (int64_t{1} << kWireNumberBits) - 1;
+constexpr int64_t kMaxWireEra = (int64_t{1} << (63 - kWireNumberBits)) - 1;
+
+}  // namespace
+
+int64_t EncodeRevision(StoreRevision revision) {
+  int64_t era = std::clamp<int64_t>(revision.era, 0, kMaxWireEra);
+  int64_t number = std::clamp<int64_t>(revision.number, 0, kMaxWireNumber);
+  return (era << kWireNumberBits) | number;
+}
+
+StoreRevision DecodeRevision(int64_t encoded) {
+  return {encoded >> kWireNumberBits, encoded & kMaxWireNumber};
+}
 
 void EncodeItem(const StoreItem& item, schema::KnownItem* encoded) {
   encoded->set_key(item.key);
   encoded->set_value(item.value);
-  encoded->set_revision(item.revision);
+  encoded->set_revision(EncodeRevision(item.revision));
   encoded->set_lease(item.lease);
   encoded->set_deleted(item.deleted);
 }
@@ -17,7 +36,7 @@
   StoreItem item;
   item.key = encoded.key();
   item.value = encoded.value();
-  item.revision = encoded.revision();
+  item.revision = DecodeRevision(encoded.revision());
   item.lease = encoded.lease();
   item.deleted = encoded.deleted();
   return item;
@@ -28,7 +47,7 @@
   for (const StoreItem& item : changes.items) {
     EncodeItem(item, encoded.add_items());
   }
-  encoded.set_revision(changes.revision);
+  encoded.set_revision(EncodeRevision(changes.revision));
   encoded.set_confirmed_after_arrival_ms(
       changes.confirmed_after_arrival.count());
   encoded.set_complete(changes.complete);
@@ -45,7 +64,7 @@
   for (const schema::KnownItem& item : encoded.items()) {
     changes.items.push_back(DecodeItem(item));
   }
-  changes.revision = encoded.revision();
+  changes.revision = DecodeRevision(encoded.revision());
   changes.confirmed_after_arrival =
       Millis(encoded.confirmed_after_arrival_ms());
   changes.complete = encoded.complete();
--- a/libs/gateway/src/membership.cc
+++ b/libs/gateway/src/membership.cc
@@ -140,7 +140,7 @@
 void Membership::OnFullReadStarted() { ownership_.OnFullReadStarted(); }
 
 void Membership::OnFullReadCompleted(const std::set<std::string>& keys,
-                                     int64_t revision) {
+                                     StoreRevision revision) {
   std::vector<MachineId> missing;
   for (const auto& [machine, member] : peers_->peers()) {
     if (keys.count(MemberKey(member)) == 0) {
--- a/libs/gateway/src/part_crash_service.cc
+++ b/libs/gateway/src/part_crash_service.cc
@@ -202,7 +202,7 @@
   }
   StoreTransaction transaction;
   std::string key = QuarantinedPartKey(part);
-  transaction.conditions.push_back({key, 0});
+  transaction.conditions.push_back({key, StoreRevision()});
   transaction.writes.push_back({key, EncodeQuarantinedPart(self_), lease});
   store_->Commit(std::move(transaction),
                  [this, part, lease](const StoreCommitResult& result) {
--- a/libs/gateway/src/reader_client.cc
+++ b/libs/gateway/src/reader_client.cc
@@ -41,8 +41,9 @@
                          std::function<void(Result)> done) {
   HttpCall query;
   query.address = address;
-  query.target = fmt::format("{}?after={}&hold_ms={}", kChangesPath,
-                             call.revision, call.timeout.count());
+  query.target = fmt::format("{}?after={}&era={}&hold_ms={}", kChangesPath,
+                             call.revision.number, call.revision.era,
+                             call.timeout.count());
   query.timeouts.connect = kResponseTime;
   query.timeouts.first_byte = call.timeout + kResponseTime;
   query.timeouts.idle = kResponseTime;
--- a/libs/gateway/src/reader_service.cc
+++ b/libs/gateway/src/reader_service.cc
@@ -55,6 +55,7 @@
 void ReaderService::OnQuery(const HttpRequest& request,
                             std::shared_ptr<Responder> responder) {
   std::optional<int64_t> after = GetNumber(request.query, "after");
+  int64_t era = GetNumber(request.query, "era").value_or(0);
   std::optional<int64_t> hold_ms = GetNumber(request.query, "hold_ms");
   if (!after || !hold_ms) {
     Reject(responder.get(), kBadRequestStatus);
@@ -68,7 +69,8 @@
   follower_->OnQueried(now);
   uint64_t id = ++last_query_id_;
   responders_[id] = std::move(responder);
-  queries_.Add(id, *after, Millis(std::min(*hold_ms, kMaxHoldMs)), now);
+  queries_.Add(id, StoreRevision(era, *after),
+               Millis(std::min(*hold_ms, kMaxHoldMs)), now);
   SendDueResponses();
 }
 
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -55,14 +55,15 @@
   deps_.state->residency.SetBaseModels(record.id, record.entry->models);
 }
 
-void RecordApplier::OnConfigRecord(ServingConfig config, int64_t revision) {
+void RecordApplier::OnConfigRecord(ServingConfig config,
+                                   StoreRevision revision) {
   deps_.on_config_revision(revision);
   if (deps_.state->config != nullptr &&
       config.version <= deps_.state->config->version()) {
     return;  // An older version never takes effect again.
   }
-  LogInfo("config", "Version {} in force, revision={}, routes={}.",
-          config.version, revision, config.routes.size());
+  LogInfo("config", "Version {} in force, era={} revision={}, routes={}.",
+          config.version, revision.era, revision.number, config.routes.size());
   deps_.state->config = std::make_shared<const ActiveConfig>(std::move(config));
   const CallerLimits& limits = deps_.state->config->config().limits;
   deps_.callers->SetLimits(limits);
@@ -165,7 +166,7 @@
 }
 
 void RecordApplier::OnFullRead(const std::vector<StoreItem>& items,
-                               int64_t revision, Millis return_deadline) {
+                               StoreRevision revision, Millis return_deadline) {
   std::set<std::string> keys;
   for (const StoreItem& item : items) {
     keys.insert(item.key);
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -60,8 +60,9 @@
 void StoreSync::MakeNextCall() {
   StoreCall call = follower_.NextCall(EventLoop::Now());
   if (call.reader != current_reader_) {
-    LogInfo("store", "Takes changes from source={} revision={}.",
-            call.reader.empty() ? "store" : call.reader.str(), call.revision);
+    LogInfo("store", "Takes changes from source={} era={} revision={}.",
+            call.reader.empty() ? "store" : call.reader.str(),
+            call.revision.era, call.revision.number);
     current_reader_ = call.reader;
   }
   switch (call.kind) {
@@ -81,7 +82,7 @@
 void StoreSync::StartRead(StoreCallKind kind) {
   read_kind_ = kind;
   read_items_.clear();
-  read_revision_ = 0;
+  read_revision_ = StoreRevision();
   ReadNextPage("");
 }
 
@@ -98,7 +99,7 @@
     OnStoreFailure("reading");
     return;
   }
-  if (read_revision_ == 0) {
+  if (read_revision_ == StoreRevision()) {
     // The pages are no snapshot. The watch starts at the revision of the first
     // page, so it reports everything that changed since.
     read_revision_ = page.revision;
@@ -147,10 +148,11 @@
   Millis now = EventLoop::Now();
   bool was_unavailable = follower_.unavailable();
   if (result.outcome == StoreOutcome::kHistoryCompacted) {
-    LogWarning("store",
-               "The history after revision={} was compacted; a full read is "
-               "needed.",
-               follower_.revision());
+    LogWarning(
+        "store",
+        "The history after era={} revision={} was compacted; a full read "
+        "is needed.",
+        follower_.revision().era, follower_.revision().number);
     Millis delay = follower_.OnHistoryCompacted(now);
     LogRecovery(was_unavailable);
     MakeNextCallAfter(delay);
@@ -211,7 +213,7 @@
 }
 
 void StoreSync::ApplyAllItems(const std::vector<StoreItem>& items,
-                              int64_t revision, Millis return_deadline) {
+                              StoreRevision revision, Millis return_deadline) {
   hooks_.on_full_read_started();
   for (const StoreItem& item : items) {
     if (!view_.HasLaterRevisionOf(item)) {
@@ -230,8 +232,8 @@
   bool was_unavailable = follower_.unavailable();
   Millis delay = follower_.OnStoreFailure(EventLoop::Now());
   if (follower_.unavailable() && !was_unavailable) {
-    LogWarning("store", "Lost while {}, revision={}.", activity,
-               follower_.revision());
+    LogWarning("store", "Lost while {}, era={} revision={}.", activity,
+               follower_.revision().era, follower_.revision().number);
   }
   hooks_.on_store_failure();
   MakeNextCallAfter(delay);
@@ -239,9 +241,9 @@
 
 void StoreSync::LogRecovery(bool was_unavailable) const {
   if (was_unavailable && !follower_.unavailable()) {
-    LogInfo("store", "Regained after {} ms, revision={}.",
+    LogInfo("store", "Regained after {} ms, era={} revision={}.",
             (EventLoop::Now() - follower_.unavailable_since()).count(),
-            follower_.revision());
+            follower_.revision().era, follower_.revision().number);
   }
 }
 
--- a/libs/gateway/test/counting_store.h
+++ b/libs/gateway/test/counting_store.h
@@ -30,7 +30,7 @@
       store_->ReadPage(prefix, after_key, std::move(done));
     }
   }
-  void Watch(const std::string& prefix, int64_t revision, Millis timeout,
+  void Watch(const std::string& prefix, StoreRevision revision, Millis timeout,
              std::function<void(StoreWatchResult)> done) override {
     ++watches_;
     if (cut_) {
--- a/libs/gateway/test/fake_store.h
+++ b/libs/gateway/test/fake_store.h
@@ -22,7 +22,7 @@
     StoreItem& item = items_[key];
     item.key = key;
     item.value = value;
-    item.revision = ++revision_;
+    item.revision = StoreRevision(era_, ++revision_);
     item.created = item.created == 0 ? revision_ : item.created;
     item.lease = lease;
     history_.push_back(item);
@@ -32,7 +32,7 @@
     items_.erase(key);
     StoreItem removed_item;
     removed_item.key = key;
-    removed_item.revision = ++revision_;
+    removed_item.revision = StoreRevision(era_, ++revision_);
     removed_item.deleted = true;
     history_.push_back(removed_item);
   }
@@ -48,7 +48,8 @@
     StorePage page;
     if (!unavailable_) {
       page.outcome = StoreOutcome::kOk;
-      page.revision = revision_;
+      page.era = era_;
+      page.revision = StoreRevision(era_, revision_);
       for (const auto& [key, item] : items_) {
         if (key.starts_with(prefix) && key > after_key) {
           page.items.push_back(item);
@@ -58,16 +59,20 @@
     RunLater([done, page] { done(page); });
   }
 
-  void Watch(const std::string& prefix, int64_t revision, Millis timeout,
+  void Watch(const std::string& prefix, StoreRevision revision, Millis timeout,
              std::function<void(StoreWatchResult)> done) override {
     StoreWatchResult result;
-    if (!unavailable_ && revision < compacted_revision_) {
+    if (!unavailable_) {
+      result.era = era_;
+    }
+    if (!unavailable_ && revision.number < compacted_revision_) {
       result.outcome = StoreOutcome::kHistoryCompacted;
     } else if (!unavailable_) {
       result.outcome = StoreOutcome::kOk;
-      result.revision = revision_;
+      result.revision = StoreRevision(era_, revision_);
       for (const StoreItem& event : history_) {
-        if (event.revision > revision && event.key.starts_with(prefix)) {
+        if (event.revision.number > revision.number &&
+            event.key.starts_with(prefix)) {
           result.events.push_back(event);
         }
       }
@@ -90,12 +95,13 @@
               std::function<void(StoreCommitResult)> done) override {
     StoreCommitResult result;
     if (!unavailable_) {
+      result.era = era_;
       result.outcome = StoreOutcome::kOk;
       for (const KeyCondition& condition : transaction.conditions) {
         auto current = items_.find(condition.key);
         int64_t current_revision =
-            current == items_.end() ? 0 : current->second.revision;
-        if (current_revision != condition.revision) {
+            current == items_.end() ? 0 : current->second.revision.number;
+        if (current_revision != condition.revision.number) {
           result.outcome = StoreOutcome::kConflict;
         }
       }
@@ -107,7 +113,7 @@
       for (const std::string& key : transaction.deletes) {
         Remove(key);
       }
-      result.revision = revision_;
+      result.revision = StoreRevision(era_, revision_);
     }
     RunLater([done, result] { done(result); });
   }
@@ -116,7 +122,7 @@
                   std::function<void(StoreLeaseResult)> done) override {
     StoreLeaseResult lease;
     if (!unavailable_) {
-      lease = {StoreOutcome::kOk, ++last_lease_, time_to_live};
+      lease = {StoreOutcome::kOk, ++last_lease_, time_to_live, era_};
     }
     RunLater([done, lease] { done(lease); });
   }
@@ -125,7 +131,7 @@
                   std::function<void(StoreLeaseResult)> done) override {
     StoreLeaseResult renewed;
     if (!unavailable_) {
-      renewed = {StoreOutcome::kOk, lease, Millis(6000)};
+      renewed = {StoreOutcome::kOk, lease, Millis(6000), era_};
     }
     RunLater([done, renewed] { done(renewed); });
   }
@@ -143,6 +149,7 @@
   EventLoop* const loop_;
   std::map<std::string, StoreItem> items_;
   std::vector<StoreItem> history_;
+  int64_t era_ = 0;
   int64_t revision_ = 0;
   int64_t compacted_revision_ = 0;
   int64_t last_lease_ = 0;
--- a/libs/replay/src/replay_cluster.cc
+++ b/libs/replay/src/replay_cluster.cc
@@ -82,7 +82,7 @@
       record.machine = MachineId(NameAt(step, 0));
       record.boot = BootId(NameAt(step, 1));
       record.lease = std::stoll("0" + NameAt(step, 2));
-      record.revision = step.number();
+      record.revision = StoreRevision(0, step.number());
       record.takeover_complete = step.settled();
       ownership->OnOwner(ResourceId(step.name()), record, At(step));
       return TraceOutcome{"ok"};
@@ -96,7 +96,7 @@
       TraceOutcome claims{std::to_string(step.at_ms())};
       for (const OwnershipClaim& claim : ownership->TakeClaims(At(step))) {
         claims.push_back(claim.resource.str() + "@" +
-                         std::to_string(claim.revision));
+                         std::to_string(claim.revision.number));
       }
       return claims;
     });
--- a/libs/serving/include/serving/cluster_store.h
+++ b/libs/serving/include/serving/cluster_store.h
@@ -7,11 +7,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/strong.h"
 #include "serving/store_item.h"
+#include "serving/store_revision.h"
 
 namespace bilberrypitch {
 
@@ -29,20 +31,24 @@
 // One page of a read of all keys with a prefix.
 struct StorePage {
   StoreOutcome outcome = StoreOutcome::kUnknown;
+  std::optional<int64_t> era;  // Of the store; none: it did not respond.
   std::vector<StoreItem> items;
-  bool more = false;     // Further pages follow.
-  int64_t revision = 0;  // The store's revision at the time of the response.
+  bool more = false;       // Further pages follow.
+  StoreRevision revision;  // The store's revision at the time of the response.
 };
 
 struct StoreWatchResult {
   StoreOutcome outcome = StoreOutcome::kUnknown;
+  std::optional<int64_t> era;  // Of the store; none: it did not respond.
   std::vector<StoreItem> events;
-  int64_t revision = 0;  // Revision from which the next watch continues.
+  StoreRevision revision;  // Revision from which the next watch continues.
 };
 
 struct KeyCondition {
   std::string key;
-  int64_t revision = 0;  // Expected revision; 0: the key must not exist.
+  // Expected revision; number 0: the key must not exist. The store compares
+  // the number only.
+  StoreRevision revision;
 };
 
 struct KeyWrite {
@@ -60,14 +66,16 @@
 
 struct StoreCommitResult {
   StoreOutcome outcome = StoreOutcome::kUnknown;
-  int64_t revision = 0;            // On kOk: of this transaction.
+  std::optional<int64_t> era;      // Of the store; none: it did not respond.
+  StoreRevision revision;          // On kOk: of this transaction.
   std::vector<StoreItem> current;  // On kConflict: the current items.
 };
 
 struct StoreLeaseResult {
   StoreOutcome outcome = StoreOutcome::kUnknown;
   int64_t lease = 0;
-  Millis time_to_live;  // As granted by the store.
+  Millis time_to_live;         // As granted by the store.
+  std::optional<int64_t> era;  // Of the store; none: it did not respond.
 };
 
 class ClusterStore {
@@ -79,7 +87,7 @@
                         std::function<void(StorePage)> done) = 0;
   // Long poll: completes as soon as a key with `prefix` has changed after
   // `revision`, or without events once `timeout` has passed.
-  virtual void Watch(const std::string& prefix, int64_t revision,
+  virtual void Watch(const std::string& prefix, StoreRevision revision,
                      Millis timeout,
                      std::function<void(StoreWatchResult)> done) = 0;
   virtual void Commit(StoreTransaction transaction,
--- a/libs/serving/include/serving/follower_queries.h
+++ b/libs/serving/include/serving/follower_queries.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "serving/store_call.h"
+#include "serving/store_revision.h"
 
 namespace bilberrypitch {
 
@@ -34,7 +35,8 @@
 
   // A query for changes after `after_revision` arrived, to be held for at most
   // `hold`.
-  void Add(uint64_t query_id, int64_t after_revision, Millis hold, Millis now);
+  void Add(uint64_t query_id, StoreRevision after_revision, Millis hold,
+           Millis now);
   // Returns the responses to send now.
   std::vector<Response> TakeResponses(Millis now);
   // Rejects all queries.
@@ -47,7 +49,7 @@
  private:
   struct Query {
     uint64_t id = 0;
-    int64_t after_revision = 0;
+    StoreRevision after_revision;
     Millis arrived_at;
     Millis due;
     bool was_current = false;  // The view was current while it was held.
--- a/libs/serving/include/serving/ownership.h
+++ b/libs/serving/include/serving/ownership.h
@@ -27,6 +27,7 @@
 #include <vector>
 
 #include "serving/ids.h"
+#include "serving/store_revision.h"
 
 namespace bilberrypitch {
 
@@ -53,25 +54,25 @@
 struct OwnerRecord {
   MachineId machine;
   BootId boot;
-  int64_t revision = 0;  // Of the key: fencing token, condition of claims.
-  int64_t lease = 0;     // Lease to which the key is bound.
+  StoreRevision revision;  // Of the key: fencing token, condition of claims.
+  int64_t lease = 0;       // Lease to which the key is bound.
   // The takeover delay was over, or not needed, when the record was written.
   bool takeover_complete = false;
 };
 
 // A write of the owner key of `resource`, on condition that the key is still at
-// `revision` (0: that it does not exist).
+// `revision` (the default: that it does not exist).
 struct OwnershipClaim {
   ResourceId resource;
-  int64_t revision = 0;
+  StoreRevision revision;
   bool takeover_complete = false;  // Value to write into the record.
 };
 
 // State machine of one process. Not thread-safe.
 class Ownership {
  public:
-  static constexpr int64_t kLatestRevision =
-      std::numeric_limits<int64_t>::max();
+  static constexpr StoreRevision kLatestRevision{
+      std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::max()};
 
   Ownership(ClusterMember self, Millis takeover_delay, Millis now);
 
@@ -91,7 +92,7 @@
   // The owner key does not exist at store revision `revision`. Ignored if a
   // later write of the key is known.
   void OnOwnerRemoved(const ResourceId& resource, Millis now,
-                      int64_t revision = kLatestRevision);
+                      StoreRevision revision = kLatestRevision);
   // A full read of the store begins, either the first one or because the watch
   // lost its history. Owners may have changed without being seen.
   void OnFullReadStarted();
--- a/libs/serving/include/serving/store_call.h
+++ b/libs/serving/include/serving/store_call.h
@@ -7,6 +7,7 @@
 
 #include "serving/ids.h"
 #include "serving/store_item.h"
+#include "serving/store_revision.h"
 
 namespace bilberrypitch {
 
@@ -29,15 +30,16 @@
 struct StoreCall {
   StoreCallKind kind = StoreCallKind::kWatch;
   MachineId reader;  // Only of kQueryReader.
-  // Watch and query: asks for changes after this revision; 0: for all records.
-  int64_t revision = 0;
+  // Watch and query: asks for changes after this revision; the default: for all
+  // records.
+  StoreRevision revision;
   Millis timeout;  // Watch and query: how long it is held without changes.
 };
 
 // A reader's response: changes after the revision that was asked for.
 struct StoreChanges {
   std::vector<StoreItem> items;
-  int64_t revision = 0;  // The reader's view contains all changes up to here.
+  StoreRevision revision;  // The reader's view contains all changes up to here.
   // When the reader's view was known to be current, counted from the arrival of
   // the query. Positive if the reader heard from the store while it held the
   // query.
--- a/libs/serving/include/serving/store_follower.h
+++ b/libs/serving/include/serving/store_follower.h
@@ -30,6 +30,7 @@
 
 #include "serving/ownership.h"
 #include "serving/store_call.h"
+#include "serving/store_revision.h"
 
 namespace bilberrypitch {
 
@@ -59,8 +60,8 @@
   // `sent_at`: when the call was sent; `revision`: up to which the response is
   // complete.
   Millis OnZoneMembersRead(Millis now);
-  Millis OnFullRead(int64_t revision, Millis sent_at, Millis now);
-  Millis OnStoreChanges(int64_t revision, bool changed, Millis sent_at,
+  Millis OnFullRead(StoreRevision revision, Millis sent_at, Millis now);
+  Millis OnStoreChanges(StoreRevision revision, bool changed, Millis sent_at,
                         Millis now);
   Millis OnHistoryCompacted(Millis now);
   Millis OnStoreFailure(Millis now);
@@ -70,7 +71,7 @@
                          Millis now);
 
   // The store revision that this instance has caught up with.
-  int64_t revision() const { return revision_; }
+  StoreRevision revision() const { return revision_; }
   // Whether the instance has ever known all records.
   bool has_synced() const { return has_synced_; }
   // The view was known to be current at this time; zero: never.
@@ -126,7 +127,7 @@
   Millis members_read_at_;
   bool has_synced_ = false;
   bool needs_full_read_ = true;
-  int64_t revision_ = 0;
+  StoreRevision revision_;
   Millis confirmed_at_;
   // Last confirmation by the store itself. Zero after a failed call, so that
   // followers turn elsewhere at once.
--- a/libs/serving/include/serving/store_item.h
+++ b/libs/serving/include/serving/store_item.h
@@ -4,15 +4,17 @@
 #include <cstdint>
 #include <string>
 
+#include "serving/store_revision.h"
+
 namespace bilberrypitch {
 
 struct StoreItem {
   std::string key;
   std::string value;
-  int64_t revision = 0;  // Of the last change.
-  int64_t created = 0;   // Revision at which the key was created.
-  int64_t lease = 0;     // Lease to which the key is bound; 0: none.
-  bool deleted = false;  // Watch event: the key was deleted at `revision`.
+  StoreRevision revision;  // Of the last change.
+  int64_t created = 0;     // Number of the revision that created the key.
+  int64_t lease = 0;       // Lease to which the key is bound; 0: none.
+  bool deleted = false;    // Watch event: the key was deleted at `revision`.
 };
 
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/store_view.h
+++ b/libs/serving/include/serving/store_view.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "serving/store_item.h"
+#include "serving/store_revision.h"
 
 namespace bilberrypitch {
 
@@ -22,24 +23,24 @@
   // Replaces the content by the result of a full read at `revision`, but for
   // records that were written after it. Changes after `revision` follow by
   // Apply.
-  void Reset(const std::vector<StoreItem>& items, int64_t revision);
+  void Reset(const std::vector<StoreItem>& items, StoreRevision revision);
   // Applies a record that was written or deleted. `relevant`: it differs from
   // the key's previous record in something that an instance uses. Ignored if
   // the view has a newer record of the key.
   void Apply(const StoreItem& item, bool relevant);
   // The view now contains all changes up to `revision`.
-  void AdvanceTo(int64_t revision);
+  void AdvanceTo(StoreRevision revision);
 
-  int64_t revision() const { return revision_; }
+  StoreRevision revision() const { return revision_; }
   // Whether ChangesAfter(`revision`) is complete.
-  bool HasChangesAfter(int64_t revision) const;
+  bool HasChangesAfter(StoreRevision revision) const;
   // Relevant changes after `revision`, the latest of each key, in the order of
   // their revisions.
-  std::vector<StoreItem> ChangesAfter(int64_t revision) const;
+  std::vector<StoreItem> ChangesAfter(StoreRevision revision) const;
   // Whether there are any, up to the revision of the view. A full read may
   // contain later ones; a follower that has taken them would still ask for
   // changes after the revision of the view.
-  bool HasRelevantChangeAfter(int64_t revision) const;
+  bool HasRelevantChangeAfter(StoreRevision revision) const;
   // Whether the view has this write of the key or a later one.
   bool HasRevisionOf(const StoreItem& item) const;
   // Whether the view has a later write of the key.
@@ -50,22 +51,23 @@
  private:
   struct Record {
     StoreItem item;
-    int64_t changed_at = 0;  // Revision of the last relevant change.
+    StoreRevision changed_at;  // Revision of the last relevant change.
   };
 
-  void SetChangedAt(const std::string& key, Record* record, int64_t revision);
-  void EraseChange(const std::string& key, int64_t revision);
+  void SetChangedAt(const std::string& key, Record* record,
+                    StoreRevision revision);
+  void EraseChange(const std::string& key, StoreRevision revision);
   void ForgetOldDeletions();
 
   std::map<std::string, Record> records_;  // Includes deleted keys.
   // Key by the revision of its last relevant change. One transaction can change
   // several keys at the same revision.
-  std::multimap<int64_t, std::string> changes_;
+  std::multimap<StoreRevision, std::string> changes_;
   // Revisions and keys of deletions that are remembered, oldest first.
-  std::multimap<int64_t, std::string> deletions_;
-  int64_t revision_ = 0;
+  std::multimap<StoreRevision, std::string> deletions_;
+  StoreRevision revision_;
   // Deletions up to this revision are forgotten.
-  int64_t oldest_revision_ = 0;
+  StoreRevision oldest_revision_;
 };
 
 }  // namespace bilberrypitch
--- a/libs/serving/src/follower_queries.cc
+++ b/libs/serving/src/follower_queries.cc
@@ -8,7 +8,7 @@
 
 namespace bilberrypitch {
 
-void FollowerQueries::Add(uint64_t query_id, int64_t after_revision,
+void FollowerQueries::Add(uint64_t query_id, StoreRevision after_revision,
                           Millis hold, Millis now) {
   queries_.push_back(
       {query_id, after_revision, now, now + hold, follower_->CanServe(now)});
--- a/libs/serving/src/ownership.cc
+++ b/libs/serving/src/ownership.cc
@@ -125,7 +125,7 @@
 }
 
 void Ownership::OnOwnerRemoved(const ResourceId& resource, Millis now,
-                               int64_t revision) {
+                               StoreRevision revision) {
   // Only the last change of a key may be reported, so neither the owner nor the
   // resource need have been seen before.
   auto [it, inserted] = resources_.try_emplace(resource);
@@ -202,7 +202,7 @@
         kClaimDelayPerRank * static_cast<int64_t>(RankOf(resource, state));
     if (now >= claimable_from + rank_delay) {
       state.claimed_at = now;
-      claims.push_back({resource, 0, !NeedsTakeoverDelay(state)});
+      claims.push_back({resource, StoreRevision(), !NeedsTakeoverDelay(state)});
     }
   }
   return claims;
@@ -264,7 +264,7 @@
   if (!OwnedBySelf(resource) || now < resources_.at(resource).active_from) {
     return 0;
   }
-  return resources_.at(resource).owner->revision;
+  return resources_.at(resource).owner->revision.number;
 }
 
 const OwnerRecord* Ownership::OwnerOf(const ResourceId& resource) const {
--- a/libs/serving/src/store_follower.cc
+++ b/libs/serving/src/store_follower.cc
@@ -184,7 +184,8 @@
   return Millis(0);
 }
 
-Millis StoreFollower::OnFullRead(int64_t revision, Millis sent_at, Millis now) {
+Millis StoreFollower::OnFullRead(StoreRevision revision, Millis sent_at,
+                                 Millis now) {
   OnStoreResponse(now);
   has_synced_ = true;
   needs_full_read_ = false;
@@ -194,7 +195,7 @@
   return Millis(0);
 }
 
-Millis StoreFollower::OnStoreChanges(int64_t revision, bool changed,
+Millis StoreFollower::OnStoreChanges(StoreRevision revision, bool changed,
                                      Millis sent_at, Millis now) {
   OnStoreResponse(now);
   revision_ = std::max(revision_, revision);
--- a/libs/serving/src/store_view.cc
+++ b/libs/serving/src/store_view.cc
@@ -10,7 +10,8 @@
 
 }  // namespace
 
-void StoreView::Reset(const std::vector<StoreItem>& items, int64_t revision) {
+void StoreView::Reset(const std::vector<StoreItem>& items,
+                      StoreRevision revision) {
   std::map<std::string, Record> previous = std::move(records_);
   records_.clear();
   changes_.clear();
@@ -46,13 +47,13 @@
 }
 
 void StoreView::SetChangedAt(const std::string& key, Record* record,
-                             int64_t revision) {
+                             StoreRevision revision) {
   EraseChange(key, record->changed_at);
   record->changed_at = revision;
   changes_.emplace(revision, key);
 }
 
-void StoreView::EraseChange(const std::string& key, int64_t revision) {
+void StoreView::EraseChange(const std::string& key, StoreRevision revision) {
   auto [first, last] = changes_.equal_range(revision);
   auto change = std::find_if(
       first, last, [&key](const auto& entry) { return entry.second == key; });
@@ -76,15 +77,15 @@
   }
 }
 
-void StoreView::AdvanceTo(int64_t revision) {
+void StoreView::AdvanceTo(StoreRevision revision) {
   revision_ = std::max(revision_, revision);
 }
 
-bool StoreView::HasChangesAfter(int64_t revision) const {
+bool StoreView::HasChangesAfter(StoreRevision revision) const {
   return revision >= oldest_revision_;
 }
 
-std::vector<StoreItem> StoreView::ChangesAfter(int64_t revision) const {
+std::vector<StoreItem> StoreView::ChangesAfter(StoreRevision revision) const {
   std::vector<StoreItem> items;
   for (auto it = changes_.upper_bound(revision); it != changes_.end(); ++it) {
     items.push_back(records_.at(it->second).item);
@@ -92,7 +93,7 @@
   return items;
 }
 
-bool StoreView::HasRelevantChangeAfter(int64_t revision) const {
+bool StoreView::HasRelevantChangeAfter(StoreRevision revision) const {
   auto it = changes_.upper_bound(revision);
   return it != changes_.end() && it->first <= revision_;
 }
--- a/libs/serving/test/ownership_test.cc
+++ b/libs/serving/test/ownership_test.cc
@@ -15,6 +15,9 @@
 constexpr Millis kLeaseTtl{6000};
 const ResourceId kResource = EngineResource(UpstreamId("engine-1"));
 
+// A revision in the store's first era.
+constexpr StoreRevision Rev(int64_t number) { return StoreRevision(0, number); }
+
 ClusterMember MakeMember(const std::string& machine, const std::string& boot) {
   return {MachineId(machine), BootId(boot), ZoneId("z"), "127.0.0.1:1"};
 }
@@ -36,8 +39,8 @@
   ownership.OnResource(kResource, ZoneId("z"), now);
   auto claims = ownership.TakeClaims(now);
   REQUIRE(claims.size() == 1);
-  REQUIRE(claims[0].revision == 0);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), 7, 1}, now);
+  REQUIRE(claims[0].revision == Rev(0));
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), Rev(7), 1}, now);
   REQUIRE(ownership.FencingToken(kResource, now) == 7);
 }
 
@@ -47,13 +50,13 @@
   ownership.OnLease(1);
   Millis now(10000);
   ownership.OnResource(kResource, ZoneId("z"), now);
-  ownership.OnOwner(kResource, {MachineId("m2"), BootId("b2"), 5}, now);
+  ownership.OnOwner(kResource, {MachineId("m2"), BootId("b2"), Rev(5)}, now);
   ownership.OnFullReadCompleted(now);
   REQUIRE(ownership.TakeClaims(now + Millis(60000)).empty());
   ownership.OnOwnerRemoved(kResource, now + Millis(1000));
   now = now + Millis(20000);
   REQUIRE(ownership.TakeClaims(now).size() == 1);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), 9, 1}, now);
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), Rev(9), 1}, now);
   REQUIRE(ownership.FencingToken(kResource, now + Millis(2999)) == 0);
   REQUIRE(ownership.FencingToken(kResource, now + Millis(3300)) == 9);
 }
@@ -64,14 +67,14 @@
   ownership.OnLease(1);
   Millis now(10000);
   ownership.OnResource(kResource, ZoneId("z"), now);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), 5, 1, true},
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), Rev(5), 1, true},
                     now);
   ownership.OnFullReadCompleted(now);
   auto claims = ownership.TakeClaims(now);
   REQUIRE(claims.size() == 1);
-  REQUIRE(claims[0].revision == 5);
+  REQUIRE(claims[0].revision == Rev(5));
   REQUIRE(ownership.FencingToken(kResource, now) == 0);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b2"), 8, 1}, now);
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b2"), Rev(8), 1}, now);
   REQUIRE(ownership.FencingToken(kResource, now) == 8);
 }
 
@@ -84,19 +87,19 @@
   ownership.OnLease(2);
   Millis now(10000);
   ownership.OnResource(kResource, ZoneId("z"), now);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), 5, 1, false},
-                    now);
+  ownership.OnOwner(kResource,
+                    {MachineId("m1"), BootId("b1"), Rev(5), 1, false}, now);
   ownership.OnFullReadCompleted(now);
   REQUIRE(ownership.TakeClaims(now).size() == 1);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b2"), 8, 2, false},
-                    now);
+  ownership.OnOwner(kResource,
+                    {MachineId("m1"), BootId("b2"), Rev(8), 2, false}, now);
   REQUIRE(ownership.FencingToken(kResource, now) == 0);
   now = now + Millis(3300);
   REQUIRE(ownership.FencingToken(kResource, now) == 8);
   auto claims = ownership.TakeClaims(now);  // Records the complete takeover.
   REQUIRE(claims.size() == 1);
   REQUIRE(claims[0].takeover_complete);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b2"), 9, 2, true},
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b2"), Rev(9), 2, true},
                     now);
   REQUIRE(ownership.FencingToken(kResource, now) == 9);
 }
@@ -109,7 +112,7 @@
   ownership.OnFullReadCompleted(Millis(0));
   Millis now(10000);
   ownership.OnResource(kResource, ZoneId("z"), now);
-  ownership.OnOwner(kResource, {MachineId("m2"), BootId("b2"), 7, 2, true},
+  ownership.OnOwner(kResource, {MachineId("m2"), BootId("b2"), Rev(7), 2, true},
                     now);
   ownership.OnResourceRemoved(kResource);
   REQUIRE(ownership.Resources().empty());
@@ -131,10 +134,10 @@
   if (resource_first) {
     ownership.OnResource(kResource, ZoneId("z"), now);
   }
-  ownership.OnOwnerRemoved(kResource, now, 6);
+  ownership.OnOwnerRemoved(kResource, now, Rev(6));
   ownership.OnResource(kResource, ZoneId("z"), now);
   REQUIRE(ownership.TakeClaims(now).size() == 1);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), 9, 1}, now);
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), Rev(9), 1}, now);
   REQUIRE(ownership.FencingToken(kResource, now) == 0);
   REQUIRE(ownership.FencingToken(kResource, now + Millis(3300)) == 9);
 }
@@ -145,11 +148,11 @@
   ownership.OnFullReadCompleted(Millis(0));
   Millis now(10000);
   ownership.OnResource(kResource, ZoneId("z"), now);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), 9, 1, true},
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), Rev(9), 1, true},
                     now);
-  ownership.OnOwnerRemoved(kResource, now, 8);
+  ownership.OnOwnerRemoved(kResource, now, Rev(8));
   REQUIRE(ownership.FencingToken(kResource, now) == 9);
-  ownership.OnOwnerRemoved(kResource, now, 10);
+  ownership.OnOwnerRemoved(kResource, now, Rev(10));
   REQUIRE(ownership.FencingToken(kResource, now) == 0);
 }
 
@@ -162,7 +165,7 @@
   ownership.OnFullReadCompleted(Millis(0));
   Millis now(10000);
   ownership.OnResource(kResource, ZoneId("z"), now);
-  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), 7, 1, true},
+  ownership.OnOwner(kResource, {MachineId("m1"), BootId("b1"), Rev(7), 1, true},
                     now);
   REQUIRE(ownership.FencingToken(kResource, now) == 7);
   ownership.OnLease(2);
@@ -302,13 +305,15 @@
   }
 
   void WriteClaim(Machine* machine, const OwnershipClaim& claim) {
-    int64_t current_revision = owner_ ? owner_->revision : 0;
+    StoreRevision current_revision =
+        owner_ ? owner_->revision : StoreRevision();
     if (current_revision != claim.revision) {
       return;
     }
     ++revision_;
-    owner_ = OwnerRecord{MachineId(machine->name), BootId(machine->boot),
-                         revision_, machine->lease, claim.takeover_complete};
+    owner_ =
+        OwnerRecord{MachineId(machine->name), BootId(machine->boot),
+                    Rev(revision_), machine->lease, claim.takeover_complete};
     ++owner_changes_;
     // One of five responses is lost; then the watch reports the write.
     if (RandomBelow(5) != 0) {
--- a/libs/serving/test/store_follower_test.cc
+++ b/libs/serving/test/store_follower_test.cc
@@ -18,7 +18,10 @@
 
 constexpr StoreSyncIntervals kIntervals{Millis(1000), Millis(500)};
 
-StoreItem MakeItem(const std::string& key, int64_t revision,
+// A revision in the store's first era.
+constexpr StoreRevision Rev(int64_t number) { return StoreRevision(0, number); }
+
+StoreItem MakeItem(const std::string& key, StoreRevision revision,
                    const std::string& value = "v") {
   StoreItem item;
   item.key = key;
@@ -27,7 +30,7 @@
   return item;
 }
 
-StoreItem MakeDeletion(const std::string& key, int64_t revision) {
+StoreItem MakeDeletion(const std::string& key, StoreRevision revision) {
   StoreItem item = MakeItem(key, revision, "");
   item.deleted = true;
   return item;
@@ -48,11 +51,12 @@
     follower.OnMember(MakeMember(i, share(i)));
   }
   follower.OnZoneMembersRead(now);
-  follower.OnFullRead(10, now, now);
+  follower.OnFullRead(Rev(10), now, now);
   return follower;
 }
 
-StoreChanges MakeChanges(int64_t revision, Millis confirmed_after_arrival) {
+StoreChanges MakeChanges(StoreRevision revision,
+                         Millis confirmed_after_arrival) {
   StoreChanges changes;
   changes.revision = revision;
   changes.confirmed_after_arrival = confirmed_after_arrival;
@@ -66,57 +70,57 @@
 TEST_CASE("a view passes on the last relevant change of each key",
           "[store_view]") {
   StoreView view;
-  view.Reset({MakeItem("a", 3), MakeItem("b", 5)}, 6);
-  view.Apply(MakeItem("a", 7, "w"), true);
-  view.Apply(MakeItem("b", 8), false);
-  view.Apply(MakeItem("a", 9, "x"), true);
-  view.AdvanceTo(9);
-  auto changes = view.ChangesAfter(6);
+  view.Reset({MakeItem("a", Rev(3)), MakeItem("b", Rev(5))}, Rev(6));
+  view.Apply(MakeItem("a", Rev(7), "w"), true);
+  view.Apply(MakeItem("b", Rev(8)), false);
+  view.Apply(MakeItem("a", Rev(9), "x"), true);
+  view.AdvanceTo(Rev(9));
+  auto changes = view.ChangesAfter(Rev(6));
   REQUIRE(changes.size() == 1);
   REQUIRE(changes[0].value == "x");
-  REQUIRE_FALSE(view.HasRelevantChangeAfter(9));
-  REQUIRE(view.ChangesAfter(4).size() == 2);
+  REQUIRE_FALSE(view.HasRelevantChangeAfter(Rev(9)));
+  REQUIRE(view.ChangesAfter(Rev(4)).size() == 2);
 }
 
 TEST_CASE("a view passes on deletions, and knows where its history begins",
           "[store_view]") {
   StoreView view;
-  view.Reset({MakeItem("a", 3)}, 6);
-  REQUIRE_FALSE(view.HasChangesAfter(5));
-  REQUIRE(view.HasChangesAfter(6));
-  view.Apply(MakeDeletion("a", 8), true);
-  REQUIRE(view.ChangesAfter(6).at(0).deleted);
+  view.Reset({MakeItem("a", Rev(3))}, Rev(6));
+  REQUIRE_FALSE(view.HasChangesAfter(Rev(5)));
+  REQUIRE(view.HasChangesAfter(Rev(6)));
+  view.Apply(MakeDeletion("a", Rev(8)), true);
+  REQUIRE(view.ChangesAfter(Rev(6)).at(0).deleted);
   REQUIRE(view.AllItems().empty());
   // A record that returns is relevant even if it is what it was before.
-  view.Apply(MakeItem("a", 9), false);
-  REQUIRE(view.ChangesAfter(8).size() == 1);
-  view.Apply(MakeItem("a", 7, "old"), true);
-  REQUIRE(view.AllItems().at(0).revision == 9);
+  view.Apply(MakeItem("a", Rev(9)), false);
+  REQUIRE(view.ChangesAfter(Rev(8)).size() == 1);
+  view.Apply(MakeItem("a", Rev(7), "old"), true);
+  REQUIRE(view.AllItems().at(0).revision == Rev(9));
 }
 
 // A full read takes several pages, and records may change in between.
 TEST_CASE("a record that is newer than the view is no reason to respond again",
           "[store_view]") {
   StoreView view;
-  view.Reset({MakeItem("a", 3), MakeItem("b", 9)}, 6);
-  REQUIRE_FALSE(view.HasRelevantChangeAfter(6));
-  view.AdvanceTo(9);
-  REQUIRE(view.HasRelevantChangeAfter(6));
+  view.Reset({MakeItem("a", Rev(3)), MakeItem("b", Rev(9))}, Rev(6));
+  REQUIRE_FALSE(view.HasRelevantChangeAfter(Rev(6)));
+  view.AdvanceTo(Rev(9));
+  REQUIRE(view.HasRelevantChangeAfter(Rev(6)));
 }
 
 TEST_CASE("a view forgets old deletions, and then needs a full read",
           "[store_view]") {
   StoreView view;
-  view.Reset({}, 1);
+  view.Reset({}, Rev(1));
   int64_t revision = 1;
   for (int i = 0; i < 5000; ++i) {
     std::string key = std::to_string(i);
-    view.Apply(MakeItem(key, ++revision), true);
-    view.Apply(MakeDeletion(key, ++revision), true);
+    view.Apply(MakeItem(key, Rev(++revision)), true);
+    view.Apply(MakeDeletion(key, Rev(++revision)), true);
   }
-  REQUIRE_FALSE(view.HasChangesAfter(1));
-  REQUIRE(view.HasChangesAfter(revision - 4000));
-  REQUIRE(view.ChangesAfter(0).size() == 4000);
+  REQUIRE_FALSE(view.HasChangesAfter(Rev(1)));
+  REQUIRE(view.HasChangesAfter(Rev(revision - 4000)));
+  REQUIRE(view.ChangesAfter(Rev(0)).size() == 4000);
 }
 
 // Pattern: hundreds of small machines and a few large ones.
@@ -151,15 +155,16 @@
   follower.OnZoneMembersRead(now);
   StoreCall call = follower.NextCall(now);
   REQUIRE(call.reader == MachineId("m0"));
-  REQUIRE(call.revision == 0);
+  REQUIRE(call.revision == Rev(0));
   // A part of the records is of no use before all are known.
-  follower.OnReaderChanges(call.reader, MakeChanges(5, Millis(0)), now, now);
+  follower.OnReaderChanges(call.reader, MakeChanges(Rev(5), Millis(0)), now,
+                           now);
   REQUIRE_FALSE(follower.has_synced());
-  StoreChanges all = MakeChanges(9, Millis(0));
+  StoreChanges all = MakeChanges(Rev(9), Millis(0));
   all.complete = true;
   follower.OnReaderChanges(call.reader, all, now, now);
   REQUIRE(follower.has_synced());
-  REQUIRE(follower.revision() == 9);
+  REQUIRE(follower.revision() == Rev(9));
 }
 
 TEST_CASE("an instance that starts reads the store if no reader is ready",
@@ -189,7 +194,7 @@
   StoreFollower follower(MakeMember(1), kIntervals);
   follower.OnMember(MakeMember(0, 0.5, "other"));
   follower.OnZoneMembersRead(now);
-  follower.OnFullRead(10, now, now);
+  follower.OnFullRead(Rev(10), now, now);
   REQUIRE(follower.NextCall(now).reader.empty());
 }
 
@@ -200,13 +205,13 @@
   REQUIRE(follower.OnReaderFailure(MachineId("m0"), ReaderFailure::kNoResponse,
                                    now) == Millis(0));
   REQUIRE(follower.NextCall(now).reader.empty());
-  follower.OnStoreChanges(11, true, now, now);
+  follower.OnStoreChanges(Rev(11), true, now, now);
   // A spare reader next, and the first one again after some time.
   MachineId spare = follower.NextCall(now).reader;
   REQUIRE_FALSE(spare.empty());
   REQUIRE(spare != MachineId("m0"));
   now = now + Millis(2000);
-  follower.OnStoreChanges(12, true, now, now);
+  follower.OnStoreChanges(Rev(12), true, now, now);
   REQUIRE(follower.NextCall(now).reader == MachineId("m0"));
 }
 
@@ -238,15 +243,15 @@
           "[store_follower]") {
   Millis now(5000);
   StoreFollower follower = MakeSynced(5, 12, now);
-  follower.OnReaderChanges(MachineId("m0"), MakeChanges(12, Millis(300)),
+  follower.OnReaderChanges(MachineId("m0"), MakeChanges(Rev(12), Millis(300)),
                            Millis(5100), Millis(5600));
   REQUIRE(follower.confirmed_at() == Millis(5400));
-  REQUIRE(follower.revision() == 12);
+  REQUIRE(follower.revision() == Rev(12));
   // Older news takes nothing back.
-  follower.OnReaderChanges(MachineId("m0"), MakeChanges(11, Millis(-700)),
+  follower.OnReaderChanges(MachineId("m0"), MakeChanges(Rev(11), Millis(-700)),
                            Millis(5700), Millis(5800));
   REQUIRE(follower.confirmed_at() == Millis(5400));
-  REQUIRE(follower.revision() == 12);
+  REQUIRE(follower.revision() == Rev(12));
 }
 
 TEST_CASE("an instance that is queried watches the store", "[store_follower]") {
@@ -256,7 +261,7 @@
   follower.OnQueried(now);
   REQUIRE(follower.NextCall(now).reader.empty());
   now = now + Millis(2000);
-  follower.OnStoreChanges(11, true, now, now);
+  follower.OnStoreChanges(Rev(11), true, now, now);
   REQUIRE_FALSE(follower.NextCall(now).reader.empty());
 }
 
@@ -266,7 +271,7 @@
   REQUIRE(follower.CanServe(now));
   follower.OnStoreFailure(now + Millis(10));
   REQUIRE_FALSE(follower.CanServe(now + Millis(10)));
-  follower.OnStoreChanges(12, true, now + Millis(100), now + Millis(110));
+  follower.OnStoreChanges(Rev(12), true, now + Millis(100), now + Millis(110));
   REQUIRE(follower.CanServe(now + Millis(110)));
   // Without another response of the store its view grows old.
   REQUIRE_FALSE(follower.CanServe(now + Millis(1500)));
@@ -284,14 +289,14 @@
   follower.OnStoreFailure(now);
   REQUIRE(follower.ReturnDeadline(now) == now + Millis(2000));
   const Millis recovered_at(8000);
-  follower.OnStoreChanges(20, true, recovered_at, recovered_at);
+  follower.OnStoreChanges(Rev(20), true, recovered_at, recovered_at);
   REQUIRE(follower.ReturnDeadline(recovered_at) == recovered_at + Millis(2000));
   Millis removed_at = recovered_at + Millis(1900);
   REQUIRE(follower.ReturnDeadline(removed_at) <= recovered_at + Millis(2500));
   REQUIRE(follower.ReturnDeadline(recovered_at + Millis(2600)) == Millis(0));
   // A reader that has recovered alone.
   StoreFollower other = MakeSynced(5, 12, now);
-  StoreChanges changes = MakeChanges(12, Millis(0));
+  StoreChanges changes = MakeChanges(Rev(12), Millis(0));
   REQUIRE(other.ReturnDeadlineOf(changes, now) == Millis(0));
   changes.recovering = true;
   REQUIRE(other.ReturnDeadlineOf(changes, now) == now + Millis(1200));
@@ -301,18 +306,18 @@
   Millis now(1000);
   StoreFollower follower = MakeSynced(0, 12, now);
   StoreView view;
-  view.Reset({MakeItem("a", 3)}, 10);
+  view.Reset({MakeItem("a", Rev(3))}, Rev(10));
   FollowerQueries queries(&view, &follower);
-  queries.Add(1, 10, Millis(500), now);
+  queries.Add(1, Rev(10), Millis(500), now);
   REQUIRE(queries.TakeResponses(now).empty());
   now = now + Millis(200);
-  view.Apply(MakeItem("a", 12, "w"), true);
-  view.AdvanceTo(12);
-  follower.OnStoreChanges(12, true, now - Millis(20), now);
+  view.Apply(MakeItem("a", Rev(12), "w"), true);
+  view.AdvanceTo(Rev(12));
+  follower.OnStoreChanges(Rev(12), true, now - Millis(20), now);
   auto responses = queries.TakeResponses(now);
   REQUIRE(responses.size() == 1);
   REQUIRE(responses[0].changes->items.size() == 1);
-  REQUIRE(responses[0].changes->revision == 12);
+  REQUIRE(responses[0].changes->revision == Rev(12));
   // The store confirmed the view 180 ms after the query arrived.
   REQUIRE(responses[0].changes->confirmed_after_arrival == Millis(180));
   REQUIRE(queries.size() == 0);
@@ -323,20 +328,20 @@
   Millis now(1000);
   StoreFollower follower = MakeSynced(0, 12, now);
   StoreView view;
-  view.Reset({}, 10);
+  view.Reset({}, Rev(10));
   FollowerQueries queries(&view, &follower);
-  queries.Add(1, 10, Millis(500), now);
+  queries.Add(1, Rev(10), Millis(500), now);
   REQUIRE(queries.NextDue() == Millis(1500));
   auto responses = queries.TakeResponses(Millis(1500));
   REQUIRE(responses.at(0).changes);
   REQUIRE(responses.at(0).changes->items.empty());
-  queries.Add(2, 10, Millis(5000), Millis(1600));
+  queries.Add(2, Rev(10), Millis(5000), Millis(1600));
   Millis due = queries.NextDue();
   REQUIRE(due < Millis(2600));
   REQUIRE_FALSE(queries.TakeResponses(due).at(0).changes);
   // A view without that part of the history is passed on as a whole.
-  follower.OnStoreChanges(10, false, due, due);
-  queries.Add(3, 4, Millis(500), due);
+  follower.OnStoreChanges(Rev(10), false, due, due);
+  queries.Add(3, Rev(4), Millis(500), due);
   REQUIRE(queries.TakeResponses(due).at(0).changes->complete);
 }
 
@@ -411,8 +416,8 @@
   struct Instance {
     std::unique_ptr<StoreFollower> follower;
     StoreView view;
-    std::map<std::string, int64_t> applied;  // Revision of each key.
-    int64_t read_revision = 0;  // All is known up to the last full read.
+    std::map<std::string, StoreRevision> applied;  // Revision of each key.
+    StoreRevision read_revision;  // All is known up to the last full read.
     std::unique_ptr<FollowerQueries> queries;
     std::map<uint64_t, std::function<void(std::optional<StoreChanges>)>> held;
     uint64_t last_query = 0;
@@ -462,7 +467,7 @@
     std::string content =
         relevant ? std::to_string(revision) : ContentOf(items_.at(key).value);
     StoreItem item =
-        MakeItem(key, revision, content + "|" + std::to_string(revision));
+        MakeItem(key, Rev(revision), content + "|" + std::to_string(revision));
     items_[key] = item;
     changes_.push_back({item, now_, relevant});
   }
@@ -475,7 +480,7 @@
     bool exists = items_.count(key) > 0;
     if (choice == 0 && exists) {
       items_.erase(key);
-      changes_.push_back({MakeDeletion(key, ++revision_), now_, true});
+      changes_.push_back({MakeDeletion(key, Rev(++revision_)), now_, true});
     } else {
       Write(key, choice < 3 || !exists);
     }
@@ -571,7 +576,7 @@
       return;
     }
     bool is_watch = call.kind == StoreCallKind::kWatch;
-    bool compacted = is_watch && call.revision < compacted_revision_;
+    bool compacted = is_watch && call.revision < Rev(compacted_revision_);
     std::vector<StoreItem> items;
     if (!is_watch) {
       for (const auto& [key, item] : items_) {
@@ -590,11 +595,12 @@
         return;
       }
     }
-    AtProcess(
-        number, generation, now_ + Millis(Uniform(1, 20)),
-        [this, number, call, compacted, items, revision = revision_, sent_at] {
-          OnStoreResponse(number, call, compacted, items, revision, sent_at);
-        });
+    AtProcess(number, generation, now_ + Millis(Uniform(1, 20)),
+              [this, number, call, compacted, items, revision = Rev(revision_),
+               sent_at] {
+                OnStoreResponse(number, call, compacted, items, revision,
+                                sent_at);
+              });
   }
   void OnStoreFailure(int number) {
     Instance& instance = instances_[number];
@@ -603,8 +609,8 @@
     MakeCallAfter(number, delay);
   }
   void OnStoreResponse(int number, const StoreCall& call, bool compacted,
-                       const std::vector<StoreItem>& items, int64_t revision,
-                       Millis sent_at) {
+                       const std::vector<StoreItem>& items,
+                       StoreRevision revision, Millis sent_at) {
     Instance& instance = instances_[number];
     Millis delay;
     if (compacted) {
@@ -715,7 +721,7 @@
   // The view of an instance.
 
   static void ApplyOne(Instance* instance, const StoreItem& item) {
-    int64_t& revision = instance->applied[item.key];
+    StoreRevision& revision = instance->applied[item.key];
     REQUIRE(item.revision >= revision);  // Nothing goes back.
     revision = item.revision;
   }
@@ -735,7 +741,7 @@
     }
   }
   static void ApplyAll(Instance* instance, const std::vector<StoreItem>& items,
-                       int64_t revision) {
+                       StoreRevision revision) {
     for (const StoreItem& item : items) {
       ApplyOne(instance, item);
     }
@@ -747,7 +753,7 @@
 
   // Whether the instance knows every relevant change until `until`.
   bool KnowsChangesUntil(Instance& instance, Millis until) const {
-    std::map<std::string, int64_t> wanted;
+    std::map<std::string, StoreRevision> wanted;
     for (auto it = changes_.rbegin(); it != changes_.rend(); ++it) {
       if (it->at <= until && it->relevant) {
         wanted.try_emplace(it->item.key, it->item.revision);
@@ -758,9 +764,11 @@
     }
     for (const auto& [key, revision] : wanted) {
       auto it = instance.applied.find(key);
-      int64_t applied = it == instance.applied.end() ? 0 : it->second;
+      StoreRevision applied =
+          it == instance.applied.end() ? StoreRevision() : it->second;
       if (std::max(applied, instance.read_revision) < revision) {
-        UNSCOPED_INFO(key << " wanted " << revision << " has " << applied);
+        UNSCOPED_INFO(key << " wanted " << revision.number << " has "
+                          << applied.number);
         return false;
       }
     }
