Fake stores come back from an earlier copy

The store may be away for a moment and come back from a copy some seconds old. Neither fake could play that.

The fake of the lab says the era in the header of all its answers (faults take_copy and restore_copy).

No behaviour of the program changes.

--- a/tools/bilberrypitch_lab/fake_store.cc
+++ b/tools/bilberrypitch_lab/fake_store.cc
@@ -65,7 +65,7 @@
     return;
   }
   if (faults_.refuses) {
-    responder->Send(JsonResponse(503, json::object()));
+    SendResponse(std::move(responder), JsonResponse(503, json::object()));
     return;
   }
   HandleStoreCall(request, std::move(responder));
@@ -79,13 +79,13 @@
     int64_t time_to_live = IntOr(body, "ttl_ms", 0);
     int64_t lease = 0;
     if (time_to_live > 0) {
-      auto item = items_.find(key);
-      lease = item == items_.end() ? 0 : item->second.lease;
-      if (leases_.count(lease) == 0) {
-        lease = next_lease_++;
+      auto item = data_.items.find(key);
+      lease = item == data_.items.end() ? 0 : item->second.lease;
+      if (data_.leases.count(lease) == 0) {
+        lease = data_.next_lease++;
       }
-      leases_[lease] = {Millis(time_to_live),
-                        EventLoop::Now() + Millis(time_to_live)};
+      data_.leases[lease] = {Millis(time_to_live),
+                             EventLoop::Now() + Millis(time_to_live)};
     }
     Put(key, StringOr(body, "value", ""), lease);
   } else if (request.path == "/lab/remove") {
@@ -101,8 +101,14 @@
 
 void FakeStore::SetFaults(const json::object& object) {
   if (BoolOr(object, "drop_history", false)) {
-    history_.clear();
-    compacted_revision_ = revision_;
+    data_.history.clear();
+    data_.compacted_revision = data_.revision;
+  }
+  if (BoolOr(object, "take_copy", false)) {
+    copy_ = data_;
+  }
+  if (BoolOr(object, "restore_copy", false)) {
+    RestoreCopy();
   }
   faults_.silent = BoolOr(object, "silent", false);
   faults_.refuses = BoolOr(object, "refuses", false);
@@ -110,9 +116,17 @@
   faults_.lose_writes = IntOr(object, "lose_writes", 0);
 }
 
+void FakeStore::RestoreCopy() {
+  data_ = copy_;
+  ++era_;
+  for (auto& [id, lease] : data_.leases) {
+    lease.expires_at = EventLoop::Now() + lease.time_to_live;
+  }
+}
+
 json::object FakeStore::StatsJson() const {
   json::array keys;
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : data_.items) {
     keys.push_back(json::value(key));
   }
   return {{"reads", counts_.reads},
@@ -161,6 +175,7 @@
 
 void FakeStore::SendResponse(std::shared_ptr<Responder> responder,
                              HttpResponse response) {
+  response.headers.Add("Store-Era", std::to_string(era_));
   if (faults_.response_delay == Millis(0)) {
     responder->Send(std::move(response));
     return;
@@ -192,14 +207,14 @@
 }  // namespace
 
 HttpResponse FakeStore::ReadKey(const HttpRequest& request) const {
-  auto it = items_.find(QueryValue(request.query, "key"));
-  if (it == items_.end()) {
-    return JsonResponse(404, {{"at", revision_}});
+  auto it = data_.items.find(QueryValue(request.query, "key"));
+  if (it == data_.items.end()) {
+    return JsonResponse(404, {{"at", data_.revision}});
   }
   const Item& item = it->second;
   json::object body = ItemJson(item.key, item.value, item.revision,
                                item.created, item.lease, false);
-  body["at"] = revision_;
+  body["at"] = data_.revision;
   return JsonResponse(200, body);
 }
 
@@ -208,7 +223,7 @@
   std::string after_key = QueryValue(request.query, "after");
   json::array items;
   bool has_more = false;
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : data_.items) {
     if (!key.starts_with(prefix) || (!after_key.empty() && key <= after_key)) {
       continue;
     }
@@ -219,9 +234,9 @@
     items.push_back(ItemJson(key, item.value, item.revision, item.created,
                              item.lease, false));
   }
-  return JsonResponse(
-      200,
-      {{"items", std::move(items)}, {"hasMore", has_more}, {"at", revision_}});
+  return JsonResponse(200, {{"items", std::move(items)},
+                            {"hasMore", has_more},
+                            {"at", data_.revision}});
 }
 
 HttpResponse FakeStore::CommitTransaction(const HttpRequest& request) {
@@ -235,12 +250,13 @@
   bool conditions_hold = true;
   for (const json::value& condition : get_array("expected")) {
     std::string key = StringOr(condition.as_object(), "key", "");
-    auto item = items_.find(key);
-    int64_t current_revision = item == items_.end() ? 0 : item->second.revision;
+    auto item = data_.items.find(key);
+    int64_t current_revision =
+        item == data_.items.end() ? 0 : item->second.revision;
     conditions_hold =
         conditions_hold &&
         current_revision == IntOr(condition.as_object(), "rev", -1);
-    if (item != items_.end()) {
+    if (item != data_.items.end()) {
       const Item& current = item->second;
       current_items.push_back(ItemJson(current.key, current.value,
                                        current.revision, current.created,
@@ -256,7 +272,7 @@
       return JsonResponse(403, json::object());
     }
     int64_t lease = IntOr(write.as_object(), "lease", 0);
-    if (lease != 0 && leases_.count(lease) == 0) {
+    if (lease != 0 && data_.leases.count(lease) == 0) {
       return JsonResponse(404, json::object());
     }
   }
@@ -268,19 +284,19 @@
   for (const json::value& key : get_array("remove")) {
     Remove(std::string(key.as_string()));
   }
-  return JsonResponse(200, {{"rev", revision_}});
+  return JsonResponse(200, {{"rev", data_.revision}});
 }
 
 HttpResponse FakeStore::GrantLease(const HttpRequest& request) {
   Millis time_to_live(IntOr(ParseJsonObject(request.body), "ttlMs", 0));
-  int64_t id = next_lease_++;
-  leases_[id] = {time_to_live, EventLoop::Now() + time_to_live};
+  int64_t id = data_.next_lease++;
+  data_.leases[id] = {time_to_live, EventLoop::Now() + time_to_live};
   return JsonResponse(200, {{"lease", id}, {"ttlMs", time_to_live.count()}});
 }
 
 HttpResponse FakeStore::RenewLease(int64_t id) {
-  auto lease = leases_.find(id);
-  if (lease == leases_.end()) {
+  auto lease = data_.leases.find(id);
+  if (lease == data_.leases.end()) {
     return JsonResponse(404, json::object());
   }
   lease->second.expires_at = EventLoop::Now() + lease->second.time_to_live;
@@ -294,30 +310,30 @@
 }
 
 void FakeStore::Put(const std::string& key, std::string value, int64_t lease) {
-  Item& item = items_[key];
+  Item& item = data_.items[key];
   item.key = key;
   item.value = std::move(value);
-  item.revision = ++revision_;
-  item.created = item.created == 0 ? revision_ : item.created;
+  item.revision = ++data_.revision;
+  item.created = item.created == 0 ? data_.revision : item.created;
   item.lease = lease;
   AppendToHistory(item);
 }
 
 void FakeStore::Remove(const std::string& key) {
-  if (items_.erase(key) == 0) {
+  if (data_.items.erase(key) == 0) {
     return;
   }
   Item tombstone;
   tombstone.key = key;
-  tombstone.revision = ++revision_;
+  tombstone.revision = ++data_.revision;
   tombstone.deleted = true;
   AppendToHistory(tombstone);
 }
 
 void FakeStore::RemoveLease(int64_t id) {
-  leases_.erase(id);
+  data_.leases.erase(id);
   std::vector<std::string> keys;
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : data_.items) {
     if (item.lease == id) {
       keys.push_back(key);
     }
@@ -328,10 +344,10 @@
 }
 
 void FakeStore::AppendToHistory(Item item) {
-  history_.push_back(std::move(item));
-  if (history_.size() > kMaxHistoryItems) {
-    compacted_revision_ = history_.front().revision;
-    history_.pop_front();
+  data_.history.push_back(std::move(item));
+  if (data_.history.size() > kMaxHistoryItems) {
+    data_.compacted_revision = data_.history.front().revision;
+    data_.history.pop_front();
   }
   if (!faults_.silent) {
     NotifyWatchers();
@@ -354,11 +370,12 @@
 }
 
 std::optional<HttpResponse> FakeStore::EventsFor(const Watcher& watcher) const {
-  if (watcher.after_revision < compacted_revision_) {
+  if (watcher.after_revision < data_.compacted_revision ||
+      watcher.after_revision > data_.revision) {
     return JsonResponse(410, json::object());
   }
   json::array events;
-  for (const Item& item : history_) {
+  for (const Item& item : data_.history) {
     if (item.revision > watcher.after_revision &&
         item.key.starts_with(watcher.prefix)) {
       events.push_back(ItemJson(item.key, item.value, item.revision,
@@ -368,15 +385,16 @@
   if (events.empty()) {
     return std::nullopt;
   }
-  return JsonResponse(200, {{"events", std::move(events)}, {"at", revision_}});
+  return JsonResponse(200,
+                      {{"events", std::move(events)}, {"at", data_.revision}});
 }
 
 void FakeStore::NotifyWatchers() {
   for (auto watcher = watchers_.begin(); watcher != watchers_.end();) {
     std::optional<HttpResponse> events = EventsFor(*watcher);
     if (!events && EventLoop::Now() >= watcher->expires_at) {
-      events =
-          JsonResponse(200, {{"events", json::array()}, {"at", revision_}});
+      events = JsonResponse(
+          200, {{"events", json::array()}, {"at", data_.revision}});
     }
     if (!events) {
       ++watcher;
@@ -391,13 +409,13 @@
   tick_timer_.Start(kTickInterval, [this] { Tick(); });
   if (faults_.silent) {
     // Leases pause while the store is silent.
-    for (auto& [id, lease] : leases_) {
+    for (auto& [id, lease] : data_.leases) {
       lease.expires_at = lease.expires_at + kTickInterval;
     }
     return;
   }
   std::vector<int64_t> expired;
-  for (const auto& [id, lease] : leases_) {
+  for (const auto& [id, lease] : data_.leases) {
     if (lease.expires_at <= EventLoop::Now()) {
       expired.push_back(id);
     }
--- a/tools/bilberrypitch_lab/fake_store.h
+++ b/tools/bilberrypitch_lab/fake_store.h
@@ -1,5 +1,6 @@
 // A fake of the platform's store: items with revisions and leases, reads by
-// page, a watch with a bounded history, conditional writes, and faults.
+// page, a watch with a bounded history, conditional writes, and faults, one of
+// them the return from an earlier copy.
 #pragma once
 
 #include <cstdint>
@@ -18,8 +19,9 @@
 
 // Lives on the thread of its event loop. The operator and the upstreams write
 // through POST /lab/write and /lab/remove, which work during every fault. POST
-// /lab/faults sets the members of Faults; GET /lab/facts returns the number of
-// calls and the keys.
+// /lab/faults sets the members of Faults; with `take_copy` it keeps a copy of
+// the data, and with `restore_copy` it goes back to that copy. GET /lab/facts
+// returns the number of calls and the keys.
 class FakeStore {
  public:
   FakeStore(EventLoop* loop, uint16_t port);
@@ -38,6 +40,15 @@
     Millis time_to_live;
     Millis expires_at;
   };
+  // What a copy contains.
+  struct Data {
+    std::map<std::string, Item> items;
+    std::deque<Item> history;  // Ordered by revision.
+    int64_t revision = 1;
+    int64_t compacted_revision = 0;  // Watches from before it get a 410.
+    std::map<int64_t, Lease> leases;
+    int64_t next_lease = 1;
+  };
   struct Watcher {
     std::string prefix;
     int64_t after_revision = 0;
@@ -69,6 +80,9 @@
   HttpResponse RenewLease(int64_t id);
   HttpResponse RevokeLease(int64_t id);
   void SetFaults(const json::object& object);
+  // Loses what was written since the copy was taken. Revisions and ids of
+  // leases are given out again.
+  void RestoreCopy();
   json::object StatsJson() const;
 
   void Put(const std::string& key, std::string value, int64_t lease);
@@ -83,12 +97,9 @@
                     HttpResponse response);
 
   EventLoop* const loop_;
-  std::map<std::string, Item> items_;
-  std::deque<Item> history_;  // Ordered by revision.
-  int64_t revision_ = 1;
-  int64_t compacted_revision_ = 0;  // Watches from before it get a 410.
-  std::map<int64_t, Lease> leases_;
-  int64_t next_lease_ = 1;
+  Data data_;
+  Data copy_;
+  int64_t era_ = 0;  // Number of returns from a copy.
   std::list<Watcher> watchers_;
   Faults faults_;
   CallCounts counts_;
