Fencing tokens rise over the eras of the store

What callers saw: after the store came back from a copy, adapters weren't loaded.

Cause: the token was the number of the key's revision, which a restored store gives out again.

Change: the token holds the era above the number, within the 53 bits that JSON carries exactly: 40 bits of number, 13 of era. Beyond either the token is 0, which allows no order. 32 bits of number were ruled out: heartbeats of 2,100 engines alone would use them up within weeks. In era 0 tokens stay what they were.

--- a/libs/serving/include/serving/ownership.h
+++ b/libs/serving/include/serving/ownership.h
@@ -3,8 +3,9 @@
 // owner hands out its tokens.
 //
 // Ownership is a key in the store that is bound to the owner's lease, so it
-// ends when the owner stops renewing the lease. The revision of the key's last
-// write is the fencing token; it rises with each owner. A new owner waits for
+// ends when the owner stops renewing the lease. The fencing token follows from
+// the revision of the key's last write; it rises with each owner. A new owner
+// waits for
 // the takeover delay before it acts, so that two machines never act on one
 // resource within that time. It need not wait if this instance saw the resource
 // appear and has since seen no owner and missed no change, or if the key still
--- a/libs/serving/src/ownership.cc
+++ b/libs/serving/src/ownership.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "base/hash.h"
+#include "serving/fencing_token.h"
 
 namespace bilberrypitch {
 namespace {
@@ -264,7 +265,7 @@
   if (!OwnedBySelf(resource) || now < resources_.at(resource).active_from) {
     return 0;
   }
-  return resources_.at(resource).owner->revision.number;
+  return ToFencingToken(resources_.at(resource).owner->revision);
 }
 
 const OwnerRecord* Ownership::OwnerOf(const ResourceId& resource) const {
