Tell an order's answer and a report from what nobody asked for

Callers would see: an order that the engine refused counts as started, or an old report as the present one, so that requests are sent to an engine that doesn't hold their adapter.

Cause: a response to an order or a report passed for the answer to whatever call waited on its connection.

Change: each call names itself. A response that names anything else is none of ours. One with neither a length nor chunks, or with more bytes behind it and no name, is not trusted on a kept connection; on a new one it can be nothing else. After such a sign, a malformed response, or bytes on an idle connection, calls to that address get connections of their own for the time that ConnectionTrust says. The table is bounded to 4,096 addresses. What is trusted is decided in libs/serving (ControlResponse).

Weighed: not to trust a response without a name on any kept connection.

Not told apart: a well-framed copy without a name that arrives after the next order was sent and well before its real answer. The real answer then shows as surplus, and the connection is not used again, but this one order has the copy's outcome.

Tests ([order_response]): four of the five failed before, in seven cases (kStarted in place of kUnknown or kFenced, an old or unframed report accepted, connections used again after a sign).

--- a/apps/bilberrypitch/platform_serve.cc
+++ b/apps/bilberrypitch/platform_serve.cc
@@ -81,6 +81,10 @@
     platform::StoreClient store(&control_client,
                                 instance_settings.store_address);
     platform::EngineClient engines(&control_client);
+    control_client.SetOnUnsolicitedBytes(
+        [&engines](const std::string& address) {
+          engines.OnUnsolicitedBytes(address);
+        });
     platform::RequestCodec codec;
     GatewayDeps deps;
     deps.loop = &loop;
