Refuse a report that is older than one accepted

Callers would see: requests sent to an engine for an adapter that it has unloaded since, or none sent for one that it holds, after a late copy of a report.

Cause: a report with a lower order count than the placement's was refused only within 600 ms of the last accepted order. After that it passed as the engine's own count.

Change: EnginePlacement keeps the start and count of the newest report that it accepted and refuses one of an earlier start, or of the same start with a lower count. Reports that state no start are taken as before. A refused one counts as none: if the state is uncertain, the next is fetched after the usual interval.

The test ('a report that is older than an accepted one is refused') failed before in three of its four sections; serving_test passes (one run).

--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -130,6 +130,8 @@
     int64_t version = 0;
   };
 
+  // Whether the report is older than one that was accepted: a late copy.
+  bool IsStale(const EngineReport& report) const;
   // Marks loads as complete once their expected time has passed.
   void CompleteLoads(Millis now);
   void QueueNotification(PlacementAction::Kind kind, const ModelRef& target,
@@ -175,6 +177,10 @@
   Millis order_not_before_;
   int64_t orders_accepted_ = 0;  // As counted by this owner; see OnReport.
   Millis last_accepted_at_;
+  // Start and order count of the newest report that was accepted. Later reports
+  // of this start have no lower count.
+  int64_t reported_start_ms_ = 0;
+  int64_t reported_count_ = 0;
   std::map<ModelId, int64_t> models_;  // Loaded base models.
   std::optional<ModelId> loading_model_;
   Millis loading_model_due_;
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -51,6 +51,8 @@
   report_outstanding_ = false;
   report_not_before_ = now;
   orders_accepted_ = 0;
+  reported_start_ms_ = 0;
+  reported_count_ = 0;
   models_.clear();
   loading_model_.reset();
   resident_.clear();
@@ -247,11 +249,21 @@
   return it != resident_.end() && it->second.version >= version;
 }
 
+// The order count of one start never falls. Without a start in the report, a
+// lower count may be that of a new start.
+bool EnginePlacement::IsStale(const EngineReport& report) const {
+  if (report.started_ms == 0 || report.started_ms > reported_start_ms_) {
+    return false;
+  }
+  return report.started_ms < reported_start_ms_ ||
+         report.orders_accepted < reported_count_;
+}
+
 void EnginePlacement::OnReport(bool ok, const EngineReport& report,
                                Millis now) {
   report_outstanding_ = false;
   report_not_before_ = now + kReportInterval;
-  if (!ok) {
+  if (!ok || IsStale(report)) {
     return;
   }
   // The state in a report is some hundred milliseconds old, so a report with a
@@ -262,6 +274,8 @@
   if (report.orders_accepted < orders_accepted_ && lags) {
     return;
   }
+  reported_start_ms_ = report.started_ms;
+  reported_count_ = report.orders_accepted;
   orders_accepted_ = report.orders_accepted;
   models_.clear();
   std::map<ModelRef, Resident> previous;
--- a/libs/serving/test/engine_placement_test.cc
+++ b/libs/serving/test/engine_placement_test.cc
@@ -480,4 +480,42 @@
   }
 }
 
+// Guards against: a late copy of a report undoes what a newer one has shown.
+TEST_CASE("a report that is older than an accepted one is refused",
+          "[placement]") {
+  Millis now(1000);
+  EnginePlacement placement;
+  placement.SetEngine(MakeProfile());
+  placement.Reset(now);
+  EngineReport older = MakeReport(3, {1});
+  EngineReport newer = MakeReport(5, {2});
+  older.started_ms = 1000;
+  newer.started_ms = 1000;
+  placement.OnReport(true, newer, now);
+  now = now + Millis(60 * 1000);  // Long after the last order.
+  SECTION("of the same start") {
+    placement.OnReport(true, older, now);
+    REQUIRE(placement.Holds(Adapter(2), 1));
+    REQUIRE_FALSE(placement.Holds(Adapter(1), 1));
+  }
+  SECTION("of an earlier start, whatever its count") {
+    older.started_ms = 999;
+    older.orders_accepted = 9;
+    placement.OnReport(true, older, now);
+    REQUIRE(placement.Holds(Adapter(2), 1));
+  }
+  SECTION("but not of a later start") {
+    older.started_ms = 1001;
+    placement.OnReport(true, older, now);
+    REQUIRE(placement.Holds(Adapter(1), 1));
+    placement.OnReport(true, newer, now);
+    REQUIRE(placement.Holds(Adapter(1), 1));
+  }
+  SECTION("but not after a reset") {
+    placement.Reset(now);
+    placement.OnReport(true, older, now);
+    REQUIRE(placement.Holds(Adapter(1), 1));
+  }
+}
+
 }  // namespace bilberrypitch
