Leases and ownership end with the era of the store

What callers saw: after the store came back from a copy without the owner's claim, neither the record of the instance nor that of its ownership came back; with the lease in the copy, the record stayed bound to a lease that another instance may be given.

Cause: claims named the number of a revision that the store had lost, so that the condition never held; a lease counted as held because its id existed.

Change: - Every response tells Membership the era. A newer one ends the lease, whatever became of its id, and all ownership; a new lease is asked for at once. A grant or claim that was answered in another era doesn't count. - An owner whose lease was valid until then claims anew at once and goes on without the takeover delay, for as long as that lease would have lasted: any other machine waits longer. All others wait until a lease of the earlier era has run out, and then for the takeover delay, also for resources that appear anew, and also with a key of their own that only a copy vouches for. - While the key's state in the era isn't known, a claim asks that there be none, as the old number may be that of another write; the rejection tells the state. - The earlier owner claims 1.5 s before others.

Tried before, in thought only: the takeover delay for all. Engines would have stood without orders for over 3 s each time; and 3 s alone is too short for an owner that is cut off from the store and may act until its lease of 6 s ends.

Conclusion: open are a claim that is executed late in a new era and meets the same number of the same key by chance, and an instance that starts in an era above 0: it can't know when the era began and waits 6 s longer for orders.

--- a/libs/gateway/include/gateway/membership.h
+++ b/libs/gateway/include/gateway/membership.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -46,6 +47,9 @@
   void AddResource(const ResourceId& resource, const ZoneId& zone);
   void RemoveResource(const ResourceId& resource);
 
+  // A response of the store states that it is in this era; none: it states
+  // nothing. A newer era ends the lease and all ownership.
+  void OnStoreEra(std::optional<int64_t> era);
   // A record that the instances themselves keep in the store was written or
   // removed.
   void OnStoreItem(const StoreItem& item);
--- a/libs/gateway/src/lease_manager.cc
+++ b/libs/gateway/src/lease_manager.cc
@@ -34,8 +34,27 @@
   }
 }
 
-bool LeaseManager::IsValid(Millis now) const {
-  return lease_id_ != 0 && now + kValidityMargin < valid_until_;
+Millis LeaseManager::ValidUntil() const {
+  return lease_id_ != 0 ? valid_until_ - kValidityMargin : Millis(0);
+}
+
+void LeaseManager::OnEra(int64_t era) {
+  if (era <= era_) {
+    return;
+  }
+  era_ = era;
+  if (lease_id_ != 0) {
+    LogWarning("lease", "lease={} is of an earlier era of the store.",
+               lease_id_);
+    LoseLease();
+  }
+}
+
+void LeaseManager::LoseLease() {
+  timer_.Cancel();
+  lease_id_ = 0;
+  hooks_.on_lost();
+  Grant();
 }
 
 void LeaseManager::Grant() {
@@ -50,11 +69,15 @@
   if (revoked_) {
     return;
   }
-  if (result.outcome != StoreOutcome::kOk || result.lease == 0) {
+  hooks_.on_era(result.era);
+  bool usable = result.outcome == StoreOutcome::kOk && result.lease != 0 &&
+                result.era.value_or(0) == era_;
+  if (!usable) {
     timer_.Start(kRetryDelay, [this] { Grant(); });
     return;
   }
   lease_id_ = result.lease;
+  ++lease_count_;
   valid_until_ = sent_at + result.time_to_live;
   LogInfo("lease", "Granted lease={} ttl_ms={}.", lease_id_,
           result.time_to_live.count());
@@ -65,22 +88,25 @@
 
 void LeaseManager::Renew() {
   Millis sent_at = EventLoop::Now();
-  store_->RenewLease(lease_id_,
-                     [this, sent_at](const StoreLeaseResult& result) {
-                       OnRenewed(result, sent_at);
-                     });
+  store_->RenewLease(lease_id_, [this, sent_at, lease_count = lease_count_](
+                                    const StoreLeaseResult& result) {
+    bool is_current = lease_id_ != 0 && lease_count == lease_count_;
+    if (!revoked_ && is_current) {
+      OnRenewed(result, sent_at);
+    }
+  });
 }
 
 void LeaseManager::OnRenewed(const StoreLeaseResult& result, Millis sent_at) {
-  if (revoked_) {
-    return;
+  int64_t lease_count = lease_count_;
+  hooks_.on_era(result.era);
+  if (lease_id_ == 0 || lease_count != lease_count_) {
+    return;  // The lease was of an earlier era.
   }
   if (result.outcome == StoreOutcome::kLeaseNotFound) {
     LogWarning("lease", "The store reports that lease={} has ended.",
                lease_id_);
-    lease_id_ = 0;
-    hooks_.on_lost();
-    Grant();
+    LoseLease();
     return;
   }
   if (result.outcome != StoreOutcome::kOk) {
--- a/libs/gateway/src/membership.cc
+++ b/libs/gateway/src/membership.cc
@@ -24,7 +24,7 @@
       self_(self),
       peers_(peers),
       hooks_(std::move(hooks)),
-      ownership_(self, takeover_delay, EventLoop::Now()),
+      ownership_(self, takeover_delay, lease_ttl, EventLoop::Now()),
       lease_manager_(loop, store, lease_ttl, LeaseHooks()),
       claim_timer_(loop),
       register_timer_(loop) {}
@@ -46,9 +46,19 @@
       hooks_.on_ownership_changed(resource);
     }
   };
+  hooks.on_era = [this](std::optional<int64_t> era) { OnStoreEra(era); };
   return hooks;
 }
 
+void Membership::OnStoreEra(std::optional<int64_t> era) {
+  Millis now = EventLoop::Now();
+  bool is_new = era && ownership_.OnEra(*era, lease_manager_.ValidUntil(), now);
+  if (is_new) {
+    LogWarning("peer", "The store is in era={}.", *era);
+    lease_manager_.OnEra(*era);
+  }
+}
+
 void Membership::AddResource(const ResourceId& resource, const ZoneId& zone) {
   ownership_.OnResource(resource, zone, EventLoop::Now());
   ProcessClaims();
@@ -64,6 +74,8 @@
       {MemberKey(self_), EncodeMember(self_), lease_manager_.lease_id()});
   store_->Commit(
       std::move(transaction), [this](const StoreCommitResult& result) {
+        // A new era has lost the lease; the next one brings a new record.
+        OnStoreEra(result.era);
         if (result.outcome == StoreOutcome::kOk) {
           return;
         }
@@ -78,6 +90,7 @@
 }
 
 void Membership::OnStoreItem(const StoreItem& item) {
+  OnStoreEra(item.revision.era);
   MachineId machine = MachineFromMemberKey(item.key);
   if (!machine.empty()) {
     OnMember(machine, item);
@@ -141,6 +154,7 @@
 
 void Membership::OnFullReadCompleted(const std::set<std::string>& keys,
                                      StoreRevision revision) {
+  OnStoreEra(revision.era);
   std::vector<MachineId> missing;
   for (const auto& [machine, member] : peers_->peers()) {
     if (keys.count(MemberKey(member)) == 0) {
@@ -186,6 +200,7 @@
       {key, EncodeOwner(self_, claim.takeover_complete), lease_id});
   store_->Commit(std::move(transaction), [this, claim, lease_id](
                                              const StoreCommitResult& result) {
+    OnStoreEra(result.era);
     if (result.outcome != StoreOutcome::kOk) {
       for (const StoreItem& item : result.current) {
         OnStoreItem(item);
--- a/libs/replay/src/replay_cluster.cc
+++ b/libs/replay/src/replay_cluster.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Millis kTakeoverDelay{3000};
+constexpr Millis kLeaseTtl{6000};
 // A tenth of the limit and no extra tokens, in any window of 8 seconds.
 constexpr RateTolerance kRateTolerance{0.1, 0, 8};
 
@@ -51,7 +52,7 @@
       ownerships_.erase(step.who());
       ownerships_.emplace(step.who(),
                           Ownership(MemberOf(step.who(), step.name()),
-                                    kTakeoverDelay, At(step)));
+                                    kTakeoverDelay, kLeaseTtl, At(step)));
       return TraceOutcome{"ok"};
     };
     AddOwnershipAction("synced", [](Ownership* ownership, const Step& step) {
--- a/libs/serving/include/serving/ownership.h
+++ b/libs/serving/include/serving/ownership.h
@@ -12,6 +12,12 @@
 // named an earlier process or lease of the same machine and stated that its
 // takeover delay was over.
 //
+// A store that comes back from an older copy has lost leases and claims. All
+// ownership ends with its era. An owner whose lease was valid until then claims
+// anew at once, and goes on without the takeover delay: no other machine can
+// have acted since. Any other owner waits until the lease of an owner that
+// hasn't heard of the new era has run out, and then for the takeover delay.
+//
 // If there is no owner, the members claim the resource in the order of a
 // rendezvous hash, members of the resource's zone first, each one some time
 // after the one before it.
@@ -75,8 +81,15 @@
   static constexpr StoreRevision kLatestRevision{
       std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::max()};
 
-  Ownership(ClusterMember self, Millis takeover_delay, Millis now);
+  // `lease_ttl`: how long an owner may act after its last renewal at the most.
+  Ownership(ClusterMember self, Millis takeover_delay, Millis lease_ttl,
+            Millis now);
 
+  // The store is in this era. `lease_valid_until`: end of the current lease by
+  // its last renewal in the era before. Returns whether the era is new. The
+  // calling code then has to ask for a new lease.
+  bool OnEra(int64_t era, Millis lease_valid_until, Millis now);
+  int64_t era() const { return era_; }
   // Sets the current lease of this process; 0: none. A resource that was
   // claimed under another lease is no longer owned, even if the last known
   // state of its key names this process.
@@ -133,8 +146,29 @@
     bool had_owner = true;
     Millis active_from;  // End of this process's takeover delay.
     Millis claimed_at;
+    // The state of the key is known in this era: `owner`, or its absence.
+    int64_t known_era = 0;
+    // The owner record was seen to be written in the era of the store, so it is
+    // none of a copy.
+    bool written_in_era = true;
+    // This process was the owner when the era began. Until this time, no other
+    // machine can have acted since.
+    Millis continues_until;
   };
 
+  // Whether `owner` is this process, by its current lease.
+  bool IsOwnRecord(const OwnerRecord& owner) const;
+  // When this process claims the resource, which has no owner.
+  Millis ClaimableFrom(const ResourceId& resource, const ResourceState& state,
+                       Millis now) const;
+  // The condition of a claim.
+  StoreRevision KnownRevision(const ResourceState& state) const;
+  // The end of the takeover delay that begins now.
+  Millis TakeoverEnd(const ResourceState& state, Millis now) const;
+  // This process claims a key that it or an earlier process of this machine
+  // had, and that is not bound to the current lease.
+  bool IsReclaim(const ResourceState& state) const;
+
   // Whether a claim made now has to wait for the takeover delay.
   bool NeedsTakeoverDelay(const ResourceState& state) const;
   void ForgetRemovedResources(Millis now);
@@ -143,8 +177,12 @@
 
   const ClusterMember self_;
   const Millis takeover_delay_;
+  const Millis lease_ttl_;
   const Millis started_;
   int64_t lease_ = 0;
+  int64_t era_ = 0;
+  // An owner of an earlier era may act until then.
+  Millis earlier_owners_until_;
   bool synced_ = false;
   bool in_full_read_ = false;
   Millis synced_at_;
--- a/libs/serving/src/ownership.cc
+++ b/libs/serving/src/ownership.cc
@@ -22,6 +22,8 @@
 // Added to the takeover delay, for differences of clocks and for orders that
 // are still on their way.
 constexpr Millis kTakeoverMargin{250};
+// For this long the owner of an earlier era of the store claims before others.
+constexpr Millis kEarlierOwnerTime{1500};
 
 constexpr std::string_view kEnginePrefix = "engine/";
 constexpr std::string_view kRatePrefix = "rate/";
@@ -50,11 +52,32 @@
   return WorkspaceId(StripPrefix(resource, kRatePrefix));
 }
 
-Ownership::Ownership(ClusterMember self, Millis takeover_delay, Millis now)
-    : self_(std::move(self)), takeover_delay_(takeover_delay), started_(now) {
+Ownership::Ownership(ClusterMember self, Millis takeover_delay,
+                     Millis lease_ttl, Millis now)
+    : self_(std::move(self)),
+      takeover_delay_(takeover_delay),
+      lease_ttl_(lease_ttl),
+      started_(now) {
   members_[self_.machine] = self_;
 }
 
+bool Ownership::OnEra(int64_t era, Millis lease_valid_until, Millis now) {
+  if (era <= era_) {
+    return false;
+  }
+  for (auto& [resource, state] : resources_) {
+    if (FencingToken(resource, now) != 0) {
+      state.continues_until = lease_valid_until;
+    }
+    state.had_owner = true;
+    state.claimed_at = Millis(0);
+  }
+  era_ = era;
+  earlier_owners_until_ = now + lease_ttl_;
+  lease_ = 0;
+  return true;
+}
+
 void Ownership::OnLease(int64_t lease) { lease_ = lease; }
 
 void Ownership::OnMember(const ClusterMember& member) {
@@ -80,8 +103,10 @@
   state.exists = true;
   if (inserted) {
     // Outside a full read, this instance sees the resource appear, so nobody
-    // has owned it yet.
-    state.had_owner = !synced_ || in_full_read_;
+    // has owned it yet. But a resource of an earlier era may appear again.
+    bool may_be_earlier =
+        now < earlier_owners_until_ + takeover_delay_ + kTakeoverMargin;
+    state.had_owner = !synced_ || in_full_read_ || (era_ > 0 && may_be_earlier);
   }
   if (!state.owner) {
     state.unowned_since = now;
@@ -98,22 +123,41 @@
 
 void Ownership::OnOwner(const ResourceId& resource, const OwnerRecord& owner,
                         Millis now) {
+  OnEra(owner.revision.era, Millis(0), now);
   ResourceState& state = resources_[resource];
-  if (state.owner && state.owner->revision >= owner.revision) {
+  bool outdated = owner.revision.era < era_ ||
+                  (state.owner && state.owner->revision >= owner.revision);
+  if (outdated) {
     return;
   }
   bool owned_by_self =
       owner.machine == self_.machine && owner.boot == self_.boot;
-  bool already_owned = owned_by_self && state.owner &&
-                       state.owner->boot == self_.boot &&
-                       state.owner->lease == owner.lease;
+  bool already_owned =
+      owned_by_self && state.owner && state.owner->boot == self_.boot &&
+      state.owner->lease == owner.lease && state.owner->revision.era == era_;
   if (owned_by_self && !already_owned) {
-    bool needs_delay = NeedsTakeoverDelay(state);
-    state.active_from =
-        needs_delay ? now + takeover_delay_ + kTakeoverMargin : now;
+    state.active_from = TakeoverEnd(state, now);
   }
+  // A copy may contain the first state that is seen in an era, but not a later
+  // one.
+  state.written_in_era =
+      era_ == 0 || state.known_era == era_ || IsOwnRecord(owner);
+  state.known_era = era_;
   state.owner = owner;
   state.had_owner = true;
+  if (owner.machine != self_.machine) {
+    state.continues_until = Millis(0);
+  } else if (!IsOwnRecord(owner)) {
+    state.claimed_at = Millis(0);  // The claim can name the revision now.
+  }
+}
+
+Millis Ownership::TakeoverEnd(const ResourceState& state, Millis now) const {
+  if (now < state.continues_until || !NeedsTakeoverDelay(state)) {
+    return now;
+  }
+  return std::max(now, earlier_owners_until_) + takeover_delay_ +
+         kTakeoverMargin;
 }
 
 bool Ownership::NeedsTakeoverDelay(const ResourceState& state) const {
@@ -122,22 +166,33 @@
   bool held_by_this_machine =
       state.owner && state.owner->machine == self_.machine;
   return state.had_owner &&
-         !(held_by_this_machine && state.owner->takeover_complete);
+         !(held_by_this_machine && state.owner->takeover_complete &&
+           state.owner->revision.era == era_ && state.written_in_era);
 }
 
 void Ownership::OnOwnerRemoved(const ResourceId& resource, Millis now,
                                StoreRevision revision) {
+  if (revision != kLatestRevision) {
+    OnEra(revision.era, Millis(0), now);
+  }
+  if (revision.era < era_) {
+    return;
+  }
   // Only the last change of a key may be reported, so neither the owner nor the
   // resource need have been seen before.
   auto [it, inserted] = resources_.try_emplace(resource);
   ResourceState& state = it->second;
   state.had_owner = true;
   bool owner_removed = state.owner && state.owner->revision <= revision;
+  if (inserted || owner_removed) {
+    bool lost_with_era = state.owner && state.owner->revision.era < era_;
+    state.unowned_since = lost_with_era ? now + kEarlierOwnerTime : now;
+  }
   if (owner_removed) {
     state.owner.reset();
   }
-  if (inserted || owner_removed) {
-    state.unowned_since = now;
+  if (!state.owner) {
+    state.known_era = era_;
   }
 }
 
@@ -183,25 +238,20 @@
       continue;
     }
     if (state.owner) {
-      bool held_by_this_machine = state.owner->machine == self_.machine;
       bool owned_by_self = OwnedBySelf(resource);
       bool completes_takeover = owned_by_self &&
                                 !state.owner->takeover_complete &&
                                 now >= state.active_from;
       // Records the end of the takeover delay, or claims a key that an earlier
       // process or lease of this machine left behind.
-      if (completes_takeover || (held_by_this_machine && !owned_by_self)) {
+      if (completes_takeover || IsReclaim(state)) {
         state.claimed_at = now;
-        claims.push_back({resource, state.owner->revision,
+        claims.push_back({resource, KnownRevision(state),
                           completes_takeover || !NeedsTakeoverDelay(state)});
       }
       continue;
     }
-    Millis claimable_from =
-        std::max(state.unowned_since, synced_at_ + kInitialClaimDelay);
-    Millis rank_delay =
-        kClaimDelayPerRank * static_cast<int64_t>(RankOf(resource, state));
-    if (now >= claimable_from + rank_delay) {
+    if (now >= ClaimableFrom(resource, state, now)) {
       state.claimed_at = now;
       claims.push_back({resource, StoreRevision(), !NeedsTakeoverDelay(state)});
     }
@@ -209,6 +259,28 @@
   return claims;
 }
 
+Millis Ownership::ClaimableFrom(const ResourceId& resource,
+                                const ResourceState& state, Millis now) const {
+  if (now < state.continues_until) {
+    return now;
+  }
+  return std::max(state.unowned_since, synced_at_ + kInitialClaimDelay) +
+         kClaimDelayPerRank * static_cast<int64_t>(RankOf(resource, state));
+}
+
+StoreRevision Ownership::KnownRevision(const ResourceState& state) const {
+  // A number of an earlier era may have been given out again. While the key's
+  // state in this era isn't known, the claim asks that there be none; the
+  // rejection tells the state.
+  bool known = state.owner && state.owner->revision.era == era_;
+  return known ? state.owner->revision : StoreRevision();
+}
+
+bool Ownership::IsReclaim(const ResourceState& state) const {
+  return state.owner && state.owner->machine == self_.machine &&
+         !IsOwnRecord(*state.owner);
+}
+
 void Ownership::ForgetRemovedResources(Millis now) {
   std::erase_if(resources_, [now](const auto& entry) {
     const ResourceState& state = entry.second;
@@ -225,9 +297,7 @@
     }
     Millis due;
     if (state.owner) {
-      bool needs_reclaim =
-          state.owner->machine == self_.machine && !OwnedBySelf(resource);
-      if (needs_reclaim) {
+      if (IsReclaim(state)) {
         due = state.claimed_at + kClaimRetryDelay;
       } else if (OwnedBySelf(resource) &&
                  (state.active_from > now || !state.owner->takeover_complete)) {
@@ -236,8 +306,7 @@
         continue;
       }
     } else {
-      due = std::max(state.unowned_since, synced_at_ + kInitialClaimDelay) +
-            kClaimDelayPerRank * static_cast<int64_t>(RankOf(resource, state));
+      due = ClaimableFrom(resource, state, now);
       if (state.claimed_at != Millis(0)) {
         due = std::max(due, state.claimed_at + kClaimRetryDelay);
       }
@@ -252,8 +321,13 @@
 
 bool Ownership::OwnedBySelf(const ResourceId& resource) const {
   const OwnerRecord* owner = OwnerOf(resource);
-  return owner != nullptr && owner->machine == self_.machine &&
-         owner->boot == self_.boot && owner->lease == lease_ && lease_ != 0;
+  return owner != nullptr && IsOwnRecord(*owner);
+}
+
+bool Ownership::IsOwnRecord(const OwnerRecord& owner) const {
+  // The lease is of this era, so a copy has no key that is bound to it.
+  return owner.machine == self_.machine && owner.boot == self_.boot &&
+         owner.lease == lease_ && lease_ != 0 && owner.revision.era == era_;
 }
 
 Millis Ownership::ActiveFrom(const ResourceId& resource) const {
--- a/libs/serving/test/ownership_test.cc
+++ b/libs/serving/test/ownership_test.cc
@@ -32,7 +32,8 @@
 
 TEST_CASE("a resource known to be new is taken over without delay",
           "[ownership]") {
-  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, Millis(0));
+  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, kLeaseTtl,
+                      Millis(0));
   ownership.OnLease(1);
   ownership.OnFullReadCompleted(Millis(0));
   Millis now(10000);
@@ -46,7 +47,8 @@
 
 TEST_CASE("taking over from another owner waits for the takeover delay",
           "[ownership]") {
-  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, Millis(0));
+  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, kLeaseTtl,
+                      Millis(0));
   ownership.OnLease(1);
   Millis now(10000);
   ownership.OnResource(kResource, ZoneId("z"), now);
@@ -63,7 +65,8 @@
 
 TEST_CASE("a restarted machine takes its resources over at once",
           "[ownership]") {
-  Ownership ownership(MakeMember("m1", "b2"), kTakeoverDelay, Millis(0));
+  Ownership ownership(MakeMember("m1", "b2"), kTakeoverDelay, kLeaseTtl,
+                      Millis(0));
   ownership.OnLease(1);
   Millis now(10000);
   ownership.OnResource(kResource, ZoneId("z"), now);
@@ -83,7 +86,8 @@
 // run.
 TEST_CASE("a restarted machine waits if its takeover was not complete",
           "[ownership]") {
-  Ownership ownership(MakeMember("m1", "b2"), kTakeoverDelay, Millis(0));
+  Ownership ownership(MakeMember("m1", "b2"), kTakeoverDelay, kLeaseTtl,
+                      Millis(0));
   ownership.OnLease(2);
   Millis now(10000);
   ownership.OnResource(kResource, ZoneId("z"), now);
@@ -107,7 +111,8 @@
 // An engine that starts again under its id finds its owner unchanged: the owner
 // key is bound to the owner's lease, not to the engine.
 TEST_CASE("a resource that returns still has its owner", "[ownership]") {
-  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, Millis(0));
+  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, kLeaseTtl,
+                      Millis(0));
   ownership.OnLease(1);
   ownership.OnFullReadCompleted(Millis(0));
   Millis now(10000);
@@ -127,7 +132,8 @@
 TEST_CASE("the removal of an owner that was not seen needs the takeover delay",
           "[ownership]") {
   bool resource_first = GENERATE(true, false);
-  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, Millis(0));
+  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, kLeaseTtl,
+                      Millis(0));
   ownership.OnLease(1);
   ownership.OnFullReadCompleted(Millis(0));
   Millis now(10000);
@@ -143,7 +149,8 @@
 }
 
 TEST_CASE("an old removal does not end a newer ownership", "[ownership]") {
-  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, Millis(0));
+  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, kLeaseTtl,
+                      Millis(0));
   ownership.OnLease(1);
   ownership.OnFullReadCompleted(Millis(0));
   Millis now(10000);
@@ -160,7 +167,8 @@
 // Found by the long random run.
 TEST_CASE("ownership ends with the lease that it was acquired with",
           "[ownership]") {
-  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, Millis(0));
+  Ownership ownership(MakeMember("m1", "b1"), kTakeoverDelay, kLeaseTtl,
+                      Millis(0));
   ownership.OnLease(1);
   ownership.OnFullReadCompleted(Millis(0));
   Millis now(10000);
@@ -222,8 +230,9 @@
     Machine& machine = machines_[i];
     machine.name = "m" + std::to_string(i);
     machine.boot = "b" + std::to_string(++boot_count_);
-    machine.ownership = std::make_unique<Ownership>(
-        MakeMember(machine.name, machine.boot), kTakeoverDelay, now_);
+    machine.ownership =
+        std::make_unique<Ownership>(MakeMember(machine.name, machine.boot),
+                                    kTakeoverDelay, kLeaseTtl, now_);
     machine.lease = ++lease_count_;
     machine.ownership->OnLease(machine.lease);
     machine.store_expiry = now_ + kLeaseTtl;
