Members that only the store has lost are kept for the time of a lease

What callers would see: the shares of a workspace's rate, of an upstream's permits and of the retry budget are divided by the number of instances. After the store came back from a copy without their records, all peers of an instance were gone at the first full read, and each took the whole for its own.

Change: peers that are missing after a new era stay until the lease that they may still hold has run out, or until they register again. A deletion that the store reports ends them at once, as before.

Result: 'peers that only the store has lost are kept for the time of a lease' failed before (0 peers) and passes.

Conclusion: permits and rate accounts hold no number of the store. An owner that claims its rate account anew begins with an empty bucket, which gives less, not more.

--- a/libs/gateway/include/gateway/membership.h
+++ b/libs/gateway/include/gateway/membership.h
@@ -66,6 +66,7 @@
   LeaseManager::Hooks LeaseHooks();
   void Register();
   void OnMember(const MachineId& machine, const StoreItem& item);
+  void RemoveMissingMembers();
   void OnOwner(const ResourceId& resource, const StoreItem& item);
   // Writes the claims that are due and sets the timer for the next ones.
   void ProcessClaims();
@@ -73,13 +74,19 @@
 
   ClusterStore* const store_;
   const ClusterMember self_;
+  const Millis lease_ttl_;
   PeerMessenger* const peers_;
   const Hooks hooks_;
   Ownership ownership_;
   LeaseManager lease_manager_;
   bool claiming_ = true;
+  // Members whose records the store has lost with its era. They are expected to
+  // register again until `missing_until_`.
+  std::set<MachineId> missing_members_;
+  Millis missing_until_;
   Timer claim_timer_;
   Timer register_timer_;
+  Timer missing_timer_;
 };
 
 }  // namespace bilberrypitch
--- a/libs/gateway/src/membership.cc
+++ b/libs/gateway/src/membership.cc
@@ -2,7 +2,7 @@
 #include "gateway/membership.h"
 
 #include <algorithm>
-#include <vector>
+#include <utility>
 
 #include "base/log.h"
 #include "gateway/cluster_records.h"
@@ -22,12 +22,14 @@
                        Millis takeover_delay, PeerMessenger* peers, Hooks hooks)
     : store_(store),
       self_(self),
+      lease_ttl_(lease_ttl),
       peers_(peers),
       hooks_(std::move(hooks)),
       ownership_(self, takeover_delay, lease_ttl, EventLoop::Now()),
       lease_manager_(loop, store, lease_ttl, LeaseHooks()),
       claim_timer_(loop),
-      register_timer_(loop) {}
+      register_timer_(loop),
+      missing_timer_(loop) {}
 
 void Membership::Start() { lease_manager_.Start(); }
 
@@ -55,6 +57,7 @@
   bool is_new = era && ownership_.OnEra(*era, lease_manager_.ValidUntil(), now);
   if (is_new) {
     LogWarning("peer", "The store is in era={}.", *era);
+    missing_until_ = now + lease_ttl_;
     lease_manager_.OnEra(*era);
   }
 }
@@ -129,6 +132,7 @@
     }
     return;
   }
+  missing_members_.erase(machine);
   if (member) {
     auto known = peers_->peers().find(machine);
     if (known == peers_->peers().end()) {
@@ -155,18 +159,15 @@
 void Membership::OnFullReadCompleted(const std::set<std::string>& keys,
                                      StoreRevision revision) {
   OnStoreEra(revision.era);
-  std::vector<MachineId> missing;
   for (const auto& [machine, member] : peers_->peers()) {
     if (keys.count(MemberKey(member)) == 0) {
-      missing.push_back(machine);
+      missing_members_.insert(machine);
     }
   }
+  RemoveMissingMembers();
   StoreItem removed_item;
   removed_item.deleted = true;
   removed_item.revision = revision;
-  for (const MachineId& machine : missing) {
-    OnMember(machine, removed_item);
-  }
   for (const ResourceId& resource : ownership_.Resources()) {
     if (keys.count(OwnerKey(resource)) == 0) {
       OnOwner(resource, removed_item);
@@ -176,6 +177,25 @@
   ProcessClaims();
 }
 
+// Shares of rates and budgets are divided by the number of members, so those
+// that only the store has lost must not be missing at once.
+void Membership::RemoveMissingMembers() {
+  Millis now = EventLoop::Now();
+  if (missing_members_.empty()) {
+    return;
+  }
+  if (now < missing_until_) {
+    missing_timer_.Start(missing_until_ - now,
+                         [this] { RemoveMissingMembers(); });
+    return;
+  }
+  StoreItem removed_item;
+  removed_item.deleted = true;
+  for (const MachineId& machine : std::exchange(missing_members_, {})) {
+    OnMember(machine, removed_item);
+  }
+}
+
 void Membership::ProcessClaims() {
   if (lease_manager_.lease_id() == 0 || !claiming_) {
     return;  // on_granted calls this function again.
--- a/libs/gateway/test/gateway_fixture.h
+++ b/libs/gateway/test/gateway_fixture.h
@@ -268,6 +268,7 @@
   std::unique_ptr<Gateway> gateway;
 
   const std::string& caller_address() const { return settings_.caller_address; }
+  const std::string& ready_address() const { return settings_.ready_address; }
   EventLoopHttpClient* control() { return &control_; }
 };
 
--- a/libs/gateway/test/restored_store_test.cc
+++ b/libs/gateway/test/restored_store_test.cc
@@ -307,4 +307,44 @@
   REQUIRE(fixture.store.Has(key));
 }
 
+namespace {
+
+// Number of peers that the instance at `ready_address` knows.
+int PeerCount(Fixture* fixture, const std::string& ready_address) {
+  const std::string name = "bilberrypitch_peers ";
+  HttpCall call;
+  call.address = ready_address;
+  call.target = "/metrics";
+  std::string page = fixture->Send(std::move(call)).body;
+  size_t position = page.find("\n" + name);
+  REQUIRE(position != std::string::npos);
+  return std::stoi(page.substr(position + 1 + name.size()));
+}
+
+}  // namespace
+
+// Guards against: an instance takes itself for the only one, and all of a rate
+// and of the retry budget for its own, because the store has lost its peers.
+TEST_CASE("peers that only the store has lost are kept for the time of a lease",
+          "[restored]") {
+  Fixture fixture;
+  const std::string first_address = fixture.ready_address();
+  fixture.WaitUntilReady();
+  fixture.store.TakeCopy();
+  SecondInstance second(&fixture, true);
+  REQUIRE(PeerCount(&fixture, first_address) == 1);
+  second.access.SetCut(true);  // It can't register again.
+  ComeBackFromCopy(&fixture);
+  const Millis lease_ttl(6000);
+  // Until the first instance has heard of the restored store, and a margin.
+  const Millis noticed_within(2000);
+  Millis end = EventLoop::Now() + lease_ttl - kAway;
+  while (EventLoop::Now() < end) {
+    REQUIRE(PeerCount(&fixture, first_address) == 1);
+    fixture.WaitFor(kPause);
+  }
+  fixture.WaitFor(noticed_within);
+  REQUIRE(PeerCount(&fixture, first_address) == 0);
+}
+
 }  // namespace bilberrypitch
