Follow the store by its era

What callers saw: after the store came back from an older copy, a configuration that was confirmed later wasn't in force in time.

Cause: a revision that is lower than a known one was taken for an older write. The watch went on from a number that was given out again, and records with lower numbers were ignored.

Ruled out: to take any 410 or lower revision for a return. A watch from a number that the restored store has reached again is answered as usual.

Change: a response of a later era makes all records be read again before anything is applied; a response of an earlier era is a failed call and confirms nothing. A full read whose pages come from two eras starts again. A reader gives a follower of an earlier era all records and rejects one of a later era; a follower takes only changes of its own era, or all records of a later one. Peers' answers of an earlier era are dropped. A warning names both eras.

Pages of two eras have no test yet.

--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,9 @@
   void MakeNextCallAfter(Millis delay);
   void StartRead(StoreCallKind kind);
   void ReadNextPage(const std::string& after_key);
+  // A response states this era of the store. Returns whether the response may
+  // be used.
+  bool OnEra(std::optional<int64_t> era);
   void OnPage(StorePage page, Millis sent_at);
   void OnZoneMembersRead();
   void OnAllRead();
--- a/libs/gateway/src/freshness_service.cc
+++ b/libs/gateway/src/freshness_service.cc
@@ -93,6 +93,9 @@
   Millis now = EventLoop::Now();
   StoreRevision config_revision = DecodeRevision(response.config_revision());
   StoreRevision store_revision = DecodeRevision(response.store_revision());
+  if (store_revision.era < sync_->follower()->era()) {
+    return;  // The peer's view is of a lost past.
+  }
   if (config_revision_ != StoreRevision() &&
       config_revision == config_revision_) {
     freshness_->OnConfirmed(query_sent_at_ - Millis(response.age_ms()));
@@ -140,6 +143,9 @@
     return;  // The store itself has responded in the meantime.
   }
   StoreRevision store_revision = DecodeRevision(state.store_revision());
+  if (!sync_->follower()->OnEra(store_revision.era, EventLoop::Now())) {
+    return;
+  }
   LogInfo("peer", "Took the state up to era={} revision={} from a peer.",
           store_revision.era, store_revision.number);
   for (const schema::KnownItem& known : state.items()) {
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -94,12 +94,28 @@
       [this, sent_at](StorePage page) { OnPage(std::move(page), sent_at); });
 }
 
+bool StoreSync::OnEra(std::optional<int64_t> era) {
+  int64_t known_era = follower_.era();
+  bool usable = era && follower_.OnEra(*era, EventLoop::Now());
+  if (follower_.era() > known_era && follower_.has_synced()) {
+    LogWarning("store",
+               "Came back from an older copy: era={} after era={} revision={}.",
+               follower_.era(), known_era, follower_.revision().number);
+  }
+  return usable;
+}
+
 void StoreSync::OnPage(StorePage page, Millis sent_at) {
-  if (page.outcome != StoreOutcome::kOk) {
+  if (!OnEra(page.era) || page.outcome != StoreOutcome::kOk) {
     OnStoreFailure("reading");
     return;
   }
-  if (read_revision_ == StoreRevision()) {
+  bool first_page = read_revision_ == StoreRevision();
+  if (!first_page && page.revision.era != read_revision_.era) {
+    StartRead(read_kind_);  // The pages before are of a lost past.
+    return;
+  }
+  if (first_page) {
     // The pages are no snapshot. The watch starts at the revision of the first
     // page, so it reports everything that changed since.
     read_revision_ = page.revision;
@@ -147,7 +163,15 @@
 void StoreSync::OnWatchResult(StoreWatchResult result, Millis sent_at) {
   Millis now = EventLoop::Now();
   bool was_unavailable = follower_.unavailable();
-  if (result.outcome == StoreOutcome::kHistoryCompacted) {
+  bool usable = OnEra(result.era);
+  if (usable && result.era != follower_.revision().era) {
+    // Whatever the response says, it is not about the view's past.
+    Millis delay = follower_.OnHistoryCompacted(now);
+    LogRecovery(was_unavailable);
+    MakeNextCallAfter(delay);
+    return;
+  }
+  if (usable && result.outcome == StoreOutcome::kHistoryCompacted) {
     LogWarning(
         "store",
         "The history after era={} revision={} was compacted; a full read "
@@ -158,7 +182,7 @@
     MakeNextCallAfter(delay);
     return;
   }
-  if (result.outcome != StoreOutcome::kOk) {
+  if (!usable || result.outcome != StoreOutcome::kOk) {
     OnStoreFailure("watching");
     return;
   }
@@ -183,10 +207,15 @@
 void StoreSync::OnReaderResult(const MachineId& reader,
                                ReaderClient::Result result, Millis sent_at) {
   Millis now = EventLoop::Now();
+  if (result.changes && !follower_.Accepts(*result.changes)) {
+    result.changes.reset();
+    result.failure = StoreFollower::ReaderFailure::kNotCurrent;
+  }
   if (!result.changes) {
     MakeNextCallAfter(follower_.OnReaderFailure(reader, result.failure, now));
     return;
   }
+  OnEra(result.changes->revision.era);
   const StoreChanges& changes = *result.changes;
   bool was_unavailable = follower_.unavailable();
   Millis delay = follower_.OnReaderChanges(reader, changes, sent_at, now);
--- a/libs/serving/include/serving/follower_queries.h
+++ b/libs/serving/include/serving/follower_queries.h
@@ -3,7 +3,8 @@
 // A query gets a response as soon as there is a change for it, when its time is
 // over, and when this instance's own view is no longer current. An instance
 // whose view is not current yet, because it watches the store only since it was
-// queried, holds a query in the meantime.
+// queried, holds a query in the meantime. A follower that knows of a later era
+// of the store is rejected at once.
 //
 // No I/O: the calling code sends the responses.
 #pragma once
@@ -55,6 +56,8 @@
     bool was_current = false;  // The view was current while it was held.
   };
 
+  // Whether the follower knows of a later era of the store than this instance.
+  bool IsAhead(const Query& query) const;
   bool HasChangesFor(const Query& query) const;
   Response ResponseTo(const Query& query, Millis now) const;
 
--- a/libs/serving/include/serving/store_follower.h
+++ b/libs/serving/include/serving/store_follower.h
@@ -18,6 +18,11 @@
 // another reader, and then to the store, well within the bounds on
 // configurations and draining upstreams.
 //
+// A store that comes back from an older copy is in a new era. What was known of
+// an earlier era is then a lost past: all records have to be read again, and
+// responses of an earlier era, which come late or from an instance that is
+// behind, are not applied and confirm nothing.
+//
 // No I/O: the calling code makes the calls and reports their outcome. All times
 // are on the clock that includes suspension.
 #pragma once
@@ -53,6 +58,11 @@
     was_queried_ = true;
   }
 
+  // A response of the store states this era. Called before the outcome itself
+  // is reported, for failed calls too. Returns whether the response may be
+  // used: not if a later era is known.
+  bool OnEra(int64_t era, Millis now);
+
   // Returns the next call. One call is made at a time.
   StoreCall NextCall(Millis now) const;
 
@@ -65,13 +75,19 @@
                         Millis now);
   Millis OnHistoryCompacted(Millis now);
   Millis OnStoreFailure(Millis now);
+  // Changes that Accepts rejects count as ReaderFailure::kNotCurrent.
   Millis OnReaderChanges(const MachineId& reader, const StoreChanges& changes,
                          Millis sent_at, Millis now);
   Millis OnReaderFailure(const MachineId& reader, ReaderFailure failure,
                          Millis now);
 
+  // Whether these changes continue this instance's view or replace it. Not if
+  // they are of an era that is over.
+  bool Accepts(const StoreChanges& changes) const;
   // The store revision that this instance has caught up with.
   StoreRevision revision() const { return revision_; }
+  // The latest era that is known of.
+  int64_t era() const { return era_; }
   // Whether the instance has ever known all records.
   bool has_synced() const { return has_synced_; }
   // The view was known to be current at this time; zero: never.
@@ -128,6 +144,7 @@
   bool has_synced_ = false;
   bool needs_full_read_ = true;
   StoreRevision revision_;
+  int64_t era_ = 0;  // Not before that of `revision_`.
   Millis confirmed_at_;
   // Last confirmation by the store itself. Zero after a failed call, so that
   // followers turn elsewhere at once.
--- a/libs/serving/src/follower_queries.cc
+++ b/libs/serving/src/follower_queries.cc
@@ -14,6 +14,10 @@
       {query_id, after_revision, now, now + hold, follower_->CanServe(now)});
 }
 
+bool FollowerQueries::IsAhead(const Query& query) const {
+  return query.after_revision.era > view_->revision().era;
+}
+
 bool FollowerQueries::HasChangesFor(const Query& query) const {
   return !view_->HasChangesAfter(query.after_revision) ||
          view_->HasRelevantChangeAfter(query.after_revision);
@@ -23,7 +27,7 @@
                                                       Millis now) const {
   Response response;
   response.query_id = query.id;
-  if (!follower_->CanServe(now)) {
+  if (!follower_->CanServe(now) || IsAhead(query)) {
     return response;
   }
   StoreChanges changes;
@@ -44,7 +48,7 @@
   std::vector<Response> responses;
   std::erase_if(queries_, [&](Query& query) {
     query.was_current = query.was_current || current;
-    bool ready = now >= query.due ||
+    bool ready = now >= query.due || IsAhead(query) ||
                  (current ? HasChangesFor(query) : query.was_current);
     if (ready) {
       responses.push_back(ResponseTo(query, now));
--- a/libs/serving/src/store_follower.cc
+++ b/libs/serving/src/store_follower.cc
@@ -177,6 +177,18 @@
   }
 }
 
+bool StoreFollower::OnEra(int64_t era, Millis now) {
+  if (era > era_) {
+    era_ = era;
+    needs_full_read_ = true;
+    if (has_synced_) {
+      // Records that the copy lacks may be written again.
+      recovered_at_ = now;
+    }
+  }
+  return era == era_;
+}
+
 Millis StoreFollower::OnZoneMembersRead(Millis now) {
   OnStoreResponse(now);
   knows_members_ = true;
@@ -230,9 +242,10 @@
 Millis StoreFollower::OnReaderChanges(const MachineId& reader,
                                       const StoreChanges& changes,
                                       Millis sent_at, Millis now) {
-  if (!has_synced_ && !changes.complete) {
+  if (!Accepts(changes)) {
     return OnReaderFailure(reader, ReaderFailure::kNotCurrent, now);
   }
+  OnEra(changes.revision.era, now);
   avoid_until_.erase(reader);
   OnStoreResponse(now);
   has_synced_ = true;
@@ -258,6 +271,11 @@
   return Millis(0);
 }
 
+bool StoreFollower::Accepts(const StoreChanges& changes) const {
+  bool continues = has_synced_ && changes.revision.era == revision_.era;
+  return changes.revision.era >= era_ && (changes.complete || continues);
+}
+
 bool StoreFollower::IsRecovering(Millis now) const {
   return unavailable_ ||
          (recovered_at_ != Millis(0) && now - recovered_at_ < kRecoveryTime);
--- a/libs/serving/test/store_follower_test.cc
+++ b/libs/serving/test/store_follower_test.cc
@@ -345,6 +345,91 @@
   REQUIRE(queries.TakeResponses(due).at(0).changes->complete);
 }
 
+// Guards against: events of a store that came back from an older copy are taken
+// for a continuation, although the records before them have changed as well.
+TEST_CASE("a view of an earlier era is read again", "[store_follower][era]") {
+  Millis now(1000);
+  StoreFollower follower = MakeSynced(0, 12, now);
+  REQUIRE(follower.OnEra(0, now));
+  REQUIRE(follower.CanServe(now));
+  REQUIRE(follower.OnEra(1, now));
+  REQUIRE_FALSE(follower.CanServe(now));
+  REQUIRE(follower.NextCall(now).kind == StoreCallKind::kReadAll);
+  // Records that the copy lacks may return.
+  REQUIRE(follower.ReturnDeadline(now) == now + Millis(2000));
+  follower.OnFullRead(StoreRevision(1, 4), now, now);
+  REQUIRE(follower.revision() == StoreRevision(1, 4));
+  REQUIRE(follower.CanServe(now));
+  REQUIRE(follower.NextCall(now).kind == StoreCallKind::kWatch);
+  // A response that was sent before the store went away.
+  REQUIRE_FALSE(follower.OnEra(0, now));
+  REQUIRE(follower.era() == 1);
+}
+
+// Guards against: a reader that doesn't know yet that the store came back from
+// an older copy confirms the view of a follower that does, or the reverse.
+TEST_CASE("changes of another era don't continue a view",
+          "[store_follower][era]") {
+  Millis now(5000);
+  StoreFollower follower = MakeSynced(5, 12, now);
+  StoreChanges part = MakeChanges(StoreRevision(1, 4), Millis(0));
+  REQUIRE_FALSE(follower.Accepts(part));
+  follower.OnReaderChanges(MachineId("m0"), part, now, now + Millis(100));
+  REQUIRE(follower.revision() == Rev(10));
+  REQUIRE(follower.confirmed_at() == now);
+  StoreChanges all = part;
+  all.complete = true;
+  REQUIRE(follower.Accepts(all));
+  follower.OnReaderChanges(MachineId("m0"), all, now, now + Millis(100));
+  REQUIRE(follower.revision() == StoreRevision(1, 4));
+  REQUIRE(follower.Accepts(part));
+  StoreChanges lost = MakeChanges(Rev(20), Millis(0));
+  lost.complete = true;
+  REQUIRE_FALSE(follower.Accepts(lost));
+  follower.OnReaderChanges(MachineId("m0"), lost, now + Millis(500),
+                           now + Millis(600));
+  REQUIRE(follower.revision() == StoreRevision(1, 4));
+  REQUIRE(follower.confirmed_at() == now);
+}
+
+// Guards against: a lower revision of a later era is taken for an older write.
+TEST_CASE("a view of a new era replaces what was lost", "[store_view][era]") {
+  StoreView view;
+  view.Reset({MakeItem("a", Rev(3)), MakeItem("b", Rev(9))}, Rev(9));
+  view.Apply(MakeItem("a", Rev(12), "lost"), true);
+  view.AdvanceTo(Rev(12));
+  view.Reset({MakeItem("a", StoreRevision(1, 3))}, StoreRevision(1, 5));
+  REQUIRE(view.AllItems().size() == 1);
+  REQUIRE(view.AllItems()[0].value == "v");
+  view.Apply(MakeItem("a", StoreRevision(1, 6), "again"), true);
+  REQUIRE(view.AllItems()[0].value == "again");
+  REQUIRE_FALSE(view.HasChangesAfter(Rev(12)));
+}
+
+// Guards against: a follower of an earlier era gets only the changes since a
+// revision that was given out again, or one of a later era gets a lost past.
+TEST_CASE("a follower of another era gets all records, or none",
+          "[store_follower][era]") {
+  Millis now(1000);
+  StoreFollower follower = MakeSynced(0, 12, now);
+  StoreView view;
+  view.Reset({MakeItem("a", Rev(3))}, Rev(10));
+  FollowerQueries queries(&view, &follower);
+  queries.Add(1, StoreRevision(1, 2), Millis(500), now);
+  auto rejected = queries.TakeResponses(now);
+  REQUIRE(rejected.size() == 1);
+  REQUIRE_FALSE(rejected[0].changes);
+  follower.OnEra(1, now);
+  follower.OnFullRead(StoreRevision(1, 5), now, now);
+  view.Reset({MakeItem("a", StoreRevision(1, 3))}, StoreRevision(1, 5));
+  queries.Add(2, Rev(10), Millis(500), now);
+  auto responses = queries.TakeResponses(now);
+  REQUIRE(responses.size() == 1);
+  REQUIRE(responses[0].changes->complete);
+  REQUIRE(responses[0].changes->items.size() == 1);
+  REQUIRE(responses[0].changes->recovering);
+}
+
 namespace {
 
 // A store, and the instances of one zone that follow it, with messages that
