Write responses to the end before the process of a stop ends

What a caller saw: in a planned stop, a long response that the caller read slowly broke off in its middle; the process ended 150 ms after the last request.

Cause: a request counted as ended when its response was handed to the server, which may still hold most of it. Ruled out: the end of the grace (a second and more was left) and the upstream, which had answered in full.

Change: the server counts the requests whose responses are not written yet. The end of a stop waits for them, at the longest until shortly before the kill.

--- a/libs/gateway/include/gateway/caller_frontend.h
+++ b/libs/gateway/include/gateway/caller_frontend.h
@@ -48,6 +48,9 @@
               Millis retry_after, Responder* responder);
   void OnConnectionClosed(uint64_t connection_id);
   void CheckShutdown();
+  void CheckFlushed();
+  // Responses that are open, or not yet written.
+  size_t unfinished_responses() const;
 
   EventLoop* const loop_;
   ServingState* const state_;
--- a/libs/gateway/src/caller_frontend.cc
+++ b/libs/gateway/src/caller_frontend.cc
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr Millis kShutdownPollInterval{50};
-// Time for the last responses to be sent.
+// Time for requests that have already been sent here to be rejected.
 constexpr Millis kFlushDelay{150};
 constexpr Millis kStoppingRetryAfter{50};
 // Longer than any timeout that a configuration sets for callers.
@@ -141,7 +141,8 @@
   for (const auto& handler : open_requests()) {
     handler->EndIfTooLateToSend();
   }
-  bool done = state_->shutdown.IsOutOfRotation(now) && handlers_.empty();
+  bool done = state_->shutdown.IsOutOfRotation(now) && handlers_.empty() &&
+              unfinished_responses() == 0;
   Millis left = state_->shutdown.requests_end_at() - now;
   if (!done && left > Millis(0)) {
     shutdown_timer_.Start(std::min(left, kShutdownPollInterval),
@@ -154,7 +155,27 @@
   for (const auto& handler : open_requests()) {
     handler->OnShutdown();
   }
-  shutdown_timer_.Start(kFlushDelay, [this] { on_shutdown_done_(); });
+  shutdown_timer_.Start(kFlushDelay, [this] { CheckFlushed(); });
+}
+
+size_t CallerFrontend::unfinished_responses() const {
+  size_t count = 0;
+  for (const auto& server : servers_) {
+    count += server->unfinished_responses();
+  }
+  return count;
+}
+
+// Callers that read slowly get the rest of their responses.
+void CallerFrontend::CheckFlushed() {
+  bool time_left = EventLoop::Now() < state_->shutdown.process_ends_at();
+  if (unfinished_responses() > 0 && time_left) {
+    shutdown_timer_.Start(kShutdownPollInterval, [this] { CheckFlushed(); });
+    return;
+  }
+  LogInfo("gateway", "Stopped with {} responses that were not read.",
+          unfinished_responses());
+  on_shutdown_done_();
 }
 
 }  // namespace bilberrypitch
--- a/libs/gateway/test/planned_stop_test.cc
+++ b/libs/gateway/test/planned_stop_test.cc
@@ -1,4 +1,5 @@
 // Tests of an instance that stops while callers go on to use it.
+#include <asio.hpp>
 #include <catch2/catch.hpp>
 
 #include "stop_fixture.h"
@@ -94,4 +95,68 @@
   REQUIRE(open->outcome->status == 502);
 }
 
+namespace {
+
+// A caller whose bytes a test writes and reads itself.
+class RawCaller {
+ public:
+  explicit RawCaller(const std::string& address) : socket_(context_) {
+    // Small, so that a long response waits in the instance.
+    constexpr int kReceiveBytes = 64 << 10;
+    const size_t colon = address.find(':');
+    socket_.open(asio::ip::tcp::v4());
+    socket_.set_option(asio::socket_base::receive_buffer_size(kReceiveBytes));
+    socket_.connect(
+        {asio::ip::make_address(address.substr(0, colon)),
+         static_cast<uint16_t>(std::atoi(address.c_str() + colon + 1))});
+  }
+
+  static std::string RequestText(const std::string& path,
+                                 const std::string& id) {
+    return fmt::format(
+        "POST {} HTTP/1.1\r\nHost: h\r\nRequest-Id: {}\r\n"
+        "Deadline-Ms: 30000\r\nContent-Length: 4\r\n\r\nbody",
+        path, id);
+  }
+
+  void Write(const std::string& text) {
+    asio::write(socket_, asio::buffer(text));
+  }
+  std::string ReadUntilClosed() {
+    std::string text;
+    asio::error_code ec;
+    asio::read(socket_, asio::dynamic_buffer(text), ec);
+    return text;
+  }
+
+ private:
+  asio::io_context context_;
+  asio::ip::tcp::socket socket_;
+};
+
+}  // namespace
+
+// Guards against: the process ends while a response is still being written, and
+// a caller that reads slowly gets a part of it.
+TEST_CASE("a long response is written before the process ends", "[stop]") {
+  constexpr size_t kBodyBytes = 7 << 20;
+  StopFixture fixture(Millis(5000), Millis(500));
+  fixture.first.SetHandler(
+      [](const HttpRequest& request, Responder* responder) {
+        HttpResponse response = FakeUpstream::OkResponse(request);
+        response.body = std::string(kBodyBytes, 'x');
+        responder->Send(std::move(response));
+      });
+  auto instance = fixture.StartInstance();
+  RawCaller caller(instance->address());
+  caller.Write(RawCaller::RequestText("/once/x", "raw1"));
+  fixture.WaitFor(Millis(500));
+  fixture.Stop(instance.get());
+  fixture.WaitUntilElapsed(Millis(3500));
+  const std::string text = caller.ReadUntilClosed();
+  REQUIRE(text.starts_with("HTTP/1.1 200"));
+  REQUIRE(text.size() > kBodyBytes);
+  fixture.WaitUntilGone(*instance);
+}
+
 }  // namespace bilberrypitch
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -46,6 +46,9 @@
   // Changes the size limits for subsequent requests. A server on a loop
   // requires the call on the loop's thread.
   void SetLimits(size_t max_header_bytes, size_t max_body_bytes);
+  // Requests whose responses have not ended, or whose connections have not
+  // taken them yet.
+  size_t unfinished_responses() const;
   // Stops listening and closes all connections. Idempotent. A server on a loop
   // requires the call on the loop's thread.
   void Stop();
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -114,12 +114,20 @@
       ReasonPhrase(status)};
 }
 
+// Held for each request until its response is written, or can't be. The server
+// holds one more.
+using WriteToken = std::shared_ptr<const bool>;
+
+restinio::write_status_cb_t HoldUntilWritten(WriteToken token) {
+  return [token = std::move(token)](const restinio::asio_ns::error_code&) {};
+}
+
 class RestinioResponder
     : public Responder,
       public std::enable_shared_from_this<RestinioResponder> {
  public:
-  explicit RestinioResponder(restinio::request_handle_t request)
-      : request_(std::move(request)) {}
+  RestinioResponder(restinio::request_handle_t request, WriteToken token)
+      : request_(std::move(request)), write_token_(std::move(token)) {}
 
   ~RestinioResponder() override {
     if (request_ != nullptr && !stream_) {
@@ -144,7 +152,7 @@
       builder.connection_close();
     }
     builder.set_body(std::move(response.body));
-    builder.done();
+    builder.done(HoldUntilWritten(std::move(write_token_)));
     request_.reset();
   }
 
@@ -242,7 +250,7 @@
 
   void CloseStream() {
     on_all_written_ = nullptr;
-    stream_->done();
+    stream_->done(HoldUntilWritten(std::move(write_token_)));
     stream_.reset();
   }
 
@@ -251,6 +259,7 @@
   restinio::request_handle_t request_;  // Null once a response has started.
   std::unique_ptr<Stream> stream_;      // Set while a stream is open.
   WriteQueue queue_;                    // Of the stream.
+  WriteToken write_token_;
   std::function<void()> on_all_written_;
 };
 
@@ -299,6 +308,10 @@
     max_body_bytes_ = max_body_bytes;
   }
 
+  size_t unfinished_responses() const {
+    return static_cast<size_t>(write_token_.use_count()) - 1;
+  }
+
   void Stop() {
     if (stopped_.exchange(true)) {
       return;
@@ -349,7 +362,8 @@
   restinio::request_handling_status_t Handle(restinio::request_handle_t from) {
     HttpRequest request = ToHttpRequest(from);
     request.connection_id += options_.first_connection_id;
-    auto responder = std::make_shared<RestinioResponder>(std::move(from));
+    auto responder =
+        std::make_shared<RestinioResponder>(std::move(from), write_token_);
     if (request.body.size() > max_body_bytes_) {
       Reject(*responder, ErrorKind::kBodyTooLarge,
              fmt::format("The body exceeds {} bytes.", max_body_bytes_));
@@ -373,6 +387,7 @@
   std::atomic<size_t> max_body_bytes_;
   std::atomic<bool> stopped_ = false;
   EventLoop own_loop_;  // Unused when the options provide a loop.
+  const WriteToken write_token_ = std::make_shared<const bool>(true);
   std::unique_ptr<Server> server_;
   std::vector<std::thread> threads_;
 };
@@ -386,6 +401,10 @@
   impl_->SetLimits(max_header_bytes, max_body_bytes);
 }
 
+size_t HttpServer::unfinished_responses() const {
+  return impl_->unfinished_responses();
+}
+
 void HttpServer::Stop() { impl_->Stop(); }
 
 }  // namespace bilberrypitch
