Show that a refused order which seemed accepted is given again

No change of behaviour. A copy of an earlier answer that arrives in place of an order's own can't always be told from it. This shows what the placement makes of it: the state is wrong until a request finds the adapter missing, or until the next order, which the engine refuses for its count. Then the report is read and the order given again, with the engine's count.

The test was seen to fail without the reading of the report after a missing adapter, and without it after a refused order. Its first form let the load request lapse and failed for that reason.

--- a/libs/serving/test/engine_placement_test.cc
+++ b/libs/serving/test/engine_placement_test.cc
@@ -3,6 +3,7 @@
 #include "serving/engine_placement.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <random>
 
 #include "fake_engine.h"
@@ -518,4 +519,65 @@
   }
 }
 
+namespace {
+
+// Requests wait for `target` all the while, and each report that is fetched is
+// `report`. Returns the first order.
+std::optional<PlacementAction> NextOrder(EnginePlacement* placement,
+                                         const ModelRef& target,
+                                         const EngineReport& report,
+                                         Millis* now) {
+  const Millis end = *now + Millis(2000);
+  for (; *now < end; *now = *now + Millis(50)) {
+    placement->OnLoadRequest(kSelf, target, 0, *now);
+    std::optional<PlacementAction> order;
+    for (const PlacementAction& action : placement->TakeActions(true, *now)) {
+      if (action.kind == PlacementAction::Kind::kFetchReport) {
+        placement->OnReport(true, report, *now);
+      } else if (action.kind == PlacementAction::Kind::kSendOrder) {
+        order = action;
+      }
+    }
+    if (order) {
+      return order;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+// Guards against: an order that was refused counts as done for good, because a
+// copy of an earlier answer arrived in place of its own.
+TEST_CASE("a refused order that seemed accepted is given again",
+          "[placement]") {
+  const OrderOutcome copy =
+      GENERATE(OrderOutcome::kStarted, OrderOutcome::kAlreadyDone);
+  // What the engine says until it has accepted an order.
+  const EngineReport truth = MakeReport(0, {});
+  Millis now(10000);
+  EnginePlacement placement = SyncedPlacement(now);
+  REQUIRE(NextOrder(&placement, Adapter(1), truth, &now));
+  placement.OnOrderOutcome(copy, now);
+  SECTION("when a request finds the adapter missing") {
+    now = now + Millis(2000);
+    placement.TakeActions(true, now);
+    placement.OnAdapterMissing(Adapter(1), now);
+    auto order = NextOrder(&placement, Adapter(1), truth, &now);
+    REQUIRE(order);
+    REQUIRE(order->target == Adapter(1));
+    REQUIRE(order->expected_order_count == 0);
+  }
+  SECTION("when the next order is refused for its count") {
+    auto order = NextOrder(&placement, Adapter(2), truth, &now);
+    REQUIRE(order);
+    REQUIRE(order->target == Adapter(2));
+    placement.OnOrderOutcome(OrderOutcome::kConflict, now);
+    order = NextOrder(&placement, Adapter(2), truth, &now);
+    REQUIRE(order);
+    REQUIRE(order->expected_order_count == 0);
+    REQUIRE_FALSE(placement.Holds(Adapter(1), 0));
+  }
+}
+
 }  // namespace bilberrypitch
