Take only increasing ids for a stream, and on a kept connection only the next

Cause: an event was whatever stood before an empty line; its id was kept and not judged.

Change: an event has exactly one id, a positive number greater than the one before. On a kept connection it has to be the next one, of the usual fields, each once: a piece of an earlier answer may have a greater id, and a cut piece joins with the next event. On a new connection gaps and other fields stay allowed. An event that breaks the rule isn't passed on, nor is what arrived in the same bytes; the attempt is an invalid response, resumed where the route allows.

Ruled out: a rule for increasing ids alone; pieces with greater ids pass it. Holding one event back on kept connections: it delays the first event of sound streams and doesn't stop a piece of two.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -236,6 +236,7 @@
   bool first_event_seen_ = false;
   bool response_is_stream_ = false;
   bool response_is_framed_ = false;  // It states its length or is chunked.
+  bool reused_connection_ = false;   // Earlier calls used its connection.
   ResponseInfo response_info_;
   // It names this request, or none on a connection without an earlier call.
   bool response_matches_ = false;
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -120,6 +120,7 @@
   first_event_seen_ = false;
   response_is_stream_ = false;
   response_is_framed_ = false;
+  reused_connection_ = false;
   response_info_ = ResponseInfo();
   response_matches_ = false;
   response_fault_ = ResponseFault::kNone;
@@ -167,6 +168,9 @@
       upstream->idle_timeout_s = response_info_.idle_timeout_s;
     }
   }
+  reused_connection_ = start.reused_connection;
+  event_splitter_.set_rule(reused_connection_ ? EventRule::kSuccessors
+                                              : EventRule::kIncreasing);
   response_is_framed_ = start.framing != BodyFraming::kUntilClose;
   response_is_stream_ =
       IsStream() && start.status < 300 && response_info_.has_signature;
@@ -207,7 +211,8 @@
     PauseCall();
   }
   if (event_splitter_.malformed()) {
-    response_fault_ = ResponseFault::kMalformedEvents;
+    response_fault_ = reused_connection_ ? ResponseFault::kDoubtfulEvent
+                                         : ResponseFault::kMalformedEvents;
   } else if (HasTooManyEvents()) {
     response_fault_ = ResponseFault::kTooManyEvents;
   }
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -87,6 +87,9 @@
   if (EndIfTooLateToSend()) {
     return false;
   }
+  if (route_->resumable) {
+    event_splitter_.StartAfter(request_.last_event_id);
+  }
   WorkspaceId id = workspace_ != nullptr ? workspace_->id : WorkspaceId();
   fingerprint_ =
       RequestFingerprint(request_.method, request_.target, id, request_.body);
--- a/libs/serving/include/serving/response_fault.h
+++ b/libs/serving/include/serving/response_fault.h
@@ -17,10 +17,13 @@
   kTooLarge,         // It exceeds the limit of a response.
   kMalformedEvents,  // The body is no series of events.
   kTooManyEvents,    // More than the request may produce.
+  // An event that may be of another response, on a connection that was used
+  // before.
+  kDoubtfulEvent,
 };
 
 inline constexpr size_t kResponseFaultCount =
-    static_cast<size_t>(ResponseFault::kTooManyEvents) + 1;
+    static_cast<size_t>(ResponseFault::kDoubtfulEvent) + 1;
 
 // Returns the name in log lines and metrics; "none" for kNone.
 std::string_view NameOf(ResponseFault fault);
--- a/libs/serving/src/response_fault.cc
+++ b/libs/serving/src/response_fault.cc
@@ -21,6 +21,8 @@
       return "malformed_events";
     case ResponseFault::kTooManyEvents:
       return "too_many_events";
+    case ResponseFault::kDoubtfulEvent:
+      return "doubtful_event";
   }
   return "unknown";
 }
