Don't take a head that breaks off for a complete response

Callers of the client saw: kComplete with status 0 and an empty body, when an upstream sent at least its status line, broke off within its head and closed in order.

Each reader compares the status with one that it knows, and 0 is none, so nothing wrong is known to have followed.

Change: a transfer without a whole head is a broken connection.

--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -434,7 +434,9 @@
 
   static CallResult Classify(const Transfer& transfer, CURLcode code) {
     if (code == CURLE_OK) {
-      return CallResult::kComplete;
+      // libcurl also takes a head that breaks off for a whole response.
+      bool has_head = transfer.outcome.status != 0;
+      return has_head ? CallResult::kComplete : CallResult::kConnectionBroken;
     }
     if (transfer.cancelled_by_callback) {
       return CallResult::kCancelled;
--- a/libs/transport/test/event_loop_http_client_test.cc
+++ b/libs/transport/test/event_loop_http_client_test.cc
@@ -170,6 +170,73 @@
   REQUIRE(outcome.result == CallResult::kResponseTooLarge);
 }
 
+namespace {
+
+// Accepts one connection, reads the request, sends `text` and closes in order.
+class ClosingServer {
+ public:
+  explicit ClosingServer(std::string text)
+      : acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
+        address_("127.0.0.1:" +
+                 std::to_string(acceptor_.local_endpoint().port())),
+        thread_([this, text = std::move(text)] {
+          asio::ip::tcp::socket socket(context_);
+          acceptor_.accept(socket);
+          std::string request;
+          asio::error_code ec;
+          asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                           ec);
+          asio::write(socket, asio::buffer(text), ec);
+        }) {}
+
+  ~ClosingServer() { thread_.join(); }
+
+  const std::string& address() const { return address_; }
+
+ private:
+  asio::io_context context_;
+  asio::ip::tcp::acceptor acceptor_;
+  const std::string address_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+// Guards against: a response that ends within its head counts as complete, with
+// an empty body.
+TEST_CASE("a response that ends within its head is not complete",
+          "[loop_client]") {
+  const std::string head =
+      GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRequest-Id: a\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n",
+               "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n");
+  for (size_t cut = 0; cut < head.size(); ++cut) {
+    CAPTURE(head, cut);
+    ClosingServer server(head.substr(0, cut));
+    EventLoop loop;
+    EventLoopHttpClient client(&loop);
+    CallOutcome outcome;
+    bool started = false;
+    HttpCall call;
+    call.address = server.address();
+    call.target = "/";
+    call.on_headers = [&](const ResponseStart&) {
+      started = true;
+      return true;
+    };
+    call.on_done = [&](CallOutcome ended) {
+      outcome = std::move(ended);
+      loop.Stop();
+    };
+    client.Start(std::move(call));
+    loop.Run();
+    REQUIRE_FALSE(started);
+    REQUIRE(outcome.status == 0);
+    REQUIRE(outcome.result == CallResult::kConnectionBroken);
+  }
+}
+
 // The gateway is destroyed before its client, while its watch call is still
 // open. A callback would access the destroyed gateway.
 TEST_CASE("a destroyed client does not call back", "[loop_client]") {
