Quarantined prompt parts outlast a store that comes back from a copy

What callers would see: a part that crashes engines was let through again at the first full read of the restored store, as its record was missing; a part that had proved sound was rejected again for up to ten minutes, as the copy still had its record.

Cause: a missing record meant the end of the quarantine, and a record always its beginning, whatever the era.

Change: in the first full read of an era, missing records are written again, by the instance that declared the quarantine and by the first member by name, on condition that there is none; the others keep the quarantine for its ten minutes. A record that this read brings back after its quarantine has ended isn't taken, and the first member deletes it, on condition of its revision.

Result: 'a quarantine that the store has lost is written again' and 'a quarantine that ended doesn't return with a copy' fail with the era left out (both were seen) and pass; so does 'a prompt part that crashes engines stops reaching them'.

Conclusion: open is an end of a quarantine that only an instance knew that is gone.

--- a/libs/gateway/include/gateway/part_crash_service.h
+++ b/libs/gateway/include/gateway/part_crash_service.h
@@ -11,6 +11,7 @@
 
 #include "serving/ids.h"
 #include "serving/part_crash_tracker.h"
+#include "serving/store_revision.h"
 #include "transport/timer.h"
 
 namespace bilberrypitch {
@@ -55,7 +56,8 @@
   // A record of the store; other records are ignored.
   void OnStoreItem(const StoreItem& item);
   // All existing records have been passed to OnStoreItem; `keys` are theirs.
-  void OnFullRead(const std::set<std::string>& keys);
+  // In a new era, the store has lost the missing ones: they are written again.
+  void OnFullRead(const std::set<std::string>& keys, int64_t era);
 
  private:
   void AccuseParts();
@@ -65,8 +67,15 @@
   // Writes the missing records, and repeats that until they exist.
   void WriteRecords();
   void WriteRecord(PartId part, int64_t lease);
+  // Writes those of `parts` again for which this instance is responsible.
+  void WriteAgain(const std::vector<PartId>& parts);
+  // Deletes the records of a copy whose quarantines have ended since.
+  void DeleteReturned();
+  // Whether this instance is the one of those that know that writes.
+  bool IsFirstMember() const;
   // The part has proved sound.
   void ForgetQuarantine(PartId part);
+  void RememberEnded(PartId part);
   void SendAccusation(PartId part, bool quarantined);
   // An objection to the accusation by `to`.
   void SendObjection(const MachineId& to, PartId part, Millis age);
@@ -82,6 +91,12 @@
   std::set<PartId> declared_;         // Quarantined by this instance.
   std::set<PartId> unrecorded_;       // Declared here, without a record yet.
   std::set<PartId> recorded_;         // Quarantined by a record of the store.
+  // Quarantines that have ended, as a copy of the store may bring them back.
+  std::map<PartId, Millis> ended_;  // With the time of the end.
+  // Records that the first read of an era has brought back, with their
+  // revisions.
+  std::map<PartId, StoreRevision> returned_;
+  int64_t era_ = 0;  // Of the last full read.
   Timer accusation_timer_;
   Timer record_timer_;
 };
--- a/libs/gateway/src/part_crash_service.cc
+++ b/libs/gateway/src/part_crash_service.cc
@@ -2,6 +2,7 @@
 #include "gateway/part_crash_service.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/log.h"
 #include "gateway/cluster_records.h"
@@ -16,6 +17,7 @@
 // Time for the other instances to object before a part is quarantined.
 constexpr Millis kObjectionTime{100};
 constexpr Millis kRecordRetryDelay{400};
+constexpr size_t kMaxEnded = 1024;
 
 uint64_t ToNumber(PartId part) { return static_cast<uint64_t>(part); }
 
@@ -113,6 +115,7 @@
   LogWarning("crash", "Quarantined part={:x}: upstreams crash under it.",
              ToNumber(part));
   SendAccusation(part, true);
+  ended_.erase(part);
   tracker_->Quarantine(part, true, EventLoop::Now());
   declared_.insert(part);
   unrecorded_.insert(part);
@@ -132,6 +135,7 @@
   if (accusation.quarantined() && !disproved) {
     LogInfo("crash", "Part={:x} is quarantined by {}.", ToNumber(part),
             from.str());
+    ended_.erase(part);
     tracker_->Quarantine(part, false, now);
   }
 }
@@ -154,24 +158,40 @@
     return;
   }
   if (!item.deleted) {
+    bool may_be_of_copy = item.revision.era > era_;
+    if (may_be_of_copy && ended_.count(*part) > 0) {
+      returned_[*part] = item.revision;
+      return;
+    }
+    ended_.erase(*part);
     tracker_->Quarantine(*part, false, EventLoop::Now());
     recorded_.insert(*part);
     unrecorded_.erase(*part);
     return;
   }
+  returned_.erase(*part);
   declared_.erase(*part);
   if (recorded_.erase(*part) > 0 && tracker_->EndQuarantine(*part)) {
+    RememberEnded(*part);
     LogInfo("crash", "Part={:x} is no longer quarantined.", ToNumber(*part));
   }
 }
 
-void PartCrashService::OnFullRead(const std::set<std::string>& keys) {
+void PartCrashService::OnFullRead(const std::set<std::string>& keys,
+                                  int64_t era) {
+  bool new_era = era > era_;
+  era_ = std::max(era_, era);
   std::vector<PartId> removed;
   for (PartId part : recorded_) {
     if (keys.count(QuarantinedPartKey(part)) == 0) {
       removed.push_back(part);
     }
   }
+  if (new_era) {
+    WriteAgain(removed);
+    DeleteReturned();
+    return;
+  }
   for (PartId part : removed) {
     recorded_.erase(part);
     declared_.erase(part);
@@ -179,6 +199,38 @@
   }
 }
 
+void PartCrashService::WriteAgain(const std::vector<PartId>& parts) {
+  for (PartId part : parts) {
+    recorded_.erase(part);
+    if (declared_.count(part) > 0 || IsFirstMember()) {
+      unrecorded_.insert(part);
+    }
+  }
+  // One whose record was acknowledged may not have been seen in the store.
+  for (PartId part : declared_) {
+    if (recorded_.count(part) == 0) {
+      unrecorded_.insert(part);
+    }
+  }
+  WriteRecords();
+}
+
+void PartCrashService::DeleteReturned() {
+  for (const auto& [part, revision] : std::exchange(returned_, {})) {
+    if (!IsFirstMember()) {
+      continue;
+    }
+    StoreTransaction transaction;
+    transaction.conditions.push_back({QuarantinedPartKey(part), revision});
+    transaction.deletes.push_back(QuarantinedPartKey(part));
+    store_->Commit(std::move(transaction), [](const StoreCommitResult&) {});
+  }
+}
+
+bool PartCrashService::IsFirstMember() const {
+  return peers_->peers().empty() || self_ < peers_->peers().begin()->first;
+}
+
 // A lease of its own ends the record, so that no instance has to.
 void PartCrashService::WriteRecords() {
   for (PartId part : unrecorded_) {
@@ -236,6 +288,17 @@
   declared_.erase(part);
   unrecorded_.erase(part);
   recorded_.erase(part);
+  RememberEnded(part);
+}
+
+void PartCrashService::RememberEnded(PartId part) {
+  Millis now = EventLoop::Now();
+  std::erase_if(ended_, [now](const auto& entry) {
+    return now - entry.second > PartCrashTracker::kQuarantineTime;
+  });
+  if (ended_.size() < kMaxEnded) {
+    ended_[part] = now;
+  }
 }
 
 void PartCrashService::SendAccusation(PartId part, bool quarantined) {
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -183,7 +183,7 @@
     return keys.count(entry.second) == 0;
   });
   deps_.membership->OnFullReadCompleted(keys, revision);
-  deps_.part_crashes->OnFullRead(keys);
+  deps_.part_crashes->OnFullRead(keys, revision.era);
   ExpireMissingUpstreams();
 }
 
--- a/libs/gateway/test/restored_store_test.cc
+++ b/libs/gateway/test/restored_store_test.cc
@@ -6,7 +6,12 @@
 
 #include "counting_store.h"
 #include "fencing_engine.h"
+#include "gateway/cluster_records.h"
+#include "gateway/part_crash_service.h"
+#include "gateway/peer_messenger.h"
 #include "gateway_fixture.h"
+#include "schema/cluster.pb.h"
+#include "serving/part_crash_tracker.h"
 
 namespace bilberrypitch {
 namespace {
@@ -347,4 +352,77 @@
   REQUIRE(PeerCount(&fixture, first_address) == 0);
 }
 
+namespace {
+
+// The quarantine service of one instance, without peers.
+struct Quarantines {
+  Quarantines(Fixture* test_fixture, const std::string& address)
+      : fixture(test_fixture),
+        peers(&fixture->loop,
+              {MachineId("m9"), BootId("b"), ZoneId("z"), address},
+              [](const MachineId&, const schema::PeerItem&) {}),
+        service(&fixture->loop, MachineId("m9"), &tracker, &fixture->store,
+                &peers, [](const CrashId&, std::function<void(bool)>) {}) {}
+
+  // What the store's record of the part says.
+  void SeeRecord(StoreRevision revision) {
+    StoreItem item;
+    item.key = QuarantinedPartKey(part);
+    item.revision = revision;
+    service.OnStoreItem(item);
+  }
+  bool IsQuarantined() {
+    return tracker.IsQuarantined({part}, EventLoop::Now());
+  }
+
+  const PartId part{0xab};
+  Fixture* const fixture;
+  PartCrashTracker tracker;
+  PeerMessenger peers;
+  PartCrashService service;
+};
+
+}  // namespace
+
+// Guards against: a prompt part that crashes engines reaches them again, as the
+// store has lost its record.
+TEST_CASE("a quarantine that the store has lost is written again",
+          "[restored]") {
+  Fixture fixture;
+  Quarantines quarantines(&fixture, LocalAddress(FreePort()));
+  quarantines.SeeRecord({0, 300});
+  REQUIRE(quarantines.IsQuarantined());
+  quarantines.service.OnFullRead({}, 1);
+  REQUIRE(quarantines.IsQuarantined());
+  fixture.WaitUntil(
+      [&] { return fixture.store.Has(QuarantinedPartKey(quarantines.part)); });
+  // Within an era, a missing record ends it.
+  quarantines.SeeRecord({1, 5});
+  quarantines.service.OnFullRead({}, 1);
+  REQUIRE_FALSE(quarantines.IsQuarantined());
+}
+
+// Guards against: a part that proved sound is rejected again, as the copy still
+// has its record.
+TEST_CASE("a quarantine that ended doesn't return with a copy", "[restored]") {
+  Fixture fixture;
+  Quarantines quarantines(&fixture, LocalAddress(FreePort()));
+  const std::string key = QuarantinedPartKey(quarantines.part);
+  fixture.store.Put(key, "");
+  StoreRevision revision(0, fixture.store.revision());
+  quarantines.SeeRecord(revision);
+  quarantines.service.OnResponseBegun({quarantines.part});
+  REQUIRE_FALSE(quarantines.IsQuarantined());
+  fixture.WaitUntil([&] { return !fixture.store.Has(key); });
+  fixture.store.Put(key, "");
+  StoreRevision in_copy(1, fixture.store.revision());
+  quarantines.SeeRecord(in_copy);
+  quarantines.service.OnFullRead({key}, 1);
+  REQUIRE_FALSE(quarantines.IsQuarantined());
+  fixture.WaitUntil([&] { return !fixture.store.Has(key); });
+  // One that is declared since counts.
+  quarantines.SeeRecord({1, in_copy.number + 10});
+  REQUIRE(quarantines.IsQuarantined());
+}
+
 }  // namespace bilberrypitch
