Show that a pipelined request is cut after it was passed on

What a caller sees that sends a second request before the first response: where that response closes the connection (each during a planned stop, each stream at any time), the second runs and gets no answer. The test fails in three of its four kinds: two during a stop, and the one behind a stream without a stop.

--- a/libs/gateway/test/planned_stop_test.cc
+++ b/libs/gateway/test/planned_stop_test.cc
@@ -159,4 +159,29 @@
   fixture.WaitUntilGone(*instance);
 }
 
+// Guards against: a request that was sent behind another one, without waiting
+// for its response, is passed on, and its connection closes with the response
+// before.
+TEST_CASE("a pipelined request that was passed on is answered", "[stop]") {
+  const std::string path = GENERATE("/once/300", "/stream/300");
+  const bool stops = GENERATE(true, false);
+  CAPTURE(path, stops);
+  StopFixture fixture(Millis(4000), Millis(500));
+  auto instance = fixture.StartInstance();
+  RawCaller caller(instance->address());
+  caller.Write(RawCaller::RequestText(path, "raw1") +
+               RawCaller::RequestText("/once/600", "raw2"));
+  fixture.WaitFor(Millis(100));
+  if (stops) {
+    fixture.Stop(instance.get());
+  }
+  fixture.WaitFor(Millis(1000));
+  instance.reset();
+  const std::string text = caller.ReadUntilClosed();
+  REQUIRE(fixture.RunsOf("raw1").size() == 1);
+  REQUIRE(text.find("Request-Id: raw1") != std::string::npos);
+  const bool answered = text.find("Request-Id: raw2") != std::string::npos;
+  REQUIRE((answered || fixture.RunsOf("raw2").empty()));
+}
+
 }  // namespace bilberrypitch
