Serve within the rate while the owner of an account waits to act

Cause: a new owner hands out nothing until its takeover delay is over, which is longer after a restoration, and does not respond. Its peers count it as reachable, so they use a part of the tolerance only, not their shares. Ruled out: lost registrations (the number of members stayed) and old configurations (404 in equal numbers).

Change: an owner that waits says so, and the requester uses its whole share. Nobody hands out tokens meanwhile, so the shares add up to the rate. The first question after the delay gets the owner's own decision.

The same holds after any loss of an owner, not only after a restoration.

--- a/libs/gateway/include/gateway/rate_limit_service.h
+++ b/libs/gateway/include/gateway/rate_limit_service.h
@@ -54,6 +54,8 @@
   // Whether this instance owns the account, its ownership is in effect and its
   // lease is valid.
   bool CanActAsOwner(const WorkspaceId& workspace, Millis now) const;
+  // Whether this instance owns the account and its takeover delay runs.
+  bool WaitsToAct(const WorkspaceId& workspace, Millis now) const;
   // Sends a heartbeat to the owners of rate accounts, or to all members if this
   // instance is an owner itself.
   void SendHeartbeats();
--- a/libs/gateway/src/rate_limit_service.cc
+++ b/libs/gateway/src/rate_limit_service.cc
@@ -16,6 +16,8 @@
 constexpr Millis kResponseTimeout{30};
 constexpr int kMaxAttempts = 3;
 constexpr Millis kHeartbeatPeriod{400};
+// In the place of a time to wait: the owner hands out no tokens yet.
+constexpr int64_t kOwnerWaits = -1;
 
 }  // namespace
 
@@ -84,6 +86,12 @@
          lease_manager_->IsValid(now);
 }
 
+bool RateLimitService::WaitsToAct(const WorkspaceId& workspace,
+                                  Millis now) const {
+  return limiter_.Owns(workspace) && lease_manager_->IsValid(now) &&
+         now < ownership_->ActiveFrom(RateResource(workspace));
+}
+
 void RateLimitService::Acquire(const WorkspaceId& workspace, double cost,
                                std::function<void(RateDecision)> done) {
   Millis now = EventLoop::Now();
@@ -135,15 +143,18 @@
                                  const schema::RateQuestion& request) {
   WorkspaceId workspace(request.workspace());
   Millis now = EventLoop::Now();
-  if (!CanActAsOwner(workspace, now)) {
-    return;  // The requester times out and uses its local share.
-  }
-  RateDecision decision = limiter_.AcquireAsOwner(
-      from, request.nonce(), workspace, request.cost(), now);
   schema::PeerItem item;
   item.mutable_rate_answer()->set_nonce(request.nonce());
-  item.mutable_rate_answer()->set_granted(decision.granted);
-  item.mutable_rate_answer()->set_wait_ms(decision.wait.count());
+  if (CanActAsOwner(workspace, now)) {
+    RateDecision decision = limiter_.AcquireAsOwner(
+        from, request.nonce(), workspace, request.cost(), now);
+    item.mutable_rate_answer()->set_granted(decision.granted);
+    item.mutable_rate_answer()->set_wait_ms(decision.wait.count());
+  } else if (WaitsToAct(workspace, now)) {
+    item.mutable_rate_answer()->set_wait_ms(kOwnerWaits);
+  } else {
+    return;  // The requester times out and uses its local share.
+  }
   peers_->Send(from, std::move(item));
 }
 
@@ -152,10 +163,17 @@
   if (node.empty()) {
     return;
   }
+  const PendingRequest& pending = *node.mapped();
+  if (response.wait_ms() == kOwnerWaits) {
+    // Nobody hands out tokens, so the whole local share may be used.
+    pending.done(limiter_.AcquireFromLocalShare(
+        pending.workspace, MachineId(), pending.cost, EventLoop::Now()));
+    return;
+  }
   RateDecision decision;
   decision.granted = response.granted();
   decision.wait = Millis(response.wait_ms());
-  node.mapped()->done(decision);
+  pending.done(decision);
 }
 
 void RateLimitService::SendHeartbeats() {
