Doubt what a restored store says of upstreams that left

What callers saw: after the store came back from an older copy, requests went to engines that had left (DRAIN).

Cause: the copy still has the entry of an upstream that was removed since, or calls one ready that drains since. The first full read of the new era took it as it stood.

Ruled out: to compare revisions. Numbers are given out again, so an entry with a lower number than the known removal may be from before it or written again since. To give the entry up for good: an upstream whose entry only lapsed may be alive.

Change: DepartedUpstreams remembers for a minute which starts (id and start time) drain or were removed. At the first full read of an era, a ready entry of such a start is not used until the upstream writes it again; if it was removed, also once the entry has stood for 5 s, since the store removes the entry of a silent upstream before. While records return, heartbeats count as changes, so that followers which read the copy's entry hear what was written again.

Conclusion: an instance that never saw the upstream leave, or has just started, still uses the copy's entry until it is written again.

--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "serving/departed_upstreams.h"
 #include "serving/ids.h"
 #include "serving/ownership.h"
 #include "serving/store_item.h"
@@ -52,6 +53,9 @@
   // the record differs from the previous one of its key in something that an
   // instance uses.
   bool Apply(const StoreItem& item, Millis return_deadline);
+  // The records of a full read follow. `is_new_era`: the store came back from
+  // an older copy since the last one.
+  void OnFullReadStarted(bool is_new_era) { reading_copy_ = is_new_era; }
   // All records were applied that exist at `revision`: removes the others.
   void OnFullRead(const std::vector<StoreItem>& items, StoreRevision revision,
                   Millis return_deadline);
@@ -83,6 +87,8 @@
 
   const Deps deps_;
   std::map<UpstreamId, std::string> upstream_keys_;
+  DepartedUpstreams departed_;
+  bool reading_copy_ = false;  // The first full read of an era is applied.
   Timer expire_timer_;
 };
 
--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -38,8 +38,9 @@
     // store was unavailable; zero: it does not. Returns whether the record
     // differs from the previous one in something that an instance uses.
     std::function<bool(const StoreItem& item, Millis return_deadline)> on_item;
-    // The items of a full read follow.
-    std::function<void()> on_full_read_started;
+    // The items of a full read follow. `is_new_era`: the first one since the
+    // store came back from an older copy.
+    std::function<void(bool is_new_era)> on_full_read_started;
     // A full read ended. Keys that are not among `all` did not exist at
     // `revision`.
     std::function<void(const std::vector<StoreItem>& all,
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -162,7 +162,10 @@
     hooks.on_item = [this](const StoreItem& item, Millis return_deadline) {
       return records_.Apply(item, return_deadline);
     };
-    hooks.on_full_read_started = [this] { membership_.OnFullReadStarted(); };
+    hooks.on_full_read_started = [this](bool is_new_era) {
+      records_.OnFullReadStarted(is_new_era);
+      membership_.OnFullReadStarted();
+    };
     hooks.on_full_read_completed = [this](const std::vector<StoreItem>& items,
                                           StoreRevision revision,
                                           Millis return_deadline) {
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -26,9 +26,19 @@
   if (auto* config = std::get_if<ConfigRecord>(&record)) {
     OnConfigRecord(std::move(config->config), item.revision);
   } else if (auto* upstream = std::get_if<UpstreamRecord>(&record)) {
+    bool is_doubted = reading_copy_ && upstream->entry &&
+                      departed_.OnEntryOfCopy(*upstream->entry, now);
+    if (is_doubted) {
+      LogInfo("upstream", "Doubts the entry of the copy, id={}.",
+              upstream->id.str());
+      upstream_keys_[upstream->id] = item.key;
+      return true;
+    }
+    departed_.OnEntryChanged(upstream->id);
     if (IsHeartbeat(*upstream)) {
       OnHeartbeat(*upstream, now);
-      return false;
+      // While records return, a follower may have read an older entry.
+      return return_deadline != Millis(0);
     }
     upstream_keys_[upstream->id] = item.key;
     OnUpstreamRecord(*upstream, now, return_deadline);
@@ -132,6 +142,9 @@
 
 void RecordApplier::OnUpstreamUnavailable(const UpstreamId& id) {
   UpstreamState* upstream = deps_.state->upstreams.Find(id);
+  if (upstream != nullptr) {
+    departed_.OnDeparted(upstream->entry, EventLoop::Now());
+  }
   bool draining =
       upstream != nullptr && upstream->entry.draining && !upstream->removed;
   LogInfo("upstream", "Leaves id={} draining={}.", id.str(), draining);
@@ -167,6 +180,7 @@
 
 void RecordApplier::OnFullRead(const std::vector<StoreItem>& items,
                                StoreRevision revision, Millis return_deadline) {
+  reading_copy_ = false;
   std::set<std::string> keys;
   for (const StoreItem& item : items) {
     keys.insert(item.key);
@@ -189,7 +203,14 @@
 
 void RecordApplier::ExpireMissingUpstreams() {
   Millis now = EventLoop::Now();
+  for (const UpstreamEntry& entry : departed_.TakeTrusted(now)) {
+    OnUpstreamRecord({entry.id, entry}, now, Millis(0));
+  }
   Millis due = deps_.state->upstreams.ExpireMissing(now);
+  Millis trusted_at = departed_.NextDue();
+  if (due == Millis(0) || (trusted_at != Millis(0) && trusted_at < due)) {
+    due = trusted_at;
+  }
   if (due != Millis(0)) {
     expire_timer_.Start(std::max(Millis(1), due - now),
                         [this] { ExpireMissingUpstreams(); });
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -243,7 +243,7 @@
 
 void StoreSync::ApplyAllItems(const std::vector<StoreItem>& items,
                               StoreRevision revision, Millis return_deadline) {
-  hooks_.on_full_read_started();
+  hooks_.on_full_read_started(revision.era > view_.revision().era);
   for (const StoreItem& item : items) {
     if (!view_.HasLaterRevisionOf(item)) {
       hooks_.on_item(item, return_deadline);
--- a/libs/gateway/test/restored_store_test.cc
+++ b/libs/gateway/test/restored_store_test.cc
@@ -169,6 +169,36 @@
   REQUIRE(fixture.first.requests().size() == requests_before);
 }
 
+// Guards against: a draining engine gets requests again, because the copy still
+// calls it ready, until it has written again that it drains.
+TEST_CASE("an upstream that drains in a restored store gets no request",
+          "[restored]") {
+  const bool on_follower = GENERATE(false, true);
+  CAPTURE(on_follower);
+  Fixture fixture;
+  fixture.PutUpstream("i-2", fixture.second.address(), "ready");
+  fixture.WaitUntilReady();
+  SecondInstance second(&fixture, on_follower);
+  fixture.store.TakeCopy();
+  WriteManyTimes(&fixture);
+  fixture.PutUpstream("i-1", fixture.first.address(), "draining");
+  const ClusterBounds bounds;
+  fixture.WaitFor(bounds.drain);
+  size_t requests_before = fixture.first.requests().size();
+  ComeBackFromCopy(&fixture);
+  Millis end = EventLoop::Now() + kWrittenAgainAfter;
+  while (EventLoop::Now() < end) {
+    REQUIRE(fixture.SendRequest("/once/x").status == kOkStatus);
+    fixture.WaitFor(kPause);
+  }
+  fixture.PutUpstream("i-1", fixture.first.address(), "draining");
+  for (int i = 0; i < 10; ++i) {
+    REQUIRE(fixture.SendRequest("/once/x").status == kOkStatus);
+    fixture.WaitFor(kPause);
+  }
+  REQUIRE(fixture.first.requests().size() == requests_before);
+}
+
 // Guards against: a revoked key serves again, because the copy still has it.
 TEST_CASE("a key that was revoked before the store was restored isn't accepted",
           "[restored]") {
--- /dev/null
+++ b/libs/serving/src/departed_upstreams.cc
@@ -0,0 +1,56 @@
+// Departures by upstream and start, and the entries that are doubted.
+#include "serving/departed_upstreams.h"
+
+namespace bilberrypitch {
+namespace {
+
+// A copy is some seconds old.
+constexpr Millis kRememberedFor{60 * 1000};
+// The store removes the entry of a silent upstream within a few seconds.
+constexpr Millis kDoubtTime{5000};
+
+}  // namespace
+
+void DepartedUpstreams::OnDeparted(const UpstreamEntry& entry, Millis now) {
+  std::erase_if(departures_, [now](const auto& item) {
+    return now - item.second.at > kRememberedFor;
+  });
+  departures_[entry.id] = {entry.started_ms, entry.draining, now};
+}
+
+bool DepartedUpstreams::OnEntryOfCopy(const UpstreamEntry& entry, Millis now) {
+  doubted_.erase(entry.id);
+  auto it = departures_.find(entry.id);
+  bool departed = it != departures_.end() &&
+                  it->second.started_ms == entry.started_ms &&
+                  now - it->second.at <= kRememberedFor;
+  if (!departed || entry.draining) {
+    return false;
+  }
+  if (!it->second.draining) {
+    doubted_[entry.id] = {entry, now + kDoubtTime};
+  }
+  return true;
+}
+
+std::vector<UpstreamEntry> DepartedUpstreams::TakeTrusted(Millis now) {
+  std::vector<UpstreamEntry> trusted;
+  std::erase_if(doubted_, [&](const auto& item) {
+    bool due = now >= item.second.due;
+    if (due) {
+      trusted.push_back(item.second.entry);
+    }
+    return due;
+  });
+  return trusted;
+}
+
+Millis DepartedUpstreams::NextDue() const {
+  Millis next;
+  for (const auto& [id, doubt] : doubted_) {
+    next = next == Millis(0) || doubt.due < next ? doubt.due : next;
+  }
+  return next;
+}
+
+}  // namespace bilberrypitch
