Keep a configuration that the store has lost

What callers saw: nothing yet in this form; with views that follow the era, an instance that starts after the store's return accepted a key that had been revoked.

Cause: a running instance keeps the newer configuration, as versions only rise, but hands on the copy's record. Whoever missed the newer one, or starts, takes the copy.

Ruled out: to tell by peers only. To write the operator's own key: the system may not.

Change: while the version in force is higher than the operator's in the store, the members write the operator's record under bilberrypitch/config: conditionally, the first member at once and each other one 200 ms later, so that one writes for all. Until the write shows, an instance passes it on to the followers of its view. The highest version counts, wherever it stands. Once the operator's is as high, the record is removed the same way. It holds the operator's value and a few bytes more; if the store doesn't take that, only the live instances keep it. Peers' state contains it. A peer's era goes through StoreSync, so that it is logged.

Conclusion: the copy's configuration is confirmed as current at once, so an instance that missed a revocation may serve the key until it hears of the record.

--- a/libs/gateway/include/gateway/cluster_records.h
+++ b/libs/gateway/include/gateway/cluster_records.h
@@ -1,6 +1,7 @@
 // Encodes and decodes the records that the instances themselves keep in the
-// platform's store: one for each member, one for each owned resource and one
-// for each quarantined prompt part.
+// platform's store: one for each member, one for each owned resource, one for
+// each quarantined prompt part, and one for a configuration that the store has
+// lost.
 #pragma once
 
 #include <optional>
@@ -18,6 +19,9 @@
 std::string MemberKeyPrefix(const ZoneId& zone);
 std::string MemberKey(const ClusterMember& member);
 std::string OwnerKey(const ResourceId& resource);
+std::string KeptConfigKey();
+// The value is the operator's record.
+std::string EncodeKeptConfig(const StoreItem& config_item);
 std::string QuarantinedPartKey(PartId part);
 std::string EncodeQuarantinedPart(const MachineId& declared_by);
 std::string EncodeMember(const ClusterMember& member);
@@ -29,6 +33,7 @@
 // Returns no value for other keys.
 std::optional<PartId> PartFromKey(const std::string& key);
 // Return no value for a malformed record.
+std::optional<StoreItem> DecodeKeptConfig(const StoreItem& item);
 std::optional<ClusterMember> DecodeMember(const StoreItem& item);
 std::optional<OwnerRecord> DecodeOwner(const StoreItem& item);
 
--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -19,6 +19,7 @@
 class CallerFrontend;
 class CrashService;
 class EventLoop;
+class KeptConfigService;
 class Membership;
 class OrderService;
 class PartCrashService;
@@ -41,6 +42,7 @@
     PartCrashService* part_crashes = nullptr;
     RateLimitService* rate_limits = nullptr;
     CallerFrontend* callers = nullptr;
+    KeptConfigService* kept_config = nullptr;
     StoreRecordDecoder decode_record;
     // A configuration of this store revision was seen.
     std::function<void(StoreRevision revision)> on_config_revision;
@@ -74,7 +76,9 @@
   // Whether the record states nothing new about the upstream.
   bool IsHeartbeat(const UpstreamRecord& record);
   void OnHeartbeat(const UpstreamRecord& record, Millis now);
-  void OnConfigRecord(ServingConfig config, StoreRevision revision);
+  // `item`: the operator's record of it.
+  void OnConfig(ServingConfig config, const StoreItem& item);
+  void OnKeptConfig(const StoreItem& item);
   void ApplyRateLimits();
   void OnUpstreamRecord(const UpstreamRecord& record, Millis now,
                         Millis return_deadline);
--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -63,6 +63,13 @@
   // made here. Ignored if it is not newer than the known one.
   void ApplyForeignItem(const StoreItem& item);
 
+  // A response of the store or of a peer states this era; none: it states
+  // nothing. Returns whether the response may be used.
+  bool OnEra(std::optional<int64_t> era);
+  // Passes a record of this instance on to its followers, unless the view has
+  // one of this key.
+  void Publish(const StoreItem& item);
+
   StoreFollower* follower() { return &follower_; }
   const StoreFollower& follower() const { return follower_; }
   const StoreView& view() const { return view_; }
@@ -72,9 +79,6 @@
   void MakeNextCallAfter(Millis delay);
   void StartRead(StoreCallKind kind);
   void ReadNextPage(const std::string& after_key);
-  // A response states this era of the store. Returns whether the response may
-  // be used.
-  bool OnEra(std::optional<int64_t> era);
   void OnPage(StorePage page, Millis sent_at);
   void OnZoneMembersRead();
   void OnAllRead();
--- a/libs/gateway/src/cluster_records.cc
+++ b/libs/gateway/src/cluster_records.cc
@@ -5,6 +5,7 @@
 
 #include <charconv>
 
+#include "gateway/known_items.h"
 #include "schema/cluster.pb.h"
 
 namespace bilberrypitch {
@@ -14,6 +15,7 @@
 constexpr std::string_view kMemberKeyPrefix = "bilberrypitch/members/";
 constexpr std::string_view kOwnerKeyPrefix = "bilberrypitch/owners/";
 constexpr std::string_view kPartKeyPrefix = "bilberrypitch/parts/";
+constexpr std::string_view kKeptConfigKey = "bilberrypitch/config";
 constexpr int kHexBase = 16;
 
 // Returns the rest of `key` after `prefix`; empty if it starts differently.
@@ -39,6 +41,14 @@
   return std::string(kOwnerKeyPrefix) + resource.str();
 }
 
+std::string KeptConfigKey() { return std::string(kKeptConfigKey); }
+
+std::string EncodeKeptConfig(const StoreItem& config_item) {
+  schema::KnownItem encoded;
+  EncodeItem(config_item, &encoded);
+  return encoded.SerializeAsString();
+}
+
 std::string QuarantinedPartKey(PartId part) {
   return fmt::format("{}{:x}", kPartKeyPrefix, static_cast<uint64_t>(part));
 }
@@ -88,6 +98,14 @@
   return PartId{part};
 }
 
+std::optional<StoreItem> DecodeKeptConfig(const StoreItem& item) {
+  schema::KnownItem encoded;
+  if (item.deleted || !encoded.ParseFromString(item.value)) {
+    return std::nullopt;
+  }
+  return DecodeItem(encoded);
+}
+
 std::optional<ClusterMember> DecodeMember(const StoreItem& item) {
   schema::MemberRecord record;
   if (!record.ParseFromString(item.value) || record.machine().empty()) {
--- a/libs/gateway/src/freshness_service.cc
+++ b/libs/gateway/src/freshness_service.cc
@@ -143,7 +143,7 @@
     return;  // The store itself has responded in the meantime.
   }
   StoreRevision store_revision = DecodeRevision(state.store_revision());
-  if (!sync_->follower()->OnEra(store_revision.era, EventLoop::Now())) {
+  if (!sync_->OnEra(store_revision.era)) {
     return;
   }
   LogInfo("peer", "Took the state up to era={} revision={} from a peer.",
@@ -165,7 +165,7 @@
   }
   schema::KnownState state;
   for (const StoreItem& item : sync_->view().AllItems()) {
-    if (!IsClusterKey(item.key)) {
+    if (!IsClusterKey(item.key) || item.key == KeptConfigKey()) {
       EncodeItem(item, state.add_items());
     }
   }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -9,6 +9,7 @@
 #include "gateway/caller_frontend.h"
 #include "gateway/crash_service.h"
 #include "gateway/freshness_service.h"
+#include "gateway/kept_config_service.h"
 #include "gateway/load_broadcaster.h"
 #include "gateway/membership.h"
 #include "gateway/metrics_page.h"
@@ -87,6 +88,7 @@
                       gateway_deps_.store, &peers_, EngineCheck()),
         permits_(loop_, self_.machine, &state_.upstreams, &peers_),
         callers_(loop_, &state_),
+        kept_config_(loop_, gateway_deps_.store, KeptConfigHooks()),
         records_(loop_, RecordDeps()) {
     freshness_service_ = std::make_unique<FreshnessService>(
         loop_, gateway_deps_.client, &peers_, &store_sync_, &state_.freshness,
@@ -172,6 +174,7 @@
       records_.OnFullRead(items, revision, return_deadline);
     };
     hooks.on_confirmed = [this](Millis at) {
+      kept_config_.Update(store_sync_.follower()->revision());
       state_.freshness.OnConfirmed(at);
       reader_service_.OnViewUpdated();
     };
@@ -183,6 +186,22 @@
     return hooks;
   }
 
+  KeptConfigService::Hooks KeptConfigHooks() {
+    KeptConfigService::Hooks hooks;
+    hooks.rank = [this] {
+      const auto& members = membership_.ownership()->members();
+      auto self = members.find(self_.machine);
+      return static_cast<size_t>(std::distance(members.begin(), self));
+    };
+    hooks.publish = [this](const StoreItem& item) {
+      store_sync_.Publish(item);
+    };
+    hooks.apply = [this](const StoreItem& item) {
+      store_sync_.ApplyForeignItem(item);
+    };
+    return hooks;
+  }
+
   RecordApplier::Deps RecordDeps() {
     RecordApplier::Deps deps;
     deps.state = &state_;
@@ -193,6 +212,7 @@
     deps.part_crashes = &part_crashes_;
     deps.rate_limits = &rate_limits_;
     deps.callers = &callers_;
+    deps.kept_config = &kept_config_;
     deps.decode_record = gateway_deps_.decode_record;
     deps.on_config_revision = [this](StoreRevision revision) {
       freshness_service_->OnConfigRevision(revision);
@@ -455,6 +475,7 @@
   RequestDeps request_deps_;
   RequestDeps completions_request_deps_;
   CallerFrontend callers_;
+  KeptConfigService kept_config_;
   RecordApplier records_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> peer_server_;
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -6,7 +6,9 @@
 
 #include "base/log.h"
 #include "gateway/caller_frontend.h"
+#include "gateway/cluster_records.h"
 #include "gateway/crash_service.h"
+#include "gateway/kept_config_service.h"
 #include "gateway/membership.h"
 #include "gateway/order_service.h"
 #include "gateway/part_crash_service.h"
@@ -21,10 +23,16 @@
     : deps_(std::move(deps)), expire_timer_(loop) {}
 
 bool RecordApplier::Apply(const StoreItem& item, Millis return_deadline) {
+  if (item.key == KeptConfigKey()) {
+    OnKeptConfig(item);
+    return true;
+  }
   StoreRecord record = deps_.decode_record(item);
   Millis now = EventLoop::Now();
   if (auto* config = std::get_if<ConfigRecord>(&record)) {
-    OnConfigRecord(std::move(config->config), item.revision);
+    deps_.on_config_revision(item.revision);
+    deps_.kept_config->OnStoreVersion(config->config.version);
+    OnConfig(std::move(config->config), item);
   } else if (auto* upstream = std::get_if<UpstreamRecord>(&record)) {
     bool is_doubted = reading_copy_ && upstream->entry &&
                       departed_.OnEntryOfCopy(*upstream->entry, now);
@@ -65,15 +73,28 @@
   deps_.state->residency.SetBaseModels(record.id, record.entry->models);
 }
 
-void RecordApplier::OnConfigRecord(ServingConfig config,
-                                   StoreRevision revision) {
-  deps_.on_config_revision(revision);
+void RecordApplier::OnKeptConfig(const StoreItem& item) {
+  deps_.kept_config->OnKeptRemoved();
+  std::optional<StoreItem> config_item = DecodeKeptConfig(item);
+  if (!config_item) {
+    return;
+  }
+  StoreRecord record = deps_.decode_record(*config_item);
+  if (auto* config = std::get_if<ConfigRecord>(&record)) {
+    deps_.kept_config->OnKept(config->config.version, item.revision);
+    OnConfig(std::move(config->config), *config_item);
+  }
+}
+
+void RecordApplier::OnConfig(ServingConfig config, const StoreItem& item) {
   if (deps_.state->config != nullptr &&
       config.version <= deps_.state->config->version()) {
     return;  // An older version never takes effect again.
   }
   LogInfo("config", "Version {} in force, era={} revision={}, routes={}.",
-          config.version, revision.era, revision.number, config.routes.size());
+          config.version, item.revision.era, item.revision.number,
+          config.routes.size());
+  deps_.kept_config->OnInForce(item, config.version);
   deps_.state->config = std::make_shared<const ActiveConfig>(std::move(config));
   const CallerLimits& limits = deps_.state->config->config().limits;
   deps_.callers->SetLimits(limits);
@@ -198,6 +219,7 @@
   });
   deps_.membership->OnFullReadCompleted(keys, revision);
   deps_.part_crashes->OnFullRead(keys, revision.era);
+  deps_.kept_config->OnFullRead(keys);
   ExpireMissingUpstreams();
 }
 
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -257,6 +257,12 @@
   ApplyItems({item}, follower_.ReturnDeadline(EventLoop::Now()));
 }
 
+void StoreSync::Publish(const StoreItem& item) {
+  if (!view_.Has(item.key)) {
+    view_.Apply(item, true);
+  }
+}
+
 void StoreSync::OnStoreFailure(const char* activity) {
   bool was_unavailable = follower_.unavailable();
   Millis delay = follower_.OnStoreFailure(EventLoop::Now());
--- a/libs/gateway/test/restored_store_test.cc
+++ b/libs/gateway/test/restored_store_test.cc
@@ -249,6 +249,29 @@
   }
 }
 
+// Guards against: the last instance that knows of a revocation ends before the
+// operator has written again, and the next one accepts the revoked key.
+TEST_CASE("a lost configuration outlives the instance that knows it",
+          "[restored]") {
+  Fixture fixture;
+  fixture.store.Put("op/config", ConfigText(2, "\"k1\",\"k2\"", false));
+  fixture.WaitUntilReady();
+  fixture.store.TakeCopy();
+  fixture.store.Put("op/config", ConfigText(3, "\"k1\"", false));
+  REQUIRE(
+      GetsStatus(&fixture, "/once/x", "k2", kUnauthorizedStatus, Millis(2000)));
+  ComeBackFromCopy(&fixture);
+  fixture.WaitUntil([&] { return fixture.store.Has("bilberrypitch/config"); });
+  fixture.gateway.reset();
+  std::unique_ptr<Gateway> second = fixture.StartSecond(&fixture.store);
+  fixture.WaitUntilReady();
+  REQUIRE(fixture.SendRequest("/once/x", "k1").status == kOkStatus);
+  REQUIRE(fixture.SendRequest("/once/x", "k2").status == kUnauthorizedStatus);
+  fixture.store.Put("op/config", ConfigText(3, "\"k1\"", false));
+  fixture.WaitUntil([&] { return !fixture.store.Has("bilberrypitch/config"); });
+  REQUIRE(fixture.SendRequest("/once/x", "k2").status == kUnauthorizedStatus);
+}
+
 // Guards against: the owner of an engine keeps a claim that the store has lost,
 // or orders with a fencing token that the engine rejects.
 TEST_CASE("an engine gets orders after the store was restored", "[restored]") {
--- a/libs/serving/include/serving/store_view.h
+++ b/libs/serving/include/serving/store_view.h
@@ -41,6 +41,8 @@
   // contain later ones; a follower that has taken them would still ask for
   // changes after the revision of the view.
   bool HasRelevantChangeAfter(StoreRevision revision) const;
+  // Whether the view has a record of the key, which may be its deletion.
+  bool Has(const std::string& key) const { return records_.count(key) > 0; }
   // Whether the view has this write of the key or a later one.
   bool HasRevisionOf(const StoreItem& item) const;
   // Whether the view has a later write of the key.
