Handle the requests of a connection one at a time

What a caller saw that sent a second request before the first response: where that response closed the connection (each during a planned stop, each stream at any time), the second ran and its connection ended without an answer.

Cause: the server handed on all requests that it had read, and a response that closes the connection drops the ones behind it. Ruled out: the gateway's own end of requests (it happens without a stop too).

Change: the server hands on a connection's next request when the response before it has ended, and never if that one closes the connection. A response with others waiting behind it leaves the connection open, the last one closes it. The deadline of a request that waited counts from when it was read.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -108,9 +108,11 @@
 // the event loop's thread only.
 class RequestHandler : public std::enable_shared_from_this<RequestHandler> {
  public:
-  // `connection_id` identifies the caller's connection.
+  // `connection_id` identifies the caller's connection. `arrived_at` is earlier
+  // than now if the request had to wait for another one of its connection.
   RequestHandler(const RequestDeps* deps, ServingRequest request,
-                 std::shared_ptr<Responder> responder, uint64_t connection_id);
+                 std::shared_ptr<Responder> responder, uint64_t connection_id,
+                 Millis arrived_at);
 
   void Start();
   // The caller closed its connection: cancels the request.
--- a/libs/gateway/src/caller_frontend.cc
+++ b/libs/gateway/src/caller_frontend.cc
@@ -65,6 +65,7 @@
 void CallerFrontend::OnRequest(const RequestDeps& deps, HttpRequest request,
                                std::shared_ptr<Responder> responder) {
   uint64_t connection_id = request.connection_id;
+  Millis received_at = request.received_at;
   RequestId id = deps.codec->RequestIdOf(request);
   Error error;
   if (is_closing_) {
@@ -78,8 +79,9 @@
     Reject(*deps.codec, error, id, Millis(0), responder.get());
     return;
   }
-  auto handler = std::make_shared<RequestHandler>(
-      &deps, std::move(*decoded), std::move(responder), connection_id);
+  auto handler = std::make_shared<RequestHandler>(&deps, std::move(*decoded),
+                                                  std::move(responder),
+                                                  connection_id, received_at);
   handlers_.emplace(connection_id, handler);
   handler->Start();
 }
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -33,13 +33,13 @@
 
 RequestHandler::RequestHandler(const RequestDeps* deps, ServingRequest request,
                                std::shared_ptr<Responder> responder,
-                               uint64_t connection_id)
+                               uint64_t connection_id, Millis arrived_at)
     : deps_(deps),
       state_(deps->state),
       request_(std::move(request)),
       responder_(std::move(responder)),
       connection_id_(connection_id),
-      arrived_at_(EventLoop::Now()),
+      arrived_at_(arrived_at),
       shared_parts_(SharedParts(request_.prompt_parts)),
       deadline_timer_(deps->loop),
       wait_timer_(deps->loop) {}
--- a/libs/transport/include/transport/http_message.h
+++ b/libs/transport/include/transport/http_message.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "base/strong.h"
+
 namespace bilberrypitch {
 
 struct HttpHeader {
@@ -45,6 +47,7 @@
   std::string query;   // Without the question mark.
   HttpHeaders headers;
   std::string body;
+  Millis received_at;          // By the clock of EventLoop.
   uint64_t connection_id = 0;  // Equal for all requests of one connection.
 };
 
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -4,9 +4,12 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <deque>
 #include <mutex>
+#include <optional>
 #include <restinio/all.hpp>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 #include "base/error.h"
@@ -54,21 +57,19 @@
 // Reports closed connections.
 class ConnectionListener {
  public:
-  ConnectionListener(std::function<void(uint64_t)> on_closed, uint64_t first_id)
-      : on_closed_(std::move(on_closed)), first_id_(first_id) {}
+  explicit ConnectionListener(std::function<void(uint64_t)> on_closed)
+      : on_closed_(std::move(on_closed)) {}
 
   void state_changed(
       const restinio::connection_state::notice_t& notice) noexcept {
-    if (on_closed_ &&
-        restinio::holds_alternative<restinio::connection_state::closed_t>(
+    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
             notice.cause())) {
-      on_closed_(first_id_ + notice.connection_id());
+      on_closed_(notice.connection_id());
     }
   }
 
  private:
   const std::function<void(uint64_t)> on_closed_;
-  const uint64_t first_id_;
 };
 
 struct Traits : restinio::default_traits_t {
@@ -122,12 +123,79 @@
   return [token = std::move(token)](const restinio::asio_ns::error_code&) {};
 }
 
+struct ReceivedRequest {
+  restinio::request_handle_t handle;
+  Millis at;  // When it was received.
+};
+
+// Lets the server handle one request of a connection at a time, so that none
+// is handled whose response the connection would no longer carry.
+class PipelinedRequests {
+ public:
+  // Returns whether the request may be handled now; otherwise it is kept.
+  bool Add(const ReceivedRequest& request) {
+    std::lock_guard lock(lock_);
+    auto [it, is_first] = waiting_.try_emplace(request.handle->connection_id());
+    if (!is_first) {
+      it->second.push_back(request);
+    }
+    return is_first;
+  }
+
+  bool HasWaiting(uint64_t connection_id) {
+    std::lock_guard lock(lock_);
+    auto it = waiting_.find(connection_id);
+    return it != waiting_.end() && !it->second.empty();
+  }
+
+  // The request that is handled has its response. Returns the next one, if
+  // there is one. `closes`: the response closes the connection, so that the
+  // rest is dropped, and what is still read there.
+  std::optional<ReceivedRequest> OnResponded(uint64_t connection_id,
+                                             bool closes) {
+    std::lock_guard lock(lock_);
+    auto it = waiting_.find(connection_id);
+    if (it == waiting_.end()) {
+      return std::nullopt;
+    }
+    if (closes) {
+      it->second.clear();
+      return std::nullopt;
+    }
+    if (it->second.empty()) {
+      waiting_.erase(it);
+      return std::nullopt;
+    }
+    ReceivedRequest next = std::move(it->second.front());
+    it->second.pop_front();
+    return next;
+  }
+
+  void OnClosed(uint64_t connection_id) {
+    std::lock_guard lock(lock_);
+    waiting_.erase(connection_id);
+  }
+
+ private:
+  std::mutex lock_;
+  // By connection. A connection has an entry while one of its requests is
+  // handled, and from its last response until it is closed.
+  std::unordered_map<uint64_t, std::deque<ReceivedRequest>> waiting_;
+};
+
 class RestinioResponder
     : public Responder,
       public std::enable_shared_from_this<RestinioResponder> {
  public:
-  RestinioResponder(restinio::request_handle_t request, WriteToken token)
-      : request_(std::move(request)), write_token_(std::move(token)) {}
+  // `may_close`: whether no other request of the connection waits.
+  // `on_responded`: the response has ended; `closes`: it closes the connection.
+  RestinioResponder(restinio::request_handle_t request, WriteToken token,
+                    std::function<bool()> may_close,
+                    std::function<void(bool closes)> on_responded)
+      : request_(std::move(request)),
+        write_token_(std::move(token)),
+        may_close_(std::move(may_close)),
+        on_responded_(std::move(on_responded)) {}
 
   ~RestinioResponder() override {
     if (request_ != nullptr && !stream_) {
@@ -148,12 +216,14 @@
     for (const HttpHeader& field : response.headers.fields()) {
       builder.append_header(field.name, field.value);
     }
-    if (response.close_connection) {
+    const bool closes = response.close_connection && may_close_();
+    if (closes) {
       builder.connection_close();
     }
     builder.set_body(std::move(response.body));
     builder.done(HoldUntilWritten(std::move(write_token_)));
     request_.reset();
+    on_responded_(closes);
   }
 
   void StartStream(int status, const HttpHeaders& headers) override {
@@ -252,6 +322,7 @@
     on_all_written_ = nullptr;
     stream_->done(HoldUntilWritten(std::move(write_token_)));
     stream_.reset();
+    on_responded_(true);
   }
 
   // RESTinio may report a failed write from within the call that starts it.
@@ -260,6 +331,8 @@
   std::unique_ptr<Stream> stream_;      // Set while a stream is open.
   WriteQueue queue_;                    // Of the stream.
   WriteToken write_token_;
+  const std::function<bool()> may_close_;
+  const std::function<void(bool closes)> on_responded_;
   std::function<void()> on_all_written_;
 };
 
@@ -353,17 +426,61 @@
               restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
         })
         .connection_state_listener(std::make_shared<ConnectionListener>(
-            options_.on_connection_closed, options_.first_connection_id))
+            [pipelined = std::weak_ptr(pipelined_),
+             on_closed = options_.on_connection_closed,
+             first_id = options_.first_connection_id](uint64_t id) {
+              if (auto it = pipelined.lock()) {
+                it->OnClosed(id);
+              }
+              if (on_closed) {
+                on_closed(first_id + id);
+              }
+            }))
         .request_handler([this](restinio::request_handle_t request) {
-          return Handle(std::move(request));
+          ReceivedRequest received{std::move(request), EventLoop::Now()};
+          if (pipelined_->Add(received)) {
+            Handle(std::move(received));
+          }
+          return restinio::request_accepted();
         });
   }
 
-  restinio::request_handling_status_t Handle(restinio::request_handle_t from) {
-    HttpRequest request = ToHttpRequest(from);
+  std::shared_ptr<RestinioResponder> MakeResponder(
+      restinio::request_handle_t request) {
+    const uint64_t id = request->connection_id();
+    std::weak_ptr<PipelinedRequests> pipelined = pipelined_;
+    return std::make_shared<RestinioResponder>(
+        std::move(request), write_token_,
+        [id, pipelined] {
+          auto it = pipelined.lock();
+          return it == nullptr || !it->HasWaiting(id);
+        },
+        [this, id, pipelined](bool closes) {
+          if (auto it = pipelined.lock()) {
+            HandleLater(it->OnResponded(id, closes));
+          }
+        });
+  }
+
+  // Not within the call that responds to the request before.
+  void HandleLater(std::optional<ReceivedRequest> next) {
+    if (!next) {
+      return;
+    }
+    EventLoop* loop = options_.loop != nullptr ? options_.loop : &own_loop_;
+    std::weak_ptr<PipelinedRequests> pipelined = pipelined_;
+    loop->Post([this, pipelined, next = std::move(next)] {
+      if (!pipelined.expired()) {
+        Handle(*next);
+      }
+    });
+  }
+
+  void Handle(ReceivedRequest from) {
+    HttpRequest request = ToHttpRequest(from.handle);
+    request.received_at = from.at;
     request.connection_id += options_.first_connection_id;
-    auto responder =
-        std::make_shared<RestinioResponder>(std::move(from), write_token_);
+    auto responder = MakeResponder(std::move(from.handle));
     if (request.body.size() > max_body_bytes_) {
       Reject(*responder, ErrorKind::kBodyTooLarge,
              fmt::format("The body exceeds {} bytes.", max_body_bytes_));
@@ -374,7 +491,6 @@
     } else {
       handler_(std::move(request), std::move(responder));
     }
-    return restinio::request_accepted();
   }
 
   static void Reject(Responder& responder, ErrorKind kind, std::string detail) {
@@ -387,6 +503,8 @@
   std::atomic<size_t> max_body_bytes_;
   std::atomic<bool> stopped_ = false;
   EventLoop own_loop_;  // Unused when the options provide a loop.
+  const std::shared_ptr<PipelinedRequests> pipelined_ =
+      std::make_shared<PipelinedRequests>();
   const WriteToken write_token_ = std::make_shared<const bool>(true);
   std::unique_ptr<Server> server_;
   std::vector<std::thread> threads_;
