Judge bodies on kept connections, and stop using those of an upstream that wrote more

Callers got bodies that began with bytes of an earlier answer and lacked their end (40 of 40 combinations), held such bytes (without a length or in chunks, 40 of 40), and signed errors of that kind (20 of 20).

Cause: what followed a matching head counted as its body, and kept connections to an upstream were used again whatever had arrived on them.

Change: on a kept connection a plain body that no length bounds, or with unknown bytes behind it, is an invalid response. Each sign that an upstream writes what nobody asked for (and a body or events that couldn't be judged on a kept connection) gives its requests connections of their own, by ConnectionTrust. Rejections stay rejections; their body isn't passed on.

Weighed: a time limit of ConnectionTrust, not the whole life of the upstream; a restart begins anew. Signs between calls (the client's hook) are not connected yet.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -174,6 +174,10 @@
   void OnCallDone(CallOutcome outcome);
   AttemptOutcome ClassifyOutcome(const CallOutcome& outcome) const;
   ResponseFault FaultOfHead(const ResponseStart& start) const;
+  // Of a complete response that isn't a stream.
+  ResponseFault FaultOfBody(const CallOutcome& outcome) const;
+  // Lets what has arrived speak against kept connections to the upstream.
+  void UpdateConnectionTrust(const CallOutcome& outcome);
   // Sets `response_fault_` to what the end of the call shows.
   void RecordFault(AttemptOutcome end, const CallOutcome& outcome);
   void OnCompleteResponse(const CallOutcome& outcome, bool failed);
@@ -237,8 +241,8 @@
   Millis sent_at_;
   bool first_event_seen_ = false;
   bool response_is_stream_ = false;
-  bool response_is_framed_ = false;  // It states its length or is chunked.
-  bool reused_connection_ = false;   // Earlier calls used its connection.
+  BodyFraming framing_ = BodyFraming::kUntilClose;
+  bool reused_connection_ = false;  // Earlier calls used its connection.
   ResponseInfo response_info_;
   // It names this request, or none on a connection without an earlier call.
   bool response_matches_ = false;
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -76,6 +76,8 @@
   // A late copy of the response to an earlier attempt names the same request
   // id, so it is told apart only by its connection.
   call.new_connection = sent_to_addresses_.count(call.address) > 0;
+  call.dedicated_connection =
+      !upstream.connection_trust.MayReuseConnections(EventLoop::Now());
   // A second less than the upstream's timeout, so that no request is sent on a
   // connection that the upstream is closing.
   call.max_connection_idle_s = std::max(1, upstream.idle_timeout_s - 1);
@@ -119,7 +121,7 @@
   sent_at_ = now;
   first_event_seen_ = false;
   response_is_stream_ = false;
-  response_is_framed_ = false;
+  framing_ = BodyFraming::kUntilClose;
   reused_connection_ = false;
   response_info_ = ResponseInfo();
   response_matches_ = false;
@@ -171,7 +173,7 @@
   reused_connection_ = start.reused_connection;
   event_splitter_.set_rule(reused_connection_ ? EventRule::kSuccessors
                                               : EventRule::kIncreasing);
-  response_is_framed_ = start.framing != BodyFraming::kUntilClose;
+  framing_ = start.framing;
   response_is_stream_ =
       IsStream() && start.status < 300 && response_info_.has_signature;
   return start.status >= 300 || response_info_.has_signature;
@@ -295,7 +297,7 @@
   if (response_info_.not_run) {
     return AttemptOutcome::kRejectedNotRun;
   }
-  if (!response_info_.has_signature) {
+  if (response_fault_ != ResponseFault::kNone) {
     return AttemptOutcome::kInvalidResponse;
   }
   return AttemptOutcome::kErrorResponse;
@@ -305,7 +307,7 @@
 // also close because the upstream has crashed.
 bool RequestHandler::StreamEndsWhole() const {
   return event_splitter_.AtBoundary() &&
-         (first_event_seen_ || response_is_framed_);
+         (first_event_seen_ || framing_ != BodyFraming::kUntilClose);
 }
 
 void RequestHandler::OnCallDone(CallOutcome outcome) {
@@ -313,7 +315,12 @@
   if (finished_) {
     return;
   }
+  if (response_fault_ == ResponseFault::kNone) {
+    response_fault_ = FaultOfBody(outcome);
+  }
+  UpdateConnectionTrust(outcome);
   bool complete = outcome.result == CallResult::kComplete &&
+                  response_fault_ == ResponseFault::kNone &&
                   response_matches_ && response_info_.has_signature &&
                   !response_info_.not_run && !IsServerError(outcome.status);
   if (complete && response_is_stream_ && !StreamEndsWhole()) {
@@ -330,6 +337,39 @@
   HandleFailedAttempt(end, &outcome);
 }
 
+ResponseFault RequestHandler::FaultOfBody(const CallOutcome& outcome) const {
+  bool is_judged = outcome.result == CallResult::kComplete &&
+                   !response_is_stream_ && reused_connection_;
+  if (!is_judged) {
+    return ResponseFault::kNone;
+  }
+  if (framing_ != BodyFraming::kLength) {
+    return ResponseFault::kUnboundedBody;
+  }
+  return outcome.trailing == TrailingBytes::kUnknown
+             ? ResponseFault::kSurplusBytes
+             : ResponseFault::kNone;
+}
+
+void RequestHandler::UpdateConnectionTrust(const CallOutcome& outcome) {
+  UpstreamState* upstream = state_->upstreams.Find(upstream_);
+  if (upstream == nullptr ||
+      upstream->entry.started_ms != upstream_started_ms_) {
+    return;
+  }
+  // On a connection that earlier calls used, a piece of another response could
+  // not be told from such a body or such events.
+  bool plain_unbounded = outcome.result == CallResult::kComplete &&
+                         !response_is_stream_ &&
+                         framing_ != BodyFraming::kLength;
+  bool wrote_more = outcome.result == CallResult::kMalformedResponse ||
+                    outcome.trailing != TrailingBytes::kNone ||
+                    SpeaksAgainstReuse(response_fault_);
+  if (wrote_more || plain_unbounded || event_splitter_.irregular()) {
+    upstream->connection_trust.OnSign(EventLoop::Now());
+  }
+}
+
 void RequestHandler::RecordFault(AttemptOutcome end,
                                  const CallOutcome& outcome) {
   if (end != AttemptOutcome::kInvalidResponse) {
--- a/libs/serving/include/serving/response_fault.h
+++ b/libs/serving/include/serving/response_fault.h
@@ -20,12 +20,17 @@
   // An event that may be of another response, on a connection that was used
   // before.
   kDoubtfulEvent,
+  kUnboundedBody,  // Nothing bounds it, on a connection that was used before.
+  kSurplusBytes,   // Bytes stood behind it, so others may stand before it.
 };
 
 inline constexpr size_t kResponseFaultCount =
-    static_cast<size_t>(ResponseFault::kDoubtfulEvent) + 1;
+    static_cast<size_t>(ResponseFault::kSurplusBytes) + 1;
 
 // Returns the name in log lines and metrics; "none" for kNone.
 std::string_view NameOf(ResponseFault fault);
+// Whether the bytes may be of another response, so that connections to the
+// upstream should not be used again.
+bool SpeaksAgainstReuse(ResponseFault fault);
 
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <vector>
 
+#include "serving/connection_trust.h"
 #include "serving/request.h"
 #include "serving/store_record.h"
 #include "serving/upstream_entry.h"
@@ -48,6 +49,7 @@
   uint32_t connect_failures = 0;        // Consecutive.
   Millis backoff_until;                 // After connect failures.
   int idle_timeout_s = 0;               // Of its idle connections.
+  ConnectionTrust connection_trust;
   std::map<MachineId, PeerLoad> peer_loads;
   // Prompt tokens in the owner's prefill queue, as it last reported.
   int64_t queued_prefill_tokens = 0;
--- a/libs/serving/src/response_fault.cc
+++ b/libs/serving/src/response_fault.cc
@@ -23,8 +23,24 @@
       return "too_many_events";
     case ResponseFault::kDoubtfulEvent:
       return "doubtful_event";
+    case ResponseFault::kUnboundedBody:
+      return "unbounded_body";
+    case ResponseFault::kSurplusBytes:
+      return "surplus_bytes";
   }
   return "unknown";
 }
 
+bool SpeaksAgainstReuse(ResponseFault fault) {
+  switch (fault) {
+    case ResponseFault::kNone:
+    case ResponseFault::kUnsigned:
+    case ResponseFault::kTooLarge:
+    case ResponseFault::kTooManyEvents:
+      return false;
+    default:
+      return true;
+  }
+}
+
 }  // namespace bilberrypitch
