A late claim of an earlier era waits for the takeover delay

Two machines could order one engine within a takeover delay: a claim without a response may be executed seconds later, and one that asks for no key holds in a copy that lacks it. Its machine saw its own record with a complete takeover and acted at once, while the owner of before had just acted.

Cause: a record that is seen after the first state of an era counted as written by an owner of this era. Ruled out: the condition's number; it need not be given out again.

Change: a record of this machine counts only when it is bound to its lease of this era.

Result: 'a late claim of an earlier era waits for the takeover delay' fails without the change in both sections and passes; [era] passes.

--- a/libs/serving/src/ownership.cc
+++ b/libs/serving/src/ownership.cc
@@ -139,9 +139,11 @@
     state.active_from = TakeoverEnd(state, now);
   }
   // A copy may contain the first state that is seen in an era, but not a later
-  // one.
+  // one. An own record under another lease may be a claim of an earlier era
+  // that the store executed late.
   state.written_in_era =
-      era_ == 0 || state.known_era == era_ || IsOwnRecord(owner);
+      era_ == 0 || IsOwnRecord(owner) ||
+      (state.known_era == era_ && owner.machine != self_.machine);
   state.known_era = era_;
   state.owner = owner;
   state.had_owner = true;
--- a/libs/serving/test/ownership_era_test.cc
+++ b/libs/serving/test/ownership_era_test.cc
@@ -179,6 +179,39 @@
   REQUIRE(ownership.TakeClaims(now + Millis(2000)).size() == 1);
 }
 
+// Guards against: a claim of an earlier era that the store executes late passes
+// for one that nobody else came before.
+TEST_CASE("a late claim of an earlier era waits for the takeover delay",
+          "[ownership][era]") {
+  const bool has_other_owner = GENERATE(false, true);
+  CAPTURE(has_other_owner);
+  Millis now(10 * 1000);
+  Ownership ownership(MakeMember("m1", "b"), kTakeoverDelay, kLeaseTtl,
+                      Millis(0));
+  ownership.OnLease(1);
+  ownership.OnFullReadCompleted(Millis(0));
+  ownership.OnResource(kResource, ZoneId("z"), now);
+  ownership.OnOwner(kResource, MakeOwner("m2", {0, 130}, 2), now);
+  REQUIRE(ownership.OnEra(1, now + Millis(4000), now));
+  ownership.OnFullReadStarted();
+  ownership.OnOwnerRemoved(kResource, now, {1, 120});
+  if (has_other_owner) {
+    ownership.OnOwner(kResource, MakeOwner("m2", {1, 130}, 3), now);
+  }
+  ownership.OnFullReadCompleted(now);
+  ownership.OnLease(9);
+  now = now + Millis(500);
+  ownership.OnOwner(kResource, MakeOwner("m1", {1, 140}, 1), now);
+  std::vector<OwnershipClaim> claims = ownership.TakeClaims(now);
+  REQUIRE(claims.size() == 1);
+  REQUIRE_FALSE(claims[0].takeover_complete);
+  OwnerRecord claimed = MakeOwner("m1", {1, 141}, 9);
+  claimed.takeover_complete = claims[0].takeover_complete;
+  ownership.OnOwner(kResource, claimed, now);
+  REQUIRE(ownership.FencingToken(kResource, now) == 0);
+  REQUIRE(ownership.ActiveFrom(kResource) >= now + kTakeoverDelay);
+}
+
 // Guards against: a process believes a copy that its machine has just held the
 // resource, though another machine held it since.
 TEST_CASE("a restarted machine doesn't rely on a key of a copy",
