Keep a lost configuration in time, whoever knows it

A revoked key could serve for as long as the one instance that knew of the revocation waited to write: 200 ms for each member before it, 38 s with 195 members. The delay ends at one second now; the write is conditional, so doubles change nothing. The case 'the last instance keeps the configuration in time' fails without the cap (by its arithmetic: 71.8 s at rank 359).

--- a/libs/serving/src/config_keeper.cc
+++ b/libs/serving/src/config_keeper.cc
@@ -1,10 +1,14 @@
 // Compares the versions in force, of the operator and of the instances.
 #include "serving/config_keeper.h"
 
+#include <algorithm>
+
 namespace bilberrypitch {
 namespace {
 
 constexpr Millis kDelayPerRank{200};
+// Beyond it instances may write at the same time; one write takes effect.
+constexpr Millis kLongestDelay{1000};
 constexpr Millis kRetryDelay{1000};
 
 }  // namespace
@@ -33,7 +37,8 @@
     return action;
   }
   if (due_ == Millis(0)) {
-    due_ = now + kDelayPerRank * static_cast<int64_t>(rank);
+    due_ = now +
+           std::min(kLongestDelay, kDelayPerRank * static_cast<int64_t>(rank));
   }
   if (now < due_) {
     return Action::kNone;
--- a/libs/serving/test/config_keeper_test.cc
+++ b/libs/serving/test/config_keeper_test.cc
@@ -51,4 +51,18 @@
   REQUIRE(keeper.kept_revision() == StoreRevision(1, 7));
 }
 
+// Guards against: the only instance that knows the configuration is the last of
+// hundreds, and writes it after every bound on configurations.
+TEST_CASE("the last instance keeps the configuration in time",
+          "[config_keeper]") {
+  constexpr size_t kLastRank = 359;
+  constexpr Millis kShortestApplyBound{2000};
+  ConfigKeeper keeper;
+  Millis now(1000);
+  keeper.OnVersionInForce(3);
+  keeper.OnStoreVersion(2);
+  REQUIRE(keeper.TakeAction(kLastRank, now) == Action::kNone);
+  REQUIRE(keeper.NextDue() < now + kShortestApplyBound);
+}
+
 }  // namespace bilberrypitch
