One pass of claims for all changes of a moment

A store that comes back without the owners of all engines would hold up an instance for seconds: each missing owner started a pass over all resources and members.

Change: changes ask for a pass, which runs once for all of them a millisecond later. No test counts the passes.

--- a/libs/gateway/include/gateway/membership.h
+++ b/libs/gateway/include/gateway/membership.h
@@ -69,6 +69,8 @@
   void RemoveMissingMembers();
   void OnOwner(const ResourceId& resource, const StoreItem& item);
   // Writes the claims that are due and sets the timer for the next ones.
+  // Calls ProcessClaims soon, once for all changes until then.
+  void ScheduleClaims();
   void ProcessClaims();
   void WriteClaim(const OwnershipClaim& claim);
 
@@ -85,6 +87,7 @@
   std::set<MachineId> missing_members_;
   Millis missing_until_;
   Timer claim_timer_;
+  bool claims_scheduled_ = false;
   Timer register_timer_;
   Timer missing_timer_;
 };
--- a/libs/gateway/src/membership.cc
+++ b/libs/gateway/src/membership.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Millis kRegisterRetryDelay{350};
+// From a change to the claims that follow from it.
+constexpr Millis kClaimPassDelay{1};
 
 }  // namespace
 
@@ -64,7 +66,7 @@
 
 void Membership::AddResource(const ResourceId& resource, const ZoneId& zone) {
   ownership_.OnResource(resource, zone, EventLoop::Now());
-  ProcessClaims();
+  ScheduleClaims();
 }
 
 void Membership::RemoveResource(const ResourceId& resource) {
@@ -117,7 +119,7 @@
     ownership_.OnOwnerRemoved(resource, now, item.revision);
   }
   hooks_.on_ownership_changed(resource);
-  ProcessClaims();
+  ScheduleClaims();
 }
 
 void Membership::OnMember(const MachineId& machine, const StoreItem& item) {
@@ -174,7 +176,7 @@
     }
   }
   ownership_.OnFullReadCompleted(EventLoop::Now());
-  ProcessClaims();
+  ScheduleClaims();
 }
 
 // Shares of rates and budgets are divided by the number of members, so those
@@ -196,7 +198,17 @@
   }
 }
 
+// A pass goes over all resources, and a store that has lost its latest writes
+// may change all of them at once: one pass serves for all changes of a moment.
+void Membership::ScheduleClaims() {
+  if (!claims_scheduled_) {
+    claims_scheduled_ = true;
+    claim_timer_.Start(kClaimPassDelay, [this] { ProcessClaims(); });
+  }
+}
+
 void Membership::ProcessClaims() {
+  claims_scheduled_ = false;
   if (lease_manager_.lease_id() == 0 || !claiming_) {
     return;  // on_granted calls this function again.
   }
@@ -232,7 +244,7 @@
                         claim.takeover_complete},
                        EventLoop::Now());
     hooks_.on_ownership_changed(claim.resource);
-    ProcessClaims();
+    ScheduleClaims();
   });
 }
 
