Bytes on an idle connection speak against reusing the upstream's others

A caller got 502 for a request that ran, as it met the late copy of an answer on a kept connection, although a copy from the same upstream had been seen on an idle one.

Cause: the client's report of such bytes was connected for orders and reports only. Change: the gateway takes it for the requests' client and gives the upstream at that address connections of its own for each request, by ConnectionTrust.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -95,6 +95,10 @@
         PeerQueryAge(settings.bounds));
     dispatcher_ = std::make_unique<PeerDispatcher>(DispatcherDeps());
     InitRequestDeps();
+    gateway_deps_.client->SetOnUnsolicitedBytes(
+        [this](const std::string& address) {
+          state_.upstreams.OnUnsolicitedBytes(address, EventLoop::Now());
+        });
     Listen();
     store_sync_.Start();
     membership_.Start();
@@ -103,6 +107,7 @@
   }
 
   ~Impl() {
+    gateway_deps_.client->SetOnUnsolicitedBytes(nullptr);
     reader_service_.Stop();
     ready_server_->Stop();
     peer_server_->Stop();
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "serving/connection_trust.h"
@@ -110,6 +111,8 @@
 
   void OnPeerLoad(const UpstreamId& id, const MachineId& peer,
                   const UpstreamState::PeerLoad& load);
+  // Bytes that nobody had asked for arrived from this address.
+  void OnUnsolicitedBytes(const std::string& address, Millis now);
   // Track an attempt of this instance from start to end.
   void OnAttemptStarted(UpstreamState* upstream, int64_t prompt_tokens);
   void OnFirstEvent(UpstreamState* upstream, int64_t prompt_tokens,
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -65,6 +65,15 @@
   }
 }
 
+void UpstreamRegistry::OnUnsolicitedBytes(const std::string& address,
+                                          Millis now) {
+  for (auto& [id, upstream] : upstreams_) {
+    if (upstream->entry.address == address) {
+      upstream->connection_trust.OnSign(now);
+    }
+  }
+}
+
 void UpstreamRegistry::OnRecord(const UpstreamRecord& record, Millis now,
                                 Millis return_deadline) {
   auto upstream = upstreams_.find(record.id);
