Learn on new connections how an upstream ends its answers

Cause: an answer that can't be told from a piece of another one was found out by the request that got it, and counted as if the upstream had written what nobody asked for.

Change: plain calls use a kept connection only once the upstream's plain answers are known to have a length, streams only once its events are known to follow each other. Until then, and where it is otherwise, calls of that kind get a new connection. Distrust is for bytes that nobody asked for alone.

Cost for sound upstreams: the first answer of a kind opens a connection, once for each start.

--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -75,7 +75,13 @@
   call.send_once = !route_->IsIdempotent();
   // A late copy of the response to an earlier attempt names the same request
   // id, so it is told apart only by its connection.
-  call.new_connection = sent_to_addresses_.count(call.address) > 0;
+  // Where the upstream's answers of the kind can't be told from a piece of
+  // another response, nothing else may arrive on the connection either.
+  bool can_be_told = IsStream()
+                         ? upstream.events_in_sequence.value_or(false)
+                         : upstream.plain_bodies_have_length.value_or(false);
+  call.new_connection =
+      !can_be_told || sent_to_addresses_.count(call.address) > 0;
   call.dedicated_connection =
       !upstream.connection_trust.MayReuseConnections(EventLoop::Now());
   // A second less than the upstream's timeout, so that no request is sent on a
@@ -357,17 +363,18 @@
       upstream->entry.started_ms != upstream_started_ms_) {
     return;
   }
-  // On a connection that earlier calls used, a piece of another response could
-  // not be told from such a body or such events.
-  bool plain_unbounded = outcome.result == CallResult::kComplete &&
-                         !response_is_stream_ &&
-                         framing_ != BodyFraming::kLength;
   bool wrote_more = outcome.result == CallResult::kMalformedResponse ||
                     outcome.trailing != TrailingBytes::kNone ||
                     SpeaksAgainstReuse(response_fault_);
-  if (wrote_more || plain_unbounded || event_splitter_.irregular()) {
+  if (wrote_more) {
     upstream->connection_trust.OnSign(EventLoop::Now());
   }
+  if (response_is_stream_) {
+    upstream->events_in_sequence = !event_splitter_.irregular();
+  } else if (outcome.result == CallResult::kComplete &&
+             response_info_.has_signature) {
+    upstream->plain_bodies_have_length = framing_ == BodyFraming::kLength;
+  }
 }
 
 void RequestHandler::RecordFault(AttemptOutcome end,
