Refuse an unframed body that holds another response

Cause: a body that only its connection bounds takes in whatever follows; bodies were judged on kept connections only. Ruled out: streams; their events were refused already.

Change: on a new connection such a body, of a success or of a signed error, that contains the head of a response is an invalid response, counted as embedded_response, and speaks against kept connections. Rejections stay rejections; their body isn't passed on.

Remains: a copy without a head, or cut before its first whole field, isn't seen; a sound unframed body that quotes a whole head with CR LF is refused.

--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -7,6 +7,7 @@
 #include "gateway/request_handler.h"
 #include "gateway/serving_state.h"
 #include "serving/api_codec.h"
+#include "serving/embedded_response.h"
 #include "transport/event_loop.h"
 #include "transport/event_loop_http_client.h"
 #include "transport/responder.h"
@@ -344,11 +345,15 @@
 }
 
 ResponseFault RequestHandler::FaultOfBody(const CallOutcome& outcome) const {
-  bool is_judged = outcome.result == CallResult::kComplete &&
-                   !response_is_stream_ && reused_connection_;
-  if (!is_judged) {
+  if (outcome.result != CallResult::kComplete || response_is_stream_) {
     return ResponseFault::kNone;
   }
+  if (!reused_connection_) {
+    return framing_ == BodyFraming::kUntilClose &&
+                   ContainsResponseHead(outcome.body)
+               ? ResponseFault::kEmbeddedResponse
+               : ResponseFault::kNone;
+  }
   if (framing_ != BodyFraming::kLength) {
     return ResponseFault::kUnboundedBody;
   }
--- a/libs/gateway/test/foreign_bytes_test.cc
+++ b/libs/gateway/test/foreign_bytes_test.cc
@@ -391,6 +391,33 @@
   SendAndRequireOwnAnswer(&fixture, path);
 }
 
+// Guards against: an error of an upstream carries its second copy.
+TEST_CASE("a second copy behind an unframed error does not reach the caller",
+          "[foreign]") {
+  const std::string path = GENERATE("/once/x", "/stream/x");
+  const std::string status = GENERATE("404 Unknown", "500 Failed");
+  const bool with_length = GENERATE(false, true);
+  CAPTURE(path, status, with_length);
+  ScriptedUpstream upstream(
+      [&](ScriptedConnection* connection, const ScriptedRequest& request) {
+        const std::string head = "HTTP/1.1 " + status +
+                                 "\r\nRequest-Id: " + request.id +
+                                 "\r\nAnswer-Stamp: stamp\r\n";
+        const std::string body = "failed";
+        WriteAndPause(connection, head + "\r\n" + body);
+        connection->Write(head + (with_length ? LengthField(body.size()) : "") +
+                          "\r\n" + body);
+        CloseConnection(connection);
+      });
+  Fixture fixture;
+  fixture.PutUpstream("i-1", upstream.address(), "ready", 2);
+  fixture.WaitUntilReady();
+  CallOutcome outcome = fixture.SendRequest(path);
+  CAPTURE(outcome.body);
+  REQUIRE(outcome.status == 502);
+  REQUIRE(outcome.headers.Get("Answer-Stamp").empty());
+}
+
 // Guards against: an error of an upstream carries bytes of another answer.
 TEST_CASE("a signed error takes in no bytes of an earlier answer",
           "[foreign]") {
--- a/libs/gateway/test/unframed_response_test.cc
+++ b/libs/gateway/test/unframed_response_test.cc
@@ -127,4 +127,21 @@
   REQUIRE(fixture.SendRequest("/once/x").status == 502);
 }
 
+// Guards against: a sound response that quotes lines of a head is refused.
+TEST_CASE("an unframed response may speak of HTTP", "[unframed]") {
+  Fixture fixture;
+  RawUpstream upstream;
+  fixture.PutUpstream("i-1", upstream.address(), "ready", 2);
+  fixture.WaitUntilReady();
+  for (const char* body :
+       {"It says HTTP/1.1 200 OK.\n", "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\nName: value\n\n", "Name: value\r\n\r\n"}) {
+    CAPTURE(body);
+    upstream.SetResponse("", body, ConnectionEnd::kClose);
+    CallOutcome outcome = fixture.SendRequest("/once/x");
+    REQUIRE(outcome.status == 200);
+    REQUIRE(outcome.body == body);
+  }
+}
+
 }  // namespace bilberrypitch
--- a/libs/serving/src/response_fault.cc
+++ b/libs/serving/src/response_fault.cc
@@ -27,6 +27,8 @@
       return "unbounded_body";
     case ResponseFault::kSurplusBytes:
       return "surplus_bytes";
+    case ResponseFault::kEmbeddedResponse:
+      return "embedded_response";
   }
   return "unknown";
 }
