--- /dev/null
+++ b/libs/gateway/test/contradictory_head_test.cc
@@ -0,0 +1,76 @@
+// Tests of responses whose heads contradict themselves.
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "scripted_upstream.h"
+
+namespace bilberrypitch {
+namespace {
+
+constexpr char kStreamType[] = "Content-Type: text/event-stream\r\n";
+constexpr char kBody[] = "id: 1\ndata: a\n\n";
+
+// A signed response to the request `id`, with the lines `fields` in its head.
+std::string ResponseWith(const std::string& id, const std::string& fields,
+                         const std::string& status = "200 OK") {
+  const std::string body = kBody;
+  return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id +
+         "\r\nAnswer-Stamp: stamp\r\n" + kStreamType +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n" + fields +
+         "\r\n" + body;
+}
+
+// Sends sound responses to the first `sound` requests and then those of the
+// function, and keeps connections.
+class ContradictoryUpstream {
+ public:
+  using Response = std::function<std::string(const std::string& id)>;
+
+  ContradictoryUpstream(int sound, Response response)
+      : upstream_([this, sound, response](ScriptedConnection* connection,
+                                          const ScriptedRequest& request) {
+          connection->Write(++requests_ <= sound ? ResponseWith(request.id, "")
+                                                 : response(request.id));
+        }) {}
+
+  const std::string& address() const { return upstream_.address(); }
+  int requests() const { return requests_; }
+
+ private:
+  std::atomic<int> requests_ = 0;
+  ScriptedUpstream upstream_;
+};
+
+// What the caller gets after as many sound responses.
+CallOutcome SendAfter(int sound, const std::string& path,
+                      const ContradictoryUpstream& upstream) {
+  Fixture fixture;
+  fixture.PutUpstream("i-1", upstream.address(), "ready", 2);
+  fixture.WaitUntilReady();
+  for (int i = 0; i < sound; ++i) {
+    REQUIRE(fixture.SendRequest(path).status == 200);
+  }
+  return fixture.SendRequest(path);
+}
+
+}  // namespace
+
+// Guards against: a response that also names or is signed for another request
+// is passed on, as only the first of two fields is read.
+TEST_CASE("a head with two request ids or two signatures is not passed on",
+          "[contradictory]") {
+  const std::string path = GENERATE("/once/x", "/stream/x");
+  const int sound = GENERATE(0, 1);
+  const std::string field =
+      GENERATE("Request-Id: other\r\n", "Answer-Stamp: other\r\n");
+  CAPTURE(path, sound, field);
+  ContradictoryUpstream upstream(sound, [field](const std::string& id) {
+    return ResponseWith(id, field);
+  });
+  CallOutcome outcome = SendAfter(sound, path, upstream);
+  REQUIRE(outcome.status == 502);
+  REQUIRE(outcome.body.find(kBody) == std::string::npos);
+}
+
+}  // namespace bilberrypitch
