Doubt the copy's entries of earlier starts of an upstream

Callers' requests went to an earlier start of an upstream (found by a review, shown by the new case of [restored]): an instance of which start 2000 was alive put start 1000 in its place, because the store came back from a copy that named it. One that had left in both starts was used again, too.

Cause: a copy's entry was compared with the last departure only, for an equal start, and never with the upstream that is alive. Ruled out: judging all records so; outside a copy a clock that was set back gives a lower start that is real.

Change: only while a copy is read, an entry is doubted if its start is at or below the latest that departed, or below the living one. The latter is not trusted later either: the living one would be put back when the doubt ends. A departure of an earlier start doesn't replace that of a later one.

The whole of gateway_test was not run on this commit.

Remains: a departure is remembered for 60 s, and an instance that starts after the copy knows of no earlier start.

--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -73,6 +73,8 @@
   const EngineProfile* EngineProfileOf(const UpstreamId& engine);
 
  private:
+  // Whether an entry of the copy that is read is doubted.
+  bool IsDoubted(const UpstreamEntry& entry, Millis now);
   // Whether the record states nothing new about the upstream.
   bool IsHeartbeat(const UpstreamRecord& record);
   void OnHeartbeat(const UpstreamRecord& record, Millis now);
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -34,9 +34,7 @@
     deps_.kept_config->OnStoreVersion(config->config.version);
     OnConfig(std::move(config->config), item);
   } else if (auto* upstream = std::get_if<UpstreamRecord>(&record)) {
-    bool is_doubted = reading_copy_ && upstream->entry &&
-                      departed_.OnEntryOfCopy(*upstream->entry, now);
-    if (is_doubted) {
+    if (reading_copy_ && upstream->entry && IsDoubted(*upstream->entry, now)) {
       LogInfo("upstream", "Doubts the entry of the copy, id={}.",
               upstream->id.str());
       upstream_keys_[upstream->id] = item.key;
@@ -61,6 +59,13 @@
   return true;
 }
 
+bool RecordApplier::IsDoubted(const UpstreamEntry& entry, Millis now) {
+  const UpstreamState* upstream = deps_.state->upstreams.Find(entry.id);
+  bool is_living = upstream != nullptr && !upstream->removed;
+  return departed_.OnEntryOfCopy(entry, now,
+                                 is_living ? &upstream->entry : nullptr);
+}
+
 bool RecordApplier::IsHeartbeat(const UpstreamRecord& record) {
   const UpstreamState* upstream = deps_.state->upstreams.Find(record.id);
   return record.entry && upstream != nullptr && !upstream->removed &&
--- a/libs/gateway/test/restored_store_test.cc
+++ b/libs/gateway/test/restored_store_test.cc
@@ -169,6 +169,33 @@
   REQUIRE(fixture.first.requests().size() == requests_before);
 }
 
+// Guards against: an engine that has started again is replaced by its start
+// before, because the copy still names that one.
+TEST_CASE("a copy that names an earlier start leaves the living one in use",
+          "[restored]") {
+  const bool on_follower = GENERATE(false, true);
+  CAPTURE(on_follower);
+  Fixture fixture;
+  fixture.WaitUntilReady();
+  SecondInstance second(&fixture, on_follower);
+  fixture.PutUpstream("i-1", fixture.first.address(), "ready", 1000);
+  fixture.WaitFor(kWrittenAgainAfter);
+  fixture.store.TakeCopy();
+  WriteManyTimes(&fixture);
+  fixture.PutUpstream("i-1", fixture.second.address(), "ready", 2000);
+  fixture.WaitFor(kWrittenAgainAfter);
+  REQUIRE(fixture.SendRequest("/once/x").status == kOkStatus);
+  size_t requests_before = fixture.first.requests().size();
+  ComeBackFromCopy(&fixture);
+  // Longer than an entry is doubted.
+  Millis end = EventLoop::Now() + Millis(6000);
+  while (EventLoop::Now() < end) {
+    REQUIRE(fixture.SendRequest("/once/x").status == kOkStatus);
+    REQUIRE(fixture.first.requests().size() == requests_before);
+    fixture.WaitFor(kPause);
+  }
+}
+
 // Guards against: a draining engine gets requests again, because the copy still
 // calls it ready, until it has written again that it drains.
 TEST_CASE("an upstream that drains in a restored store gets no request",
--- a/libs/serving/src/departed_upstreams.cc
+++ b/libs/serving/src/departed_upstreams.cc
@@ -15,19 +15,31 @@
   std::erase_if(departures_, [now](const auto& item) {
     return now - item.second.at > kRememberedFor;
   });
-  departures_[entry.id] = {entry.started_ms, entry.draining, now};
+  auto [it, is_new] = departures_.try_emplace(entry.id);
+  Departure& departure = it->second;
+  if (is_new || entry.started_ms >= departure.started_ms) {
+    departure.started_ms = entry.started_ms;
+    departure.draining = entry.draining;
+  }
+  departure.at = now;
 }
 
-bool DepartedUpstreams::OnEntryOfCopy(const UpstreamEntry& entry, Millis now) {
+bool DepartedUpstreams::OnEntryOfCopy(const UpstreamEntry& entry, Millis now,
+                                      const UpstreamEntry* living) {
   doubted_.erase(entry.id);
+  if (living != nullptr && entry.started_ms < living->started_ms) {
+    return true;
+  }
   auto it = departures_.find(entry.id);
-  bool departed = it != departures_.end() &&
-                  it->second.started_ms == entry.started_ms &&
-                  now - it->second.at <= kRememberedFor;
-  if (!departed || entry.draining) {
+  if (it == departures_.end() || now - it->second.at > kRememberedFor ||
+      entry.started_ms > it->second.started_ms) {
+    return false;
+  }
+  const Departure& departure = it->second;
+  if (entry.draining && entry.started_ms == departure.started_ms) {
     return false;
   }
-  if (!it->second.draining) {
+  if (!departure.draining) {
     doubted_[entry.id] = {entry, now + kDoubtTime};
   }
   return true;
