Send no body in a response to HEAD

Callers saw: on a kept connection, the body of an answer to HEAD (each error of ours has one) stood where the next response begins, and was read as a piece of it.

Cause: the server wrote the body whatever the method. RESTinio doesn't leave it out either, and its builder takes the length from the body that it writes.

Ruled out: the requests of a connection being mixed up; the second response of the test was whole and its own, behind the body.

Change: Send states the length of the body and leaves the body out for HEAD. Streams are as before: their connection closes after them.

Result: "a server sends no body in a response to HEAD" failed before for a response of the handler and for one of the server, each with the body before the next status line.

Conclusion: framing that depends on the request belongs where the response is written.

--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -212,7 +212,9 @@
     if (request_ == nullptr) {
       return;
     }
-    auto builder = request_->create_response(StatusLine(response.status));
+    auto builder =
+        request_->create_response<restinio::user_controlled_output_t>(
+            StatusLine(response.status));
     for (const HttpHeader& field : response.headers.fields()) {
       builder.append_header(field.name, field.value);
     }
@@ -220,7 +222,10 @@
     if (closes) {
       builder.connection_close();
     }
-    builder.set_body(std::move(response.body));
+    builder.set_content_length(response.body.size());
+    if (request_->header().method() != restinio::http_method_head()) {
+      builder.set_body(std::move(response.body));
+    }
     builder.done(HoldUntilWritten(std::move(write_token_)));
     request_.reset();
     on_responded_(closes);
--- a/libs/transport/test/transport_test.cc
+++ b/libs/transport/test/transport_test.cc
@@ -54,6 +54,36 @@
           static_cast<ssize_t>(text.size()));
 }
 
+// Until the peer closes.
+std::string ReadAll(int socket) {
+  std::string all;
+  for (std::string part = ReadRequest(socket); !part.empty();
+       part = ReadRequest(socket)) {
+    all += part;
+  }
+  return all;
+}
+
+// A connection to a port of the loopback address.
+class Connection {
+ public:
+  explicit Connection(uint16_t port)
+      : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    REQUIRE(connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address)) == 0);
+  }
+  ~Connection() { close(socket_); }
+
+  int socket() const { return socket_; }
+
+ private:
+  int socket_;
+};
+
 constexpr char kCompleteResponse[] =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
@@ -103,6 +133,41 @@
   REQUIRE(client.Run(call).body == "onetwo");
 }
 
+// Guards against: a caller takes the body of an answer to HEAD for the next
+// response of the connection.
+TEST_CASE("a server sends no body in a response to HEAD") {
+  HttpServerOptions options;
+  options.bind_ip = "127.0.0.1";
+  options.port = FreePort();
+  options.max_header_bytes = 1000;
+  HttpServer server(options, [](const HttpRequest&, auto responder) {
+    HttpResponse response;
+    response.body = "body";
+    responder->Send(std::move(response));
+  });
+  // With a field too many, the server itself responds, with an error.
+  const bool rejected = GENERATE(false, true);
+  CAPTURE(rejected);
+  const std::string field =
+      rejected ? "X-Long: " + std::string(2000, 'x') + "\r\n" : "";
+  Connection connection(options.port);
+  Write(connection.socket(),
+        "HEAD / HTTP/1.1\r\nHost: h\r\n" + field + "\r\n" +
+            "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const std::string received = ReadAll(connection.socket());
+  CAPTURE(received);
+  const std::string end = "\r\n\r\n";
+  REQUIRE(received.starts_with(rejected ? "HTTP/1.1 431 " : "HTTP/1.1 200 "));
+  const size_t head_size = received.find(end) + end.size();
+  const std::string head = received.substr(0, head_size);
+  const std::string next = received.substr(head_size);
+  // The length is the one that a response to GET would have.
+  REQUIRE((head.find("Content-Length: 4\r\n") == std::string::npos) ==
+          rejected);
+  REQUIRE(next.starts_with("HTTP/1.1 200 "));
+  REQUIRE(next.ends_with(end + "body"));
+}
+
 TEST_CASE("a truncated response is not reported as complete") {
   Listener listener;
   std::thread peer([&] {
