Refuse responses with a content encoding

Callers saw: a response with Content-Encoding: gzip was passed on as the upstream's, though callers ask for bodies without an encoding.

Cause: the field was never read, only forwarded.

Ruled out: fields with the value identity, or empty, state no encoding and are still passed on. A rejection that states that it has not run still counts as one, as nothing of it is passed on.

An encoding doesn't speak against using connections again: it doesn't tell whose bytes they are.

Result: the new test failed before in all 24 combinations of path, status and field (status 200, 302, 404 or 500 where 502 is due) and passes now. The two tests beside it, of identity and of rejections, passed before too; they bound the rule. The tests of platform pass. The whole gateway_test and those of serving were not run.

Conclusion: responses of a 2xx, 3xx, 4xx and 5xx are covered on new connections.

--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -193,10 +193,15 @@
   if (!response_info_.names_request && start.reused_connection) {
     return ResponseFault::kNamesNone;
   }
-  bool needs_signature = !response_info_.not_run;
-  return needs_signature && !response_info_.has_signature
-             ? ResponseFault::kUnsigned
-             : ResponseFault::kNone;
+  // Nothing of a rejection is passed on.
+  if (response_info_.not_run) {
+    return ResponseFault::kNone;
+  }
+  if (response_info_.has_encoded_body) {
+    return ResponseFault::kEncodedBody;
+  }
+  return response_info_.has_signature ? ResponseFault::kNone
+                                      : ResponseFault::kUnsigned;
 }
 
 void RequestHandler::OnRateLimit(UpstreamState* upstream) {
--- a/libs/gateway/test/contradictory_head_test.cc
+++ b/libs/gateway/test/contradictory_head_test.cc
@@ -73,4 +73,50 @@
   REQUIRE(outcome.body.find(kBody) == std::string::npos);
 }
 
+// Guards against: a body in an encoding that the caller did not ask for is
+// passed on as the upstream's.
+TEST_CASE("a response with a content encoding is not passed on",
+          "[contradictory]") {
+  const std::string path = GENERATE("/once/x", "/stream/x");
+  const std::string status =
+      GENERATE("200 OK", "302 Found", "404 Unknown", "500 Failed");
+  const std::string fields = GENERATE(
+      "Content-Encoding: gzip\r\n", "content-encoding: identity,br\r\n",
+      "Content-Encoding: identity\r\nContent-Encoding: gzip\r\n");
+  CAPTURE(path, status, fields);
+  ContradictoryUpstream upstream(0, [&](const std::string& id) {
+    return ResponseWith(id, fields, status);
+  });
+  CallOutcome outcome = SendAfter(0, path, upstream);
+  REQUIRE(outcome.status == 502);
+  REQUIRE(outcome.headers.Get("Answer-Stamp").empty());
+  REQUIRE(outcome.body.find(kBody) == std::string::npos);
+}
+
+TEST_CASE("a response with the encoding identity is passed on",
+          "[contradictory]") {
+  const std::string path = GENERATE("/once/x", "/stream/x");
+  const std::string fields =
+      GENERATE("Content-Encoding: Identity\r\n", "Content-Encoding:\r\n");
+  CAPTURE(path, fields);
+  ContradictoryUpstream upstream(
+      0, [&](const std::string& id) { return ResponseWith(id, fields); });
+  CallOutcome outcome = SendAfter(0, path, upstream);
+  REQUIRE(outcome.status == 200);
+  REQUIRE(outcome.body == kBody);
+}
+
+// Guards against: a rejection counts as run, and is not repeated elsewhere,
+// since its body is encoded.
+TEST_CASE("a rejection with a content encoding still counts as not run",
+          "[contradictory]") {
+  ContradictoryUpstream upstream(0, [](const std::string& id) {
+    return ResponseWith(id, "Content-Encoding: gzip\r\nNot-Run: 1\r\n",
+                        "503 Busy");
+  });
+  CallOutcome outcome = SendAfter(0, "/once/x", upstream);
+  REQUIRE(outcome.status == 503);
+  REQUIRE(outcome.body.find(kBody) == std::string::npos);
+}
+
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/request.h
+++ b/libs/serving/include/serving/request.h
@@ -61,6 +61,7 @@
   bool names_other_request = false;  // Otherwise it names none, or this one.
   bool not_run = false;  // The upstream states that it did not run it.
   bool has_signature = false;
+  bool has_encoded_body = false;  // In an encoding that nobody asked for.
   bool closes_connection = false;
   std::optional<UpstreamLoadReport> load;
   // Requests a second that the upstream takes from all instances together.
--- a/libs/serving/include/serving/response_fault.h
+++ b/libs/serving/include/serving/response_fault.h
@@ -22,11 +22,13 @@
   kDoubtfulEvent,
   kUnboundedBody,  // Nothing bounds it, on a connection that was used before.
   kSurplusBytes,   // Bytes stood behind it, so others may stand before it.
-  kEmbeddedResponse,  // Nothing bounds its body, which has another's head.
+  // Bounded by chunks or by nothing, and it holds the head of another response.
+  kEmbeddedResponse,
+  kEncodedBody,  // An encoding that nobody asked for.
 };
 
 inline constexpr size_t kResponseFaultCount =
-    static_cast<size_t>(ResponseFault::kEmbeddedResponse) + 1;
+    static_cast<size_t>(ResponseFault::kEncodedBody) + 1;
 
 // Returns the name in log lines and metrics; "none" for kNone.
 std::string_view NameOf(ResponseFault fault);
--- a/libs/serving/src/response_fault.cc
+++ b/libs/serving/src/response_fault.cc
@@ -29,6 +29,8 @@
       return "surplus_bytes";
     case ResponseFault::kEmbeddedResponse:
       return "embedded_response";
+    case ResponseFault::kEncodedBody:
+      return "encoded_body";
   }
   return "unknown";
 }
@@ -39,6 +41,7 @@
     case ResponseFault::kUnsigned:
     case ResponseFault::kTooLarge:
     case ResponseFault::kTooManyEvents:
+    case ResponseFault::kEncodedBody:
       return false;
     default:
       return true;
