Refuse a success that says that it has not run

Cause: the two statements were looked at in different places. Change: such a head is an invalid response, of which nothing is passed on, and the request may have run.

--- a/libs/gateway/src/request_response.cc
+++ b/libs/gateway/src/request_response.cc
@@ -21,7 +21,8 @@
   }
   // Nothing of a rejection is passed on.
   if (response_info_.not_run) {
-    return ResponseFault::kNone;
+    return start.status < 300 ? ResponseFault::kContradiction
+                              : ResponseFault::kNone;
   }
   if (response_info_.has_encoded_body) {
     return ResponseFault::kEncodedBody;
--- a/libs/gateway/test/contradictory_head_test.cc
+++ b/libs/gateway/test/contradictory_head_test.cc
@@ -119,4 +119,18 @@
   REQUIRE(outcome.body.find(kBody) == std::string::npos);
 }
 
+// Guards against: the caller gets a part of a success that says that it has not
+// run, and the request is repeated as one that never began.
+TEST_CASE("a success that says that it has not run is not passed on",
+          "[contradictory]") {
+  const std::string path = GENERATE("/once/x", "/stream/x");
+  CAPTURE(path);
+  ContradictoryUpstream upstream(0, [](const std::string& id) {
+    return ResponseWith(id, "Not-Run: 1\r\n");
+  });
+  CallOutcome outcome = SendAfter(0, path, upstream);
+  REQUIRE(outcome.status == 502);
+  REQUIRE(outcome.body.find(kBody) == std::string::npos);
+}
+
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/response_fault.h
+++ b/libs/serving/include/serving/response_fault.h
@@ -24,11 +24,12 @@
   kSurplusBytes,   // Bytes stood behind it, so others may stand before it.
   // Bounded by chunks or by nothing, and it holds the head of another response.
   kEmbeddedResponse,
-  kEncodedBody,  // An encoding that nobody asked for.
+  kEncodedBody,    // An encoding that nobody asked for.
+  kContradiction,  // A success that says that the request has not run.
 };
 
 inline constexpr size_t kResponseFaultCount =
-    static_cast<size_t>(ResponseFault::kEncodedBody) + 1;
+    static_cast<size_t>(ResponseFault::kContradiction) + 1;
 
 // Returns the name in log lines and metrics; "none" for kNone.
 std::string_view NameOf(ResponseFault fault);
--- a/libs/serving/src/response_fault.cc
+++ b/libs/serving/src/response_fault.cc
@@ -31,6 +31,8 @@
       return "embedded_response";
     case ResponseFault::kEncodedBody:
       return "encoded_body";
+    case ResponseFault::kContradiction:
+      return "contradiction";
   }
   return "unknown";
 }
@@ -42,6 +44,7 @@
     case ResponseFault::kTooLarge:
     case ResponseFault::kTooManyEvents:
     case ResponseFault::kEncodedBody:
+    case ResponseFault::kContradiction:
       return false;
     default:
       return true;
