--- a/libs/gateway/test/cut_head_test.cc
+++ b/libs/gateway/test/cut_head_test.cc
@@ -17,7 +17,16 @@
   std::string body;
 };
 
-const std::string kSoundPath = "/once/sound";
+const std::string kEvent = "id: 1\ndata: a\n\n";
+
+// A sound answer of the same kind, after which the connection is used again.
+std::string SoundPath(const std::string& cut_path) {
+  return cut_path.starts_with("/stream/") ? "/stream/sound" : "/once/sound";
+}
+
+std::string SoundBody(const std::string& path) {
+  return path.starts_with("/stream/") ? kEvent : "sound";
+}
 
 void End(ScriptedConnection* connection, ConnectionEnd end) {
   asio::error_code ec;
@@ -64,9 +73,9 @@
   std::atomic<int> earlier_requests = 0;
   ScriptedUpstream upstream(
       [&](ScriptedConnection* connection, const ScriptedRequest& request) {
-        if (request.path == kSoundPath) {
-          connection->Write(
-              ResponseText("200 OK", SignedFields(request.id), "sound"));
+        if (request.path == SoundPath(cut_case.path)) {
+          connection->Write(ResponseText("200 OK", SignedFields(request.id),
+                                         SoundBody(request.path)));
           return;
         }
         ++cuts_made;
@@ -89,7 +98,8 @@
   for (cut = 0; cut < head_size; ++cut) {
     CAPTURE(cut.load());
     if (kept) {
-      REQUIRE(fixture.SendRequest(kSoundPath).body == "sound");
+      const std::string sound = SoundPath(cut_case.path);
+      REQUIRE(fixture.SendRequest(sound).body == SoundBody(sound));
     }
     CallOutcome outcome = fixture.SendRequest(cut_case.path);
     ++expected_cuts;
--- a/libs/gateway/test/endless_stream_test.cc
+++ b/libs/gateway/test/endless_stream_test.cc
@@ -18,6 +18,8 @@
 // Of the fixture's route for streams.
 constexpr Millis kStreamTimeout{2000};
 constexpr int kChunksPerWrite = 2000;
+constexpr char kSoundStream[] = "/stream/sound";
+constexpr char kSoundEvent[] = "id: 1\ndata: a\n\n";
 // The upstream has a capacity of 6, and the other requests need one of them.
 constexpr int kMostStreams = 5;
 
@@ -52,6 +54,10 @@
     connection->Write(ResponseText("200 OK", fields, "done"));
     return;
   }
+  if (request.path == kSoundStream) {
+    connection->Write(ResponseText("200 OK", fields, kSoundEvent));
+    return;
+  }
   streams->requests_before += connection->requests - 1;
   ++streams->begun;
   connection->Write("HTTP/1.1 200 OK\r\n" + fields +
@@ -182,7 +188,8 @@
   fixture.PutUpstream("i-1", upstream.address(), "ready", 2);
   fixture.WaitUntilReady();
   if (kept_connection) {
-    REQUIRE(fixture.SendRequest("/once/x").status == 200);
+    // Streams use a connection again after one whose events were in sequence.
+    REQUIRE(fixture.SendRequest(kSoundStream).status == 200);
   }
   OtherRequests others = SendBesideStreams(&fixture, &streams, 1, caller_reads);
   REQUIRE(streams.begun == 1);
