--- a/libs/gateway/test/gateway_fixture.h
+++ b/libs/gateway/test/gateway_fixture.h
@@ -269,6 +269,7 @@
 
   const std::string& caller_address() const { return settings_.caller_address; }
   const std::string& ready_address() const { return settings_.ready_address; }
+  const std::string& peer_address() const { return settings_.peer_address; }
   EventLoopHttpClient* control() { return &control_; }
 };
 
--- a/libs/transport/include/transport/http_call.h
+++ b/libs/transport/include/transport/http_call.h
@@ -55,6 +55,19 @@
   kUntilClose,  // Neither: the end of the connection.
 };
 
+// Returns the name in log lines.
+constexpr std::string_view NameOf(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kUntilClose:
+      return "close";
+  }
+  return "unknown";
+}
+
 // What stood on the connection behind a complete response with a length or
 // chunks when the call ended. Such bytes belong to no request, and their
 // connection is not used again.
