--- /dev/null
+++ b/libs/transport/src/restinio_responder.h
@@ -0,0 +1,59 @@
+// Writes the response to one request to its connection.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <restinio/all.hpp>
+#include <string>
+
+#include "transport/http_message.h"
+#include "transport/responder.h"
+#include "transport/write_queue.h"
+
+namespace bilberrypitch {
+
+// Held for each request until its response is written, or can't be. The server
+// holds one more.
+using WriteToken = std::shared_ptr<const bool>;
+
+class RestinioResponder
+    : public Responder,
+      public std::enable_shared_from_this<RestinioResponder> {
+ public:
+  // `may_close`: whether no other request of the connection waits.
+  // `on_responded`: the response has ended; `closes`: it closes the connection.
+  RestinioResponder(restinio::request_handle_t request, WriteToken token,
+                    std::function<bool()> may_close,
+                    std::function<void(bool closes)> on_responded);
+  ~RestinioResponder() override;
+
+  void Send(HttpResponse response) override;
+  void StartStream(int status, const HttpHeaders& headers) override;
+  void Write(std::string data) override;
+  size_t unwritten_bytes() const override;
+  void OnceWritten(std::function<void()> done) override;
+  void EndStream() override;
+  void AbortStream() override;
+
+ private:
+  using Stream =
+      restinio::response_builder_t<restinio::user_controlled_output_t>;
+
+  void AppendChunk(const std::string& data);
+  void StartWrite(const std::string& data);
+  void OnWritten(bool ok);
+  void CloseStream();
+
+  // RESTinio may report a failed write from within the call that starts it.
+  mutable std::recursive_mutex lock_;
+  restinio::request_handle_t request_;  // Null once a response has started.
+  std::unique_ptr<Stream> stream_;      // Set while a stream is open.
+  WriteQueue queue_;                    // Of the stream.
+  WriteToken write_token_;
+  const std::function<bool()> may_close_;
+  const std::function<void(bool closes)> on_responded_;
+  std::function<void()> on_all_written_;
+};
+
+}  // namespace bilberrypitch
