Write exactly one framing into the head of each response

Callers saw 'Content-Length: 0' beside 'Transfer-Encoding: chunked' in the head of every stream, and strict ones dropped it. Cause: the responder added the coding itself to an output of RESTinio that writes a length into every head. Class: two layers that each believe that the framing is theirs to write. The same cause gave 204 and 304 a length, and streams in response to HEAD chunks.

Ruled out: the upstream's framing passed on (all three framings of an upstream showed it, and hop-by-hop fields are left out), and bytes of another answer (a new connection and one request show it).

Callers of HTTP/1.0 still get chunks: known red.

--- a/libs/transport/src/restinio_responder.cc
+++ b/libs/transport/src/restinio_responder.cc
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <string_view>
 #include <utility>
 
 #include "base/error.h"
@@ -11,10 +12,28 @@
 namespace bilberrypitch {
 namespace {
 
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContentStatus = 204;
+constexpr int kNotModifiedStatus = 304;
+constexpr std::string_view kLengthField = "Content-Length";
+constexpr std::string_view kCodingField = "Transfer-Encoding";
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+// Fields that say how a response is framed and whether its connection goes on.
+bool IsSetByServer(std::string_view name) {
+  return EqualFieldNames(name, kLengthField) ||
+         EqualFieldNames(name, kCodingField) ||
+         EqualFieldNames(name, "Connection");
+}
+
 std::string ReasonPhrase(int status) {
   switch (status) {
     case 200:
       return "OK";
+    case 204:
+      return "No Content";
+    case 304:
+      return "Not Modified";
     case 400:
       return "Bad Request";
     case 401:
@@ -71,25 +90,45 @@
   }
 }
 
+bool RestinioResponder::IsHead() const {
+  return request_->header().method() == restinio::http_method_head();
+}
+
+bool RestinioResponder::MayHaveBody(int status) const {
+  return !IsHead() && status >= kFirstFinalStatus &&
+         status != kNoContentStatus && status != kNotModifiedStatus;
+}
+
+RestinioResponder::Output RestinioResponder::MakeOutput(
+    int status, const HttpHeaders& headers) const {
+  Output output = request_->create_response<FramedOutput>(StatusLine(status));
+  for (const HttpHeader& field : headers.fields()) {
+    if (!IsSetByServer(field.name)) {
+      output.append_header(field.name, field.value);
+    }
+  }
+  return output;
+}
+
 void RestinioResponder::Send(HttpResponse response) {
   std::lock_guard lock(lock_);
   if (request_ == nullptr) {
     return;
   }
-  auto builder = request_->create_response<restinio::user_controlled_output_t>(
-      StatusLine(response.status));
-  for (const HttpHeader& field : response.headers.fields()) {
-    builder.append_header(field.name, field.value);
-  }
+  Output output = MakeOutput(response.status, response.headers);
   const bool closes = response.close_connection && may_close_();
   if (closes) {
-    builder.connection_close();
+    output.connection_close();
   }
-  builder.set_content_length(response.body.size());
-  if (request_->header().method() != restinio::http_method_head()) {
-    builder.set_body(std::move(response.body));
+  const bool has_body = MayHaveBody(response.status);
+  // A response to HEAD states the length that one to GET would have, where that
+  // is known.
+  if (has_body || (IsHead() && !response.body.empty())) {
+    output.append_header(std::string(kLengthField),
+                         std::to_string(response.body.size()));
   }
-  builder.done(HoldUntilWritten(std::move(write_token_)));
+  output.Finish(has_body ? std::move(response.body) : std::string(),
+                HoldUntilWritten(std::move(write_token_)));
   request_.reset();
   on_responded_(closes);
 }
@@ -99,24 +138,20 @@
   if (request_ == nullptr) {
     return;
   }
-  // The chunk framing is written here, because RESTinio's chunked builder can
-  // end a response only as a complete one. The connection closes after the
-  // response, so a client can recognize an incomplete response.
-  stream_ = std::make_unique<Stream>(
-      request_->create_response<restinio::user_controlled_output_t>(
-          StatusLine(status)));
-  for (const HttpHeader& field : headers.fields()) {
-    stream_->append_header(field.name, field.value);
+  stream_has_body_ = MayHaveBody(status);
+  stream_ = std::make_unique<Output>(MakeOutput(status, headers));
+  if (stream_has_body_) {
+    stream_->append_header(std::string(kCodingField), "chunked");
   }
-  stream_->append_header("Transfer-Encoding", "chunked");
+  // So a client can recognize an incomplete response.
   stream_->connection_close();
-  stream_->flush();
+  stream_->Write("", nullptr);
   request_.reset();
 }
 
 void RestinioResponder::Write(std::string data) {
   std::lock_guard lock(lock_);
-  if (stream_ && !data.empty()) {
+  if (stream_ && stream_has_body_ && !data.empty()) {
     StartWrite(queue_.Push(std::move(data)));
   }
 }
@@ -134,37 +169,33 @@
 void RestinioResponder::EndStream() {
   std::lock_guard lock(lock_);
   if (stream_) {
-    AppendChunk(queue_.TakeWaiting());
-    stream_->append_body("0\r\n\r\n");
-    CloseStream();
+    const std::string last = FramedPart(queue_.TakeWaiting());
+    CloseStream(stream_has_body_ ? last + std::string(kLastChunk) : last);
   }
 }
 
 void RestinioResponder::AbortStream() {
   std::lock_guard lock(lock_);
   if (stream_) {
-    AppendChunk(queue_.TakeWaiting());
-    CloseStream();
+    CloseStream(FramedPart(queue_.TakeWaiting()));
   }
 }
 
-void RestinioResponder::AppendChunk(const std::string& data) {
-  if (!data.empty()) {
-    stream_->append_body(fmt::format("{:x}\r\n{}\r\n", data.size(), data));
-  }
+std::string RestinioResponder::FramedPart(const std::string& data) const {
+  return data.empty() ? "" : fmt::format("{:x}\r\n{}\r\n", data.size(), data);
 }
 
 void RestinioResponder::StartWrite(const std::string& data) {
   if (data.empty()) {
     return;
   }
-  AppendChunk(data);
-  stream_->flush([weak = weak_from_this()](
+  stream_->Write(FramedPart(data),
+                 [weak = weak_from_this()](
                      const restinio::asio_ns::error_code& ec) noexcept {
-    if (auto self = weak.lock()) {
-      self->OnWritten(!ec);
-    }
-  });
+                   if (auto self = weak.lock()) {
+                     self->OnWritten(!ec);
+                   }
+                 });
 }
 
 // After a failed write nothing more is written; the server reports that the
@@ -182,9 +213,9 @@
   }
 }
 
-void RestinioResponder::CloseStream() {
+void RestinioResponder::CloseStream(const std::string& last_bytes) {
   on_all_written_ = nullptr;
-  stream_->done(HoldUntilWritten(std::move(write_token_)));
+  stream_->Finish(last_bytes, HoldUntilWritten(std::move(write_token_)));
   stream_.reset();
   on_responded_(true);
 }
--- a/libs/transport/src/restinio_responder.h
+++ b/libs/transport/src/restinio_responder.h
@@ -1,4 +1,5 @@
-// Writes the response to one request to its connection.
+// Writes the response to one request to its connection, with exactly one
+// framing, or none where HTTP has none for the method or status.
 #pragma once
 
 #include <functional>
@@ -7,6 +8,7 @@
 #include <restinio/all.hpp>
 #include <string>
 
+#include "framed_output.h"
 #include "transport/http_message.h"
 #include "transport/responder.h"
 #include "transport/write_queue.h"
@@ -37,19 +39,23 @@
   void AbortStream() override;
 
  private:
-  using Stream =
-      restinio::response_builder_t<restinio::user_controlled_output_t>;
+  using Output = restinio::response_builder_t<FramedOutput>;
 
-  void AppendChunk(const std::string& data);
+  Output MakeOutput(int status, const HttpHeaders& headers) const;
+  // Whether the response to the request can have a body.
+  bool MayHaveBody(int status) const;
+  bool IsHead() const;
+  std::string FramedPart(const std::string& data) const;
   void StartWrite(const std::string& data);
   void OnWritten(bool ok);
-  void CloseStream();
+  void CloseStream(const std::string& last_bytes);
 
   // RESTinio may report a failed write from within the call that starts it.
   mutable std::recursive_mutex lock_;
   restinio::request_handle_t request_;  // Null once a response has started.
-  std::unique_ptr<Stream> stream_;      // Set while a stream is open.
-  WriteQueue queue_;                    // Of the stream.
+  std::unique_ptr<Output> stream_;      // Set while a stream is open.
+  bool stream_has_body_ = true;
+  WriteQueue queue_;  // Of the stream.
   WriteToken write_token_;
   const std::function<bool()> may_close_;
   const std::function<void(bool closes)> on_responded_;
