Read the version, the expectation and the faults of each request's head

Callers of HTTP/1.0 got chunks, whose sizes they read as a part of the answer; 'Expect: 100-continue' was never answered; requests with two framings, two lengths, a length of '+5' or an unknown coding were closed without a word; one without Host, or with a space before a colon (so that its length was missed and its body read as the next request), was taken.

One cause: RESTinio keeps nothing of a head but fields, tells no version and no reason, and closes what its parser refuses. Now a socket of our own, which RESTinio takes as a type, shows each byte to an inspector with the same parser before RESTinio reads it. It tells the version of each request, writes 100 and the error response (400, 413, 431; not_run true), and nothing while another response is yet to be written. A stream to a caller of HTTP/1.0 is collected (8 MB at most) and sent with a length: the end of the connection alone would let one that breaks off look complete. What an ambiguous head is followed by is dropped.

--- a/libs/gateway/test/message_framing_test.cc
+++ b/libs/gateway/test/message_framing_test.cc
@@ -295,4 +295,63 @@
   }
 }
 
+// Guards against: a request that others may read in another way is passed on,
+// or dropped without a word.
+TEST_CASE("a request with an ambiguous head is rejected", "[framing]") {
+  FramingFixture fixture;
+  const std::string address = fixture.fixture().caller_address();
+  const std::string start = "POST /once/length HTTP/1.1\r\n";
+  const std::string key = "Authorization: Token k1\r\nRequest-Id: raw1\r\n";
+  const std::string host = "Host: h\r\n";
+  const std::string length = "Content-Length: 4\r\n";
+  const std::string coding = "Transfer-Encoding: chunked\r\n";
+  const std::string smuggled = RawRequest("POST", "/once/length", "smuggled");
+  for (const std::string& bytes :
+       {start + key + length + "\r\nbody",
+        "GET /read/length HTTP/3.0\r\n" + key + host + "\r\n",
+        start + key + host + host + length + "\r\nbody",
+        start + key + host + "Content-Length : 4\r\n\r\n" + smuggled,
+        start + key + "Host : h\r\n" + length + "\r\nbody",
+        start + key + host + length + coding + "\r\n0\r\n\r\n" + smuggled,
+        start + key + host + length + length + "\r\nbody",
+        start + key + host + "Content-Length: +4\r\n\r\nbody",
+        start + key + host + "Transfer-Encoding: gzip\r\n\r\n" + smuggled}) {
+    CAPTURE(bytes);
+    auto exchange = fixture.Send(address, bytes, {});
+    CheckResponse(*exchange, 400);
+    REQUIRE(exchange->ended());
+    REQUIRE(exchange->response().ValueOf("Connection") == "close");
+  }
+  REQUIRE(fixture.upstream().requests().empty());
+}
+
+TEST_CASE("a caller that waits to send its body is served", "[framing]") {
+  FramingFixture fixture;
+  const std::string head = RawRequest("POST", "/once/length", "raw1",
+                                      "HTTP/1.1", "Expect: 100-continue\r\n");
+  const std::string body = "body";
+  auto exchange = std::make_unique<RawExchange>(
+      fixture.fixture().caller_address(),
+      head.substr(0, head.size() - body.size()), StrictCaller(), body);
+  fixture.fixture().WaitUntil([&] { return exchange->done(); });
+  REQUIRE(exchange->bytes().starts_with("HTTP/1.1 100 Continue\r\n\r\n"));
+  CheckResponse(*exchange, 200);
+}
+
+// Guards against: the library reads nothing behind such a request, so that the
+// next one on the connection is never answered.
+TEST_CASE("a request for another protocol ends its connection", "[framing]") {
+  FramingFixture fixture;
+  for (const std::string& bytes :
+       {RawRequest("GET", "/read/length", "raw1", "HTTP/1.1",
+                   "Connection: Upgrade\r\nUpgrade: websocket\r\n"),
+        RawRequest("CONNECT", "h:80", "raw2")}) {
+    CAPTURE(bytes);
+    auto exchange = fixture.Send(fixture.fixture().caller_address(), bytes, {});
+    REQUIRE(exchange->response().sound());
+    REQUIRE(exchange->ended());
+    REQUIRE(exchange->response().ValueOf("Connection") == "close");
+  }
+}
+
 }  // namespace bilberrypitch
--- a/libs/gateway/test/raw_exchange.h
+++ b/libs/gateway/test/raw_exchange.h
@@ -17,10 +17,12 @@
 class RawExchange {
  public:
   // Reads until the response is complete and nothing follows it, or until the
-  // instance closes the connection.
+  // instance closes the connection. `after_interim`: what is sent once an
+  // interim response has come.
   RawExchange(const std::string& address, std::string request,
-              StrictCaller caller)
+              StrictCaller caller, std::string after_interim = "")
       : caller_(std::move(caller)),
+        after_interim_(std::move(after_interim)),
         thread_([this, address, request = std::move(request)] {
           Run(address, request);
           done_ = true;
@@ -63,10 +65,15 @@
         return;
       }
       bytes_.append(buf, static_cast<size_t>(n));
+      if (!after_interim_.empty()) {
+        asio::write(socket, asio::buffer(std::exchange(after_interim_, "")),
+                    ec);
+      }
     }
   }
 
   const StrictCaller caller_;
+  std::string after_interim_;
   std::string bytes_;
   bool ended_ = false;
   std::atomic<bool> done_ = false;
--- a/libs/transport/include/transport/http_message.h
+++ b/libs/transport/include/transport/http_message.h
@@ -34,6 +34,9 @@
 // Compares two field names case-insensitively.
 bool EqualFieldNames(std::string_view first, std::string_view second);
 
+// Whether `text` consists of the characters of a field's name.
+bool IsFieldName(std::string_view text);
+
 // Returns the fields that a proxy forwards: leaves out the hop-by-hop fields,
 // `Content-Length` and `Expect`, the fields named by `Connection`, and those in
 // `excluded`.
--- a/libs/transport/include/transport/responder.h
+++ b/libs/transport/include/transport/responder.h
@@ -17,7 +17,8 @@
   virtual ~Responder() = default;
   // Sends a complete response. Must not be called after StartStream.
   virtual void Send(HttpResponse response) = 0;
-  // Starts a response with chunked transfer encoding.
+  // Starts a response whose length is not known. A caller of HTTP/1.1 gets its
+  // parts as they come, in chunks; one of HTTP/1.0 gets them whole at the end.
   virtual void StartStream(int status, const HttpHeaders& headers) = 0;
   // Sends a part of the stream. Parts that wait because the client reads slowly
   // are joined; nothing bounds their size but the caller of this function.
--- a/libs/transport/src/http_message.cc
+++ b/libs/transport/src/http_message.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 
 namespace bilberrypitch {
 namespace {
@@ -41,8 +42,17 @@
   return items;
 }
 
+bool IsTokenChar(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
 }  // namespace
 
+bool IsFieldName(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
+}
+
 bool EqualFieldNames(std::string_view first, std::string_view second) {
   return first.size() == second.size() &&
          strncasecmp(first.data(), second.data(), first.size()) == 0;
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -11,7 +11,9 @@
 
 #include "base/error.h"
 #include "base/json.h"
+#include "caller_socket.h"
 #include "pipelined_requests.h"
+#include "request_head_check.h"
 #include "restinio_responder.h"
 #include "transport/event_loop.h"
 
@@ -33,7 +35,9 @@
   HttpResponse response;
   response.status = info.http_status;
   response.headers.Add("Content-Type", "application/json");
-  response.headers.Add("X-Request-Id", request_id);
+  if (!request_id.empty()) {
+    response.headers.Add("X-Request-Id", request_id);
+  }
   if (info.retry_after_s > 0) {
     response.headers.Add("Retry-After", std::to_string(info.retry_after_s));
   }
@@ -43,34 +47,36 @@
 
 namespace {
 
-// A body over the configured limit is still read up to this size, so that it
-// gets a proper error response; beyond it the connection is closed.
-constexpr size_t kMaxReadBodyBytes = 64 << 20;
-// The largest request target and the largest value of a header field.
-constexpr size_t kMaxFieldBytes = 64 << 10;
 // With 1, the end of a connection would not be noticed while a request is being
 // handled.
 constexpr size_t kMaxPipelinedRequests = 4;
 
-// Reports closed connections.
+// Reports accepted and closed connections.
 class ConnectionListener {
  public:
-  explicit ConnectionListener(std::function<void(uint64_t)> on_closed)
-      : on_closed_(std::move(on_closed)) {}
+  ConnectionListener(std::function<void(uint64_t)> on_accepted,
+                     std::function<void(uint64_t)> on_closed)
+      : on_accepted_(std::move(on_accepted)),
+        on_closed_(std::move(on_closed)) {}
 
   void state_changed(
       const restinio::connection_state::notice_t& notice) noexcept {
-    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
-            notice.cause())) {
+    using restinio::connection_state::accepted_t;
+    using restinio::connection_state::closed_t;
+    if (restinio::holds_alternative<accepted_t>(notice.cause())) {
+      on_accepted_(notice.connection_id());
+    } else if (restinio::holds_alternative<closed_t>(notice.cause())) {
       on_closed_(notice.connection_id());
     }
   }
 
  private:
+  const std::function<void(uint64_t)> on_accepted_;
   const std::function<void(uint64_t)> on_closed_;
 };
 
 struct Traits : restinio::default_traits_t {
+  using stream_socket_t = CallerSocket;
   using request_handler_t = std::function<restinio::request_handling_status_t(
       restinio::request_handle_t)>;
   using connection_state_listener_t = ConnectionListener;
@@ -152,10 +158,11 @@
   void Configure(restinio::server_settings_t<Traits>& settings) {
     settings.address(options_.bind_ip)
         .port(options_.port)
-        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                      .max_url_size(kMaxFieldBytes)
-                                      .max_field_value_size(kMaxFieldBytes)
-                                      .max_body_size(kMaxReadBodyBytes))
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(kRequestSizeLimits.field_bytes)
+                .max_field_value_size(kRequestSizeLimits.field_bytes)
+                .max_body_size(kRequestSizeLimits.body_bytes))
         .max_pipelined_requests(kMaxPipelinedRequests)
         .read_next_http_message_timelimit(ToChrono(options_.idle_timeout))
         .write_http_response_timelimit(ToChrono(options_.write_timeout))
@@ -168,6 +175,11 @@
               restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
         })
         .connection_state_listener(std::make_shared<ConnectionListener>(
+            [pipelined = std::weak_ptr(pipelined_)](uint64_t id) {
+              if (auto it = pipelined.lock()) {
+                it->OnAccepted(id, AnnouncedInspector());
+              }
+            },
             [pipelined = std::weak_ptr(pipelined_),
              on_closed = options_.on_connection_closed,
              first_id = options_.first_connection_id](uint64_t id) {
@@ -179,20 +191,20 @@
               }
             }))
         .request_handler([this](restinio::request_handle_t request) {
-          ReceivedRequest received{std::move(request), EventLoop::Now()};
-          if (pipelined_->Add(received)) {
+          ReceivedRequest received{std::move(request), EventLoop::Now(), {}};
+          if (pipelined_->Add(&received)) {
             Handle(std::move(received));
           }
           return restinio::request_accepted();
         });
   }
 
-  std::shared_ptr<RestinioResponder> MakeResponder(
-      restinio::request_handle_t request) {
-    const uint64_t id = request->connection_id();
+  std::shared_ptr<RestinioResponder> MakeResponder(ReceivedRequest received) {
+    const uint64_t id = received.handle->connection_id();
     std::weak_ptr<PipelinedRequests> pipelined = pipelined_;
     return std::make_shared<RestinioResponder>(
-        std::move(request), write_token_,
+        std::move(received.handle), received.inspected.is_http_1_0,
+        WriteTokens{write_token_, std::move(received.inspected.write_token)},
         [id, pipelined] {
           auto it = pipelined.lock();
           return it == nullptr || !it->HasWaiting(id);
@@ -222,8 +234,13 @@
     HttpRequest request = ToHttpRequest(from.handle);
     request.received_at = from.at;
     request.connection_id += options_.first_connection_id;
-    auto responder = MakeResponder(std::move(from.handle));
-    if (request.body.size() > max_body_bytes_) {
+    std::string fault = FaultOfRequestHead(request.headers, from.inspected);
+    auto responder = MakeResponder(std::move(from));
+    if (!fault.empty()) {
+      // What follows may be a part of this request to others.
+      responder->SendAndClose(ErrorResponse(
+          {ErrorKind::kMalformedRequest, std::move(fault), NotRun::kTrue}, ""));
+    } else if (request.body.size() > max_body_bytes_) {
       Reject(*responder, ErrorKind::kBodyTooLarge,
              fmt::format("The body exceeds {} bytes.", max_body_bytes_));
     } else if (request.headers.ByteSize() > max_header_bytes_) {
--- a/libs/transport/src/pipelined_requests.h
+++ b/libs/transport/src/pipelined_requests.h
@@ -3,27 +3,42 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <restinio/all.hpp>
 #include <unordered_map>
 
 #include "base/strong.h"
+#include "request_inspector.h"
 
 namespace bilberrypitch {
 
 struct ReceivedRequest {
   restinio::request_handle_t handle;
   Millis at;  // When it was received.
+  InspectedRequest inspected;
 };
 
 // Lets the server handle one request of a connection at a time, so that none
 // is handled whose response the connection would no longer carry.
 class PipelinedRequests {
  public:
-  // Returns whether the request may be handled now; otherwise it is kept.
-  bool Add(const ReceivedRequest& request) {
+  void OnAccepted(uint64_t connection_id,
+                  std::shared_ptr<RequestInspector> inspector) {
     std::lock_guard lock(lock_);
+    inspectors_[connection_id] = std::move(inspector);
+  }
+
+  // Completes the request. Returns whether it may be handled now; otherwise it
+  // is kept.
+  bool Add(ReceivedRequest* received) {
+    std::lock_guard lock(lock_);
+    ReceivedRequest& request = *received;
+    auto inspector = inspectors_.find(request.handle->connection_id());
+    if (inspector != inspectors_.end()) {
+      request.inspected = inspector->second->TakeRequest();
+    }
     auto [it, is_first] = waiting_.try_emplace(request.handle->connection_id());
     if (!is_first) {
       it->second.push_back(request);
@@ -63,10 +78,12 @@
   void OnClosed(uint64_t connection_id) {
     std::lock_guard lock(lock_);
     waiting_.erase(connection_id);
+    inspectors_.erase(connection_id);
   }
 
  private:
   std::mutex lock_;
+  std::unordered_map<uint64_t, std::shared_ptr<RequestInspector>> inspectors_;
   // By connection. A connection has an entry while one of its requests is
   // handled, and from its last response until it is closed.
   std::unordered_map<uint64_t, std::deque<ReceivedRequest>> waiting_;
--- a/libs/transport/src/response_head.cc
+++ b/libs/transport/src/response_head.cc
@@ -23,12 +23,6 @@
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
-// Characters of a field's name.
-bool IsTokenChar(char c) {
-  return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-}
-
 // Characters that no line of a head contains.
 bool IsControl(char c) {
   constexpr char kDelete = 127;
@@ -155,12 +149,11 @@
 
 ResponseHead::Progress ResponseHead::ReadField(std::string_view line) {
   size_t colon = line.find(':');
-  if (colon == std::string_view::npos || colon == 0 ||
-      ContainsStatusLine(line, 0)) {
+  if (colon == std::string_view::npos || ContainsStatusLine(line, 0)) {
     return Progress::kMalformed;
   }
   std::string_view name = line.substr(0, colon);
-  if (!std::all_of(name.begin(), name.end(), IsTokenChar)) {
+  if (!IsFieldName(name)) {
     return Progress::kMalformed;
   }
   if (part_ == Part::kFields) {
--- a/libs/transport/src/restinio_responder.cc
+++ b/libs/transport/src/restinio_responder.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/error.h"
+#include "response_text.h"
 #include "transport/http_server.h"
 
 namespace bilberrypitch {
@@ -18,6 +19,7 @@
 constexpr std::string_view kLengthField = "Content-Length";
 constexpr std::string_view kCodingField = "Transfer-Encoding";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
+constexpr size_t kMaxCollectedBytes = 8 << 20;
 
 // Fields that say how a response is framed and whether its connection goes on.
 bool IsSetByServer(std::string_view name) {
@@ -26,57 +28,33 @@
          EqualFieldNames(name, "Connection");
 }
 
-std::string ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 204:
-      return "No Content";
-    case 304:
-      return "Not Modified";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 413:
-      return "Content Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 500:
-      return "Internal Server Error";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return status < 400 ? "OK" : "Error";
-  }
-}
-
 restinio::http_status_line_t StatusLine(int status) {
   return restinio::http_status_line_t{
       restinio::http_status_code_t{static_cast<uint16_t>(status)},
-      ReasonPhrase(status)};
+      std::string(ReasonPhrase(status))};
 }
 
-restinio::write_status_cb_t HoldUntilWritten(WriteToken token) {
-  return [token = std::move(token)](const restinio::asio_ns::error_code&) {};
+restinio::write_status_cb_t HoldUntilWritten(WriteTokens tokens) {
+  return [tokens = std::move(tokens)](const restinio::asio_ns::error_code&) {};
+}
+
+// Ends a response of which nothing has been sent.
+void SendError(Responder* responder, std::string detail) {
+  HttpResponse response = ErrorResponse(
+      {ErrorKind::kOutcomeUnknown, std::move(detail), NotRun::kUnknown}, "");
+  response.close_connection = true;
+  responder->Send(std::move(response));
 }
 
 }  // namespace
 
 RestinioResponder::RestinioResponder(
-    restinio::request_handle_t request, WriteToken token,
+    restinio::request_handle_t request, bool is_http_1_0, WriteTokens tokens,
     std::function<bool()> may_close,
     std::function<void(bool closes)> on_responded)
     : request_(std::move(request)),
-      write_token_(std::move(token)),
+      is_http_1_0_(is_http_1_0),
+      write_tokens_(std::move(tokens)),
       may_close_(std::move(may_close)),
       on_responded_(std::move(on_responded)) {}
 
@@ -99,6 +77,13 @@
          status != kNoContentStatus && status != kNotModifiedStatus;
 }
 
+// RESTinio hands the connection over with such a request.
+bool RestinioResponder::IsLastRequest() const {
+  const auto& header = request_->header();
+  return header.connection() == restinio::http_connection_header_t::upgrade ||
+         header.method() == restinio::http_method_connect();
+}
+
 RestinioResponder::Output RestinioResponder::MakeOutput(
     int status, const HttpHeaders& headers) const {
   Output output = request_->create_response<FramedOutput>(StatusLine(status));
@@ -112,11 +97,22 @@
 
 void RestinioResponder::Send(HttpResponse response) {
   std::lock_guard lock(lock_);
-  if (request_ == nullptr) {
-    return;
+  if (request_ != nullptr) {
+    const bool closes =
+        (response.close_connection || IsLastRequest()) && may_close_();
+    SendWhole(std::move(response), closes);
+  }
+}
+
+void RestinioResponder::SendAndClose(HttpResponse response) {
+  std::lock_guard lock(lock_);
+  if (request_ != nullptr) {
+    SendWhole(std::move(response), true);
   }
+}
+
+void RestinioResponder::SendWhole(HttpResponse response, bool closes) {
   Output output = MakeOutput(response.status, response.headers);
-  const bool closes = response.close_connection && may_close_();
   if (closes) {
     output.connection_close();
   }
@@ -128,7 +124,7 @@
                          std::to_string(response.body.size()));
   }
   output.Finish(has_body ? std::move(response.body) : std::string(),
-                HoldUntilWritten(std::move(write_token_)));
+                HoldUntilWritten(std::move(write_tokens_)));
   request_.reset();
   on_responded_(closes);
 }
@@ -139,6 +135,10 @@
     return;
   }
   stream_has_body_ = MayHaveBody(status);
+  if (stream_has_body_ && is_http_1_0_) {
+    collected_ = HttpResponse{status, true, headers, ""};
+    return;
+  }
   stream_ = std::make_unique<Output>(MakeOutput(status, headers));
   if (stream_has_body_) {
     stream_->append_header(std::string(kCodingField), "chunked");
@@ -151,7 +151,9 @@
 
 void RestinioResponder::Write(std::string data) {
   std::lock_guard lock(lock_);
-  if (stream_ && stream_has_body_ && !data.empty()) {
+  if (collected_) {
+    Collect(data);
+  } else if (stream_ && stream_has_body_ && !data.empty()) {
     StartWrite(queue_.Push(std::move(data)));
   }
 }
@@ -168,7 +170,9 @@
 
 void RestinioResponder::EndStream() {
   std::lock_guard lock(lock_);
-  if (stream_) {
+  if (collected_) {
+    SendCollected();
+  } else if (stream_) {
     const std::string last = FramedPart(queue_.TakeWaiting());
     CloseStream(stream_has_body_ ? last + std::string(kLastChunk) : last);
   }
@@ -176,11 +180,29 @@
 
 void RestinioResponder::AbortStream() {
   std::lock_guard lock(lock_);
-  if (stream_) {
+  if (collected_) {
+    collected_.reset();
+    SendError(this, "The answer broke off.");
+  } else if (stream_) {
     CloseStream(FramedPart(queue_.TakeWaiting()));
   }
 }
 
+void RestinioResponder::Collect(const std::string& data) {
+  if (collected_->body.size() + data.size() > kMaxCollectedBytes) {
+    collected_.reset();
+    SendError(this, "The answer is too long for HTTP/1.0.");
+    return;
+  }
+  collected_->body += data;
+}
+
+void RestinioResponder::SendCollected() {
+  HttpResponse response = std::move(*collected_);
+  collected_.reset();
+  Send(std::move(response));
+}
+
 std::string RestinioResponder::FramedPart(const std::string& data) const {
   return data.empty() ? "" : fmt::format("{:x}\r\n{}\r\n", data.size(), data);
 }
@@ -215,7 +237,7 @@
 
 void RestinioResponder::CloseStream(const std::string& last_bytes) {
   on_all_written_ = nullptr;
-  stream_->Finish(last_bytes, HoldUntilWritten(std::move(write_token_)));
+  stream_->Finish(last_bytes, HoldUntilWritten(std::move(write_tokens_)));
   stream_.reset();
   on_responded_(true);
 }
