Refuse responses with two framings, or one that can't be read

An upstream's response with both a length and chunks, two lengths, a length of '+5' or an unknown coding was read by the precedence of chunks, or until the end of its connection; another recipient reads it in another way, so that a part of it may stand before the next answer. Such a head is malformed now, for answers, orders, reports, the store and other instances alike: the request may have run (502), the connection is not used again and counts as a sign of doubt. A rejection with two framings is not believed: it was repeated up to 8 times before, one arrival now.

--- a/libs/gateway/test/contradictory_head_test.cc
+++ b/libs/gateway/test/contradictory_head_test.cc
@@ -133,4 +133,23 @@
   REQUIRE(outcome.body.find(kBody) == std::string::npos);
 }
 
+// Guards against: a response with two framings is passed on, or a rejection
+// with two is believed, although a part of it may stand before the next one.
+TEST_CASE("a response with two framings is not trusted", "[contradictory]") {
+  const std::string path = GENERATE("/once/x", "/stream/x");
+  const std::string status = GENERATE("200 OK", "404 Unknown", "503 Busy");
+  const std::string field =
+      GENERATE("Transfer-Encoding: chunked\r\n", "Content-Length: 7\r\n");
+  CAPTURE(path, status, field);
+  ContradictoryUpstream upstream(0, [&](const std::string& id) {
+    const std::string not_run =
+        status.starts_with("503") ? "Not-Run: 1\r\n" : "";
+    return ResponseWith(id, field + not_run, status);
+  });
+  CallOutcome outcome = SendAfter(0, path, upstream);
+  REQUIRE(outcome.status == 502);
+  REQUIRE(outcome.body.find(kBody) == std::string::npos);
+  REQUIRE(upstream.requests() == 1);
+}
+
 }  // namespace bilberrypitch
--- a/libs/transport/include/transport/response_head.h
+++ b/libs/transport/include/transport/response_head.h
@@ -26,7 +26,9 @@
   enum class Progress : uint8_t {
     kIncomplete,
     kComplete,   // The head of the final response.
-    kMalformed,  // Not the head of one response; nothing of it can be trusted.
+    // Not the head of one response, or with more than one framing or one that
+    // can't be read; nothing of it can be trusted.
+    kMalformed,
     kTooLarge,
   };
 
@@ -45,6 +47,7 @@
   Progress ReadStatusLine(std::string_view line);
   Progress ReadField(std::string_view line);
   Progress EndBlock();
+  bool HasOneFraming() const;
 
   // What the next line is a part of.
   enum class Part : uint8_t { kStatusLine, kFields, kTrailers };
--- a/libs/transport/src/response_head.cc
+++ b/libs/transport/src/response_head.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::string_view kProtocol = "HTTP/";
+constexpr std::string_view kLengthField = "Content-Length";
+constexpr std::string_view kCodingField = "Transfer-Encoding";
 constexpr std::string_view kVersions = "HTTP/1.";
 // "HTTP/1.1 200".
 constexpr size_t kVersionEnd = 8;
@@ -91,16 +93,33 @@
 
 }  // namespace
 
+// Recipients differ in which of two framings they follow, so that a part of
+// such a response may be taken for the next one.
+bool ResponseHead::HasOneFraming() const {
+  int lengths = 0;
+  int codings = 0;
+  bool valid = true;
+  for (const HttpHeader& field : headers_.fields()) {
+    if (EqualFieldNames(field.name, kLengthField)) {
+      ++lengths;
+      valid = valid && IsLength(field.value);
+    } else if (EqualFieldNames(field.name, kCodingField)) {
+      ++codings;
+      valid = valid && !is_http_1_0_ && EqualFieldNames(field.value, "chunked");
+    }
+  }
+  return valid && lengths + codings <= 1;
+}
+
 BodyFraming ResponseHead::framing(std::string_view method) const {
   if (method == "HEAD" || status_ == kNoContent || status_ == kNotModified) {
     return BodyFraming::kLength;
   }
-  // Chunks take precedence over a length, wherever the fields stand.
-  if (FieldContains(headers_, "Transfer-Encoding", "chunked")) {
+  if (!headers_.Get(kCodingField).empty()) {
     return BodyFraming::kChunked;
   }
-  return IsLength(headers_.Get("Content-Length")) ? BodyFraming::kLength
-                                                  : BodyFraming::kUntilClose;
+  return headers_.Get(kLengthField).empty() ? BodyFraming::kUntilClose
+                                            : BodyFraming::kLength;
 }
 
 bool ResponseHead::keeps_connection() const {
@@ -170,6 +189,9 @@
     return Progress::kIncomplete;
   }
   bool is_head = part_ == Part::kFields;
+  if (is_head && !HasOneFraming()) {
+    return Progress::kMalformed;
+  }
   part_ = Part::kTrailers;
   return is_head ? Progress::kComplete : Progress::kIncomplete;
 }
