--- a/libs/gateway/test/message_framing_test.cc
+++ b/libs/gateway/test/message_framing_test.cc
@@ -63,6 +63,10 @@
     } else if (kind == "close") {
       connection->Write(ok + "\r\n" + body);
       connection->socket.shutdown(asio::socket_base::shutdown_both, ec);
+    } else if (kind == "twice") {
+      connection->Write("HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n" + fields +
+                        (is_stream ? "" : "content-type: a/b\r\n") +
+                        "Date: x\r\nDate: x\r\n" + WithLength(body));
     } else if (kind == "empty") {
       connection->Write(ok + WithLength(""));
     } else if (kind == "broken") {
@@ -311,6 +315,8 @@
         "GET /read/length HTTP/3.0\r\n" + key + host + "\r\n",
         start + key + host + host + length + "\r\nbody",
         start + key + host + "Content-Length : 4\r\n\r\n" + smuggled,
+        start + key + host + "Authorization: Token k2\r\n" + length +
+            "\r\nbody",
         start + key + "Host : h\r\n" + length + "\r\nbody",
         start + key + host + length + coding + "\r\n0\r\n\r\n" + smuggled,
         start + key + host + length + length + "\r\nbody",
@@ -354,4 +360,33 @@
   }
 }
 
+// Guards against: a caller gets a field twice that may stand once.
+TEST_CASE("a field that may stand once is written once", "[framing]") {
+  FramingFixture fixture;
+  for (const char* target : {"/once/twice", "/stream/twice"}) {
+    CAPTURE(target);
+    auto exchange = fixture.Send({"POST", target, 200}, false);
+    CheckResponse(*exchange, 200);
+    REQUIRE(exchange->response().CountOf("Content-Type") == 1);
+  }
+}
+
+// Guards against: the instance follows the first of two fields and the upstream
+// the second, so that a request runs on another adapter than it was routed for.
+TEST_CASE("a request with two fields of which one may stand is rejected",
+          "[framing]") {
+  FramingFixture fixture;
+  for (const char* fields :
+       {"Request-Id: other\r\n", "Deadline-Ms: 9000\r\n",
+        "Model: a/x\r\nmodel: a/y\r\n", "Tokens: 1,1\r\nTokens: 2,2\r\n",
+        "Prompt-Prefix: 1:1\r\nPrompt-Prefix: 2:1\r\n"}) {
+    CAPTURE(fields);
+    auto exchange = fixture.Send(
+        fixture.fixture().caller_address(),
+        RawRequest("POST", "/once/length", "raw1", "HTTP/1.1", fields), {});
+    CheckResponse(*exchange, 400);
+  }
+  REQUIRE(fixture.upstream().requests().empty());
+}
+
 }  // namespace bilberrypitch
--- a/libs/transport/include/transport/http_message.h
+++ b/libs/transport/include/transport/http_message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,7 @@
   // Returns the value of the first field with this name; empty when there is
   // none.
   std::string_view Get(std::string_view name) const;
+  size_t Count(std::string_view name) const;
   const std::vector<HttpHeader>& fields() const { return fields_; }
   // The size of all fields as sent in HTTP/1.1, with separators and line ends.
   size_t ByteSize() const;
@@ -37,6 +39,12 @@
 // Whether `text` consists of the characters of a field's name.
 bool IsFieldName(std::string_view text);
 
+// Returns the first of `names` that stands more than once; empty if none does.
+std::string_view FindRepeated(const HttpHeaders& headers,
+                              std::span<const std::string_view> names);
+// The detail of an error for such a field.
+std::string RepeatedFieldText(std::string_view name);
+
 // Returns the fields that a proxy forwards: leaves out the hop-by-hop fields,
 // `Content-Length` and `Expect`, the fields named by `Connection`, and those in
 // `excluded`.
--- a/libs/transport/include/transport/response_head.h
+++ b/libs/transport/include/transport/response_head.h
@@ -25,7 +25,7 @@
 
   enum class Progress : uint8_t {
     kIncomplete,
-    kComplete,   // The head of the final response.
+    kComplete,  // The head of the final response.
     // Not the head of one response, or with more than one framing or one that
     // can't be read; nothing of it can be trusted.
     kMalformed,
--- a/libs/transport/src/http_message.cc
+++ b/libs/transport/src/http_message.cc
@@ -71,6 +71,25 @@
   return {};
 }
 
+size_t HttpHeaders::Count(std::string_view name) const {
+  return std::count_if(fields_.begin(), fields_.end(),
+                       [name](const HttpHeader& field) {
+                         return EqualFieldNames(field.name, name);
+                       });
+}
+
+std::string_view FindRepeated(const HttpHeaders& headers,
+                              std::span<const std::string_view> names) {
+  auto it = std::find_if(
+      names.begin(), names.end(),
+      [&](std::string_view name) { return headers.Count(name) > 1; });
+  return it != names.end() ? *it : std::string_view();
+}
+
+std::string RepeatedFieldText(std::string_view name) {
+  return "The field " + std::string(name) + " stands more than once.";
+}
+
 size_t HttpHeaders::ByteSize() const {
   size_t bytes = 0;
   for (const HttpHeader& field : fields_) {
--- a/libs/transport/src/restinio_responder.cc
+++ b/libs/transport/src/restinio_responder.cc
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <string_view>
 #include <utility>
 
@@ -28,6 +30,16 @@
          EqualFieldNames(name, "Connection");
 }
 
+// Fields of a response that may stand once; of several, the first is written.
+bool IsSingle(std::string_view name) {
+  constexpr std::array<std::string_view, 7> kSingleFields = {
+      "Content-Type", "Date",          "Retry-After", "Location",
+      "ETag",         "Last-Modified", "Server"};
+  return std::any_of(
+      kSingleFields.begin(), kSingleFields.end(),
+      [name](std::string_view it) { return EqualFieldNames(it, name); });
+}
+
 restinio::http_status_line_t StatusLine(int status) {
   return restinio::http_status_line_t{
       restinio::http_status_code_t{static_cast<uint16_t>(status)},
@@ -87,9 +99,12 @@
 RestinioResponder::Output RestinioResponder::MakeOutput(
     int status, const HttpHeaders& headers) const {
   Output output = request_->create_response<FramedOutput>(StatusLine(status));
+  HttpHeaders written;
   for (const HttpHeader& field : headers.fields()) {
-    if (!IsSetByServer(field.name)) {
+    const bool repeats = IsSingle(field.name) && written.Count(field.name) > 0;
+    if (!IsSetByServer(field.name) && !repeats) {
       output.append_header(field.name, field.value);
+      written.Add(field.name, field.value);
     }
   }
   return output;
