Read every second answer of the seeded run as raw bytes

Callers of the tests and the bench read through libraries that let the chunks win. Every second caller of the run now reads raw bytes by strict rules of its own, one in eight with HTTP/1.0: one framing, no field twice, nothing behind the message.

--- a/libs/gateway/test/faulty_upstream_soak_test.cc
+++ b/libs/gateway/test/faulty_upstream_soak_test.cc
@@ -1,6 +1,7 @@
 // A seeded run of requests to upstreams that fail in many ways: they repeat
 // bytes of earlier responses, break off, reject, and send what is no response.
-// What the callers get is compared with what the upstreams did.
+// What the callers get is compared with what the upstreams did. Every second
+// caller reads raw bytes by strict rules, some of them with HTTP/1.0.
 //
 // Three seeds run by default; BILBERRYPITCH_SOAK_SEEDS sets another number.
 #include <asio.hpp>
@@ -16,6 +17,7 @@
 #include <vector>
 
 #include "base/hash.h"
+#include "raw_exchange.h"
 #include "scripted_upstream.h"
 
 namespace bilberrypitch {
@@ -240,8 +242,28 @@
   std::string id;
   std::string path;
   std::optional<CallOutcome> outcome;
+  std::unique_ptr<RawExchange> raw;  // Of a caller that reads raw bytes.
+
+  bool ended() const { return raw ? raw->done() : outcome.has_value(); }
 };
 
+// Checks the bytes that such a caller has received and sets the outcome.
+void ReadRaw(SentRequest* sent) {
+  const StrictMessage response = sent->raw->response();
+  CAPTURE(sent->id, sent->path, sent->raw->bytes());
+  REQUIRE(response.fault.empty());
+  REQUIRE(response.size == sent->raw->bytes().size());
+  CallOutcome outcome;
+  outcome.result =
+      response.complete ? CallResult::kComplete : CallResult::kConnectionBroken;
+  outcome.status = response.status();
+  outcome.body = response.body;
+  for (const auto& [name, value] : response.fields) {
+    outcome.headers.Add(name, value);
+  }
+  sent->outcome = std::move(outcome);
+}
+
 void CheckStream(const SentRequest& sent) {
   const std::string whole = StreamText(sent.id);
   if (sent.outcome->result == CallResult::kComplete) {
@@ -305,6 +327,16 @@
         sent.path = paths[random() % paths.size()];
         HttpCall call = fixture.CallTo(sent.path, "k1");
         sent.id = std::string(call.headers.Get("Request-Id"));
+        const size_t number = i + (&sent - batch.data());
+        if (number % 2 == 1) {
+          const bool is_http_1_0 = number % 8 == 1;
+          sent.raw = std::make_unique<RawExchange>(
+              fixture.caller_address(),
+              RawRequest("POST", sent.path, sent.id,
+                         is_http_1_0 ? "HTTP/1.0" : "HTTP/1.1"),
+              StrictCaller{"POST", is_http_1_0});
+          continue;
+        }
         call.body = "body of " + sent.id;
         call.on_done = [&sent](CallOutcome outcome) {
           sent.outcome = std::move(outcome);
@@ -312,11 +344,13 @@
         fixture.control()->Start(std::move(call));
       }
       fixture.WaitUntil([&] {
-        return std::all_of(batch.begin(), batch.end(), [](const auto& sent) {
-          return sent.outcome.has_value();
-        });
+        return std::all_of(batch.begin(), batch.end(),
+                           [](const auto& sent) { return sent.ended(); });
       });
-      for (const SentRequest& sent : batch) {
+      for (SentRequest& sent : batch) {
+        if (sent.raw) {
+          ReadRaw(&sent);
+        }
         Check(sent, &records);
         served += sent.outcome->status == 200 ? 1 : 0;
       }
