Postmortem of the two framings, and raw reading of calls to the store

A test reads calls to the store, orders and reports as raw bytes, and their responses with two framings are not believed.

--- a/libs/gateway/test/message_framing_test.cc
+++ b/libs/gateway/test/message_framing_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/store_client.h"
 #include "raw_exchange.h"
 #include "scripted_upstream.h"
 
@@ -389,4 +390,74 @@
   REQUIRE(fixture.upstream().requests().empty());
 }
 
+// Guards against: two framings, or a field twice, in a call to the store or in
+// an order; and a response of theirs with two framings that is believed.
+TEST_CASE("calls to the store and orders have one framing", "[framing]") {
+  const bool two_framings = GENERATE(false, true);
+  CAPTURE(two_framings);
+  std::mutex mutex;
+  std::vector<std::string> received;
+  ScriptedUpstream peer(
+      [&](ScriptedConnection* connection, const ScriptedRequest& request) {
+        {
+          std::lock_guard lock(mutex);
+          received.push_back(request.head + request.body);
+        }
+        const std::string body =
+            R"({"at":5,"rev":5,"items":[],"events":[],"lease":7,"ttlMs":1000,)"
+            R"("seq":3,"models":[]})";
+        const std::string head = "HTTP/1.1 200 OK\r\nStore-Era: 1\r\n";
+        // To one who follows the chunks alone, both are the same.
+        connection->Write(two_framings
+                              ? head + "Content-Length: 9\r\n" + Chunked(body)
+                              : head + WithLength(body));
+      });
+  Fixture fixture;
+  platform::StoreClient store(fixture.control(), peer.address());
+  platform::EngineClient engines(fixture.control());
+  int believed = 0;
+  int ended = 0;
+  auto count = [&](bool ok) {
+    ++ended;
+    believed += ok ? 1 : 0;
+  };
+  auto is_ok = [](StoreOutcome outcome) {
+    return outcome == StoreOutcome::kOk;
+  };
+  store.ReadPage("servers/", "",
+                 [&](const StorePage& it) { count(is_ok(it.outcome)); });
+  store.Watch("op/", StoreRevision(), Millis(100),
+              [&](const StoreWatchResult& it) { count(is_ok(it.outcome)); });
+  store.Commit({{}, {{"k", "v", 0}}, {}},
+               [&](const StoreCommitResult& it) { count(is_ok(it.outcome)); });
+  store.GrantLease(Millis(1000), [&](const StoreLeaseResult& it) {
+    count(is_ok(it.outcome));
+  });
+  store.RenewLease(
+      7, [&](const StoreLeaseResult& it) { count(is_ok(it.outcome)); });
+  store.RevokeLease(7);
+  EngineOrder order;
+  order.address = peer.address();
+  order.engine = UpstreamId("i-9");
+  order.target.model = ModelId("m");
+  order.machine = "m1";
+  engines.SendOrder(order, [&](OrderOutcome outcome) {
+    count(outcome == OrderOutcome::kAlreadyDone);
+  });
+  engines.FetchReport(UpstreamId("i-9"), peer.address(),
+                      [&](bool ok, const EngineReport&) { count(ok); });
+  constexpr int kCalls = 7;  // With an outcome.
+  fixture.WaitUntil([&] {
+    std::lock_guard lock(mutex);
+    return ended == kCalls && received.size() > kCalls;
+  });
+  REQUIRE(believed == (two_framings ? 0 : kCalls));
+  for (const std::string& request : received) {
+    const StrictMessage message = ReadStrictRequest(request);
+    CAPTURE(request);
+    REQUIRE(message.sound());
+    REQUIRE(message.size == request.size());
+  }
+}
+
 }  // namespace bilberrypitch
