Let a test of odd entries give its configuration the key that it asks for

Cause: '++version' and 'version' are arguments of one call, which the compiler may evaluate in any order; on x86-64 the configuration had the key before. No other call in the tree has this form. The test is otherwise unchanged. After: [odd] passes.

--- a/libs/gateway/test/odd_entry_test.cc
+++ b/libs/gateway/test/odd_entry_test.cc
@@ -76,7 +76,8 @@
     CAPTURE(entry.substr(0, 200), entry.size());
     fixture.store.Put("servers/odd", entry);
     // Both are changes that come after the entry.
-    fixture.PutConfig(++version, fmt::format("\"key{}\"", version));
+    ++version;
+    fixture.PutConfig(version, fmt::format("\"key{}\"", version));
     fixture.PutUpstream("i-1", fixture.first.address(), "ready",
                         static_cast<int>(++started_ms));
     const std::string key = fmt::format("key{}", version);
