--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -238,6 +238,7 @@
   CallId call_id_ = 0;  // 0: none.
   UpstreamId upstream_;
   int64_t upstream_started_ms_ = 0;
+  SoftwareVersion upstream_software_;
   Millis sent_at_;
   bool first_event_seen_ = false;
   bool response_is_stream_ = false;
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -156,9 +156,10 @@
 }
 
 void RecordApplier::OnUpstreamStarted(const UpstreamState& upstream) {
-  LogInfo("upstream", "Started id={} service={} address={} zone={}.",
+  LogInfo("upstream", "Started id={} service={} address={} zone={} version={}.",
           upstream.entry.id.str(), upstream.entry.service.str(),
-          upstream.entry.address, upstream.entry.zone.str());
+          upstream.entry.address, upstream.entry.zone.str(),
+          upstream.entry.software.str());
   deps_.crashes->OnUpstreamDown(upstream.entry.id);
   deps_.part_crashes->OnUpstreamDown(upstream.entry.id);
   deps_.state->residency.OnEngineReset(upstream.entry.id);
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -123,6 +123,7 @@
   upstream_ = upstream->entry.id;
   last_upstream_ = upstream_;
   upstream_started_ms_ = upstream->entry.started_ms;
+  upstream_software_ = upstream->entry.software;
   sent_at_ = now;
   first_event_seen_ = false;
   response_is_stream_ = false;
@@ -379,12 +380,12 @@
   AttemptDecision decision = DecideNextStep(attempt);
   LogInfo("request",
           "Attempt id={} send={} upstream={} end={} status={} "
-          "ms={} next={} begun={} reused={} parts={} fault={}.",
+          "ms={} next={} begun={} reused={} parts={} fault={} version={}.",
           request_.id.str(), attempts_, upstream.str(), static_cast<int>(end),
           outcome->status, (EventLoop::Now() - sent_at_).count(),
           static_cast<int>(decision.step), first_event_seen_ ? 1 : 0,
           outcome->reused_connection ? 1 : 0, PartsText(shared_parts_),
-          NameOf(response_fault_));
+          NameOf(response_fault_), upstream_software_.str());
   bool retry =
       decision.step == NextStep::kRetry || decision.step == NextStep::kResume;
   if (retry && (end == AttemptOutcome::kNotSent ||
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -409,18 +409,23 @@
   deadline_timer_.Cancel();
   wait_timer_.Cancel();
   RecordLatencies(outcome);
-  LogInfo("request",
-          "Ended id={} outcome={} status={} ms={} sends={} model={} "
-          "workspace={} route={} first_ms={} pause_ms={} asked={} misses={} "
-          "upstream={} config={} from={} reused={}.",
-          request_.id.str(), outcome, status,
-          (EventLoop::Now() - arrived_at_).count(), attempts_,
-          ToString(request_.model),
-          workspace_ != nullptr ? workspace_->id.str() : "-",
-          route_ != nullptr ? route_->name : "-", first_event_latency_.count(),
-          max_event_gap_.count(), load_requests_, adapter_misses_,
-          last_upstream_.str(), config_ != nullptr ? config_->version() : 0,
-          attempts_ > 0 ? NameOf(framing_) : "-", reused_connection_ ? 1 : 0);
+  LogInfo(
+      "request",
+      "Ended id={} outcome={} status={} ms={} sends={} model={} "
+      "workspace={} route={} first_ms={} pause_ms={} asked={} misses={} "
+      "upstream={} config={} from={} reused={} version={} after={} "
+      "resumes={}.",
+      request_.id.str(), outcome, status,
+      (EventLoop::Now() - arrived_at_).count(), attempts_,
+      ToString(request_.model),
+      workspace_ != nullptr ? workspace_->id.str() : "-",
+      route_ != nullptr ? route_->name : "-", first_event_latency_.count(),
+      max_event_gap_.count(), load_requests_, adapter_misses_,
+      last_upstream_.str(), config_ != nullptr ? config_->version() : 0,
+      attempts_ > 0 ? NameOf(framing_) : "-", reused_connection_ ? 1 : 0,
+      upstream_software_.str(),
+      request_.last_event_id.empty() ? "-" : request_.last_event_id,
+      request_.resumed_request.empty() ? "-" : request_.resumed_request.str());
   responder_.reset();
   deps_->hooks.request_ended(connection_id_);
 }
--- a/libs/gateway/test/gateway_fixture.h
+++ b/libs/gateway/test/gateway_fixture.h
@@ -148,11 +148,12 @@
   }
 
   void PutUpstream(const std::string& id, const std::string& address,
-                   const std::string& state, int started_ms = 1) {
+                   const std::string& state, int started_ms = 1,
+                   const std::string& software = "v1") {
     store.Put("servers/" + id,
               fmt::format(R"({{"service":"s","addr":"{}","zone":"z",
-                "capacity":6,"state":"{}","born":{}}})",
-                          address, state, started_ms));
+                "capacity":6,"state":"{}","born":{},"version":"{}"}})",
+                          address, state, started_ms, software));
   }
 
   // Runs the loop until `done` returns true; fails after 10 seconds.
--- a/libs/serving/include/serving/ids.h
+++ b/libs/serving/include/serving/ids.h
@@ -11,6 +11,9 @@
 // Of a machine; it stays the same when the machine's process restarts.
 using MachineId = Id<struct MachineTag>;
 
+// Of an upstream's software, not of weights; empty: not stated.
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
+
 // Refers to an adapter of a base model, or to the base model itself.
 struct ModelRef {
   ModelId model;
--- a/libs/serving/include/serving/request.h
+++ b/libs/serving/include/serving/request.h
@@ -35,6 +35,9 @@
   bool has_token_counts = false;       // False: both counts above are unknown.
   int64_t expected_output_tokens = 0;  // The caller's estimate; 0: none.
   std::vector<PromptPart> prompt_parts;
+  // The id of the attempt that brought the first event of the stream that this
+  // request takes up; empty: not stated.
+  RequestId resumed_request;
   std::string last_event_id;  // Set when the caller resumes a stream.
 };
 
--- a/libs/serving/include/serving/upstream_entry.h
+++ b/libs/serving/include/serving/upstream_entry.h
@@ -34,6 +34,7 @@
   uint32_t slots = 1;  // Requests that it can run at once.
   bool draining = false;
   int64_t started_ms = 0;  // Unix time of its start; differs for each start.
+  SoftwareVersion software;
   std::vector<LoadedModel> models;
 };
 
--- a/libs/serving/src/upstream_entry.cc
+++ b/libs/serving/src/upstream_entry.cc
@@ -9,7 +9,7 @@
 
 auto FieldsOf(const UpstreamEntry& entry) {
   return std::tie(entry.id, entry.service, entry.address, entry.zone,
-                  entry.slots, entry.draining, entry.started_ms);
+                  entry.slots, entry.draining, entry.started_ms, entry.software);
 }
 
 }  // namespace
