Let a stream go on only at the software version that began it

Cause: the version of an entry and the field Resumes were read nowhere, so that a retry within an answer and a take-up went wherever load sent them. Class: a fact of a stream that was kept nowhere, and 'unknown' taken for 'the same'.

Now the version is a fact of the stream. Within an answer its handler holds it. For take-ups (libs/gateway/stream_service.h): - ServedVersions: a record in the store names the versions at which streams may begin, before the first does, and those whose streams may still be open. While it names one, a stream that nobody remembers is of that one: nothing else is written. - StreamOrigins: each instance remembers its own streams. While there are several versions it tells a reader of its own zone, which saves them in batches under a lease, and one of another zone. A take-up is asked of all (of the readers from 17 instances on), then of the store; what stays unknown is refused at once (503, not run, 'stream_not_resumable'). - An upstream that starts anew under its id in another version makes the latest streams of that id unknown, and an engine confirms its start before a stream goes on there, as an entry may be read late. A copy of the store is not certain.

Also: the fake store answers a killed instance no more (use after free in tests), and a connection that outlives its server is not handled.

--- a/libs/base/include/base/error.h
+++ b/libs/base/include/base/error.h
@@ -18,6 +18,7 @@
   kRateLimited,
   kQueueTimeout,
   kUpstreamUnavailable,
+  kStreamNotResumable,
   kUpstreamTimeout,
   kInvalidResponse,
   kOutcomeUnknown,
--- a/libs/base/src/error.cc
+++ b/libs/base/src/error.cc
@@ -19,6 +19,7 @@
     {ErrorKind::kRateLimited, "rate_limited", 429, 1},
     {ErrorKind::kQueueTimeout, "queue_timeout", 503, 1},
     {ErrorKind::kUpstreamUnavailable, "upstream_unavailable", 503, 1},
+    {ErrorKind::kStreamNotResumable, "stream_not_resumable", 503, 0},
     {ErrorKind::kUpstreamTimeout, "upstream_timeout", 504, 0},
     {ErrorKind::kInvalidResponse, "wrong_answer", 502, 0},
     {ErrorKind::kOutcomeUnknown, "outcome_unknown", 502, 0},
--- a/libs/gateway/include/gateway/peer_dispatcher.h
+++ b/libs/gateway/include/gateway/peer_dispatcher.h
@@ -12,6 +12,7 @@
 class PermitService;
 class PrefillService;
 class RateLimitService;
+class StreamService;
 class UpstreamRegistry;
 namespace schema {
 class PeerItem;
@@ -29,6 +30,7 @@
     CrashService* crashes = nullptr;
     PartCrashService* part_crashes = nullptr;
     PermitService* permits = nullptr;
+    StreamService* streams = nullptr;
     FreshnessService* freshness = nullptr;
   };
 
--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -25,6 +25,7 @@
 class PartCrashService;
 class PrefillService;
 class RateLimitService;
+class StreamService;
 struct ServingState;
 struct UpstreamState;
 
@@ -43,6 +44,7 @@
     RateLimitService* rate_limits = nullptr;
     CallerFrontend* callers = nullptr;
     KeptConfigService* kept_config = nullptr;
+    StreamService* streams = nullptr;
     StoreRecordDecoder decode_record;
     // A configuration of this store revision was seen.
     std::function<void(StoreRevision revision)> on_config_revision;
@@ -88,6 +90,8 @@
   // owner.
   void AddEngineResource(const UpstreamState& upstream);
   void OnAdapterVersionRecord(const AdapterVersionRecord& record);
+  // The upstreams of a service, or their versions, may have changed.
+  void UpdateLiveVersions();
   // Removes upstreams whose entries have not returned in time.
   void ExpireMissingUpstreams();
 
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -18,6 +18,7 @@
 #include "serving/rate_limiter.h"
 #include "serving/request.h"
 #include "serving/response_fault.h"
+#include "serving/stream_origins.h"
 #include "serving/upstream_chooser.h"
 #include "transport/http_call.h"
 #include "transport/timer.h"
@@ -83,6 +84,24 @@
   // A response of the upstream states another rate limit, or none any more.
   std::function<void(const UpstreamId&, std::optional<double> limit)>
       rate_limit_changed;
+  // Whether a stream that callers can take up may begin at this version.
+  std::function<bool(const ServiceId&, const SoftwareVersion&)>
+      may_begin_stream;
+  // Such a stream, which began as the response to the request `began_as`, has
+  // its first event from this upstream, or goes on there.
+  std::function<void(const RequestId& began_as, const StreamOrigin&)>
+      stream_running;
+  // Whether the upstream still has the start that its entry states, as it says
+  // itself. Calls `done`, perhaps before the return, with true if it can't be
+  // asked because it is no engine.
+  std::function<void(const UpstreamId&, int64_t started_ms,
+                     std::function<void(bool)> done)>
+      confirm_start;
+  // Finds where the stream began that the caller takes up. `done` may be called
+  // before the return.
+  std::function<void(const RequestId& began_as, const ServiceId&,
+                     std::function<void(const StreamFinding&)> done)>
+      find_stream;
   // The request has ended. Called from within its handler.
   std::function<void(uint64_t connection_id)> request_ended;
   // Acquires tokens of the workspace's rate. `done` may be called before the
@@ -139,6 +158,26 @@
   void OnRateDecision(const RateDecision& decision);
   bool Revalidate();
   void Dispatch();
+  // Whether the caller asks for the rest of a stream.
+  bool IsTakeUp() const;
+  // The id of the request that brought the stream's first event.
+  const RequestId& StreamId() const;
+  // Looks for the stream's origin and goes on, or rejects the request.
+  void FindOrigin();
+  void OnOrigin(const StreamFinding& finding);
+  // Picks the service, for a stream that goes on the one at which it began.
+  // Ends the request and returns false if the route no longer leads there.
+  bool ChooseService();
+  // Whether the stream may begin, or go on, at the upstream's version.
+  bool MayStreamFrom(const UpstreamState& upstream) const;
+  // Leaves out the upstreams at which the stream may not go on.
+  std::vector<UpstreamState*> UsableUpstreams(Millis now) const;
+  // Rejects a take-up that no upstream could serve. Returns whether it did.
+  bool RejectIfVersionGone();
+  void RecordOrigin();
+  // Goes on with StartAttempt once the upstream has confirmed its start.
+  void ConfirmStart(const UpstreamState& upstream);
+  void OnStartConfirmed(const UpstreamId& id, int64_t started_ms, bool is_same);
   void SendWhenPrefillGranted(UpstreamState* upstream);
   void EndAdapterWaits();
   bool ShouldReserveSlot() const;
@@ -258,6 +297,12 @@
   uint32_t attempts_ = 0;
   uint32_t upstreams_maybe_run_ = 0;
   uint32_t adapter_misses_ = 0;  // Engines that did not hold the adapter.
+  // Of the stream that goes on; empty: none began yet.
+  std::optional<StreamFinding> origin_;
+  // The upstream's start that it has confirmed; empty: none.
+  UpstreamId confirmed_upstream_;
+  int64_t confirmed_started_ms_ = 0;
+  std::set<UpstreamId> unconfirmed_upstreams_;  // They did not.
   // A connection broke while the request was running.
   bool is_suspect_ = false;
   UpstreamId suspect_upstream_;  // Upstream that counts it as a suspect.
--- a/libs/gateway/src/cluster_records.cc
+++ b/libs/gateway/src/cluster_records.cc
@@ -16,6 +16,10 @@
 constexpr std::string_view kOwnerKeyPrefix = "bilberrypitch/owners/";
 constexpr std::string_view kPartKeyPrefix = "bilberrypitch/parts/";
 constexpr std::string_view kKeptConfigKey = "bilberrypitch/config";
+constexpr std::string_view kStreamRecordsPrefix = "bilberrypitch/streams/";
+constexpr std::string_view kStreamsKeyPrefix = "bilberrypitch/streams/batch/";
+constexpr std::string_view kVersionsKeyPrefix =
+    "bilberrypitch/streams/versions/";
 constexpr int kHexBase = 16;
 
 // Returns the rest of `key` after `prefix`; empty if it starts differently.
@@ -59,6 +63,55 @@
   return record.SerializeAsString();
 }
 
+std::string StreamRecordsPrefix() { return std::string(kStreamRecordsPrefix); }
+
+std::string ServedVersionsKey(const ServiceId& service) {
+  return std::string(kVersionsKeyPrefix) + service.str();
+}
+
+std::string EncodeServedVersions(const VersionRecord& record) {
+  schema::ServedVersionsValue value;
+  for (const SoftwareVersion& version : record.active) {
+    value.add_versions(version.str());
+  }
+  for (const SoftwareVersion& version : record.retired) {
+    value.add_retired(version.str());
+  }
+  value.set_era(record.era);
+  return value.SerializeAsString();
+}
+
+std::string StreamBatchKey(const ClusterMember& writer, uint64_t number) {
+  return fmt::format("{}{}/{}-{}", kStreamsKeyPrefix, writer.machine.str(),
+                     writer.boot.str(), number);
+}
+
+bool IsStreamBatchKey(const std::string& key) {
+  return key.starts_with(kStreamsKeyPrefix);
+}
+
+std::optional<ServiceId> ServiceFromVersionsKey(const std::string& key) {
+  std::string rest = StripPrefix(key, kVersionsKeyPrefix);
+  return rest.empty() ? std::nullopt : std::optional(ServiceId(rest));
+}
+
+std::optional<VersionRecord> DecodeServedVersions(const StoreItem& item) {
+  schema::ServedVersionsValue value;
+  if (item.deleted || !value.ParseFromString(item.value)) {
+    return std::nullopt;
+  }
+  VersionRecord record;
+  for (const std::string& version : value.versions()) {
+    record.active.insert(SoftwareVersion(version));
+  }
+  for (const std::string& version : value.retired()) {
+    record.retired.insert(SoftwareVersion(version));
+  }
+  record.era = value.era();
+  record.revision = item.revision;
+  return record;
+}
+
 std::string EncodeMember(const ClusterMember& member) {
   schema::MemberRecord record;
   record.set_machine(member.machine.str());
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -26,6 +26,7 @@
 #include "gateway/request_handler.h"
 #include "gateway/serving_state.h"
 #include "gateway/store_sync.h"
+#include "gateway/stream_service.h"
 #include "schema/cluster.pb.h"
 #include "serving/api_codec.h"
 #include "serving/cluster_store.h"
@@ -87,6 +88,8 @@
         part_crashes_(loop_, self_.machine, &state_.part_crash_tracker,
                       gateway_deps_.store, &peers_, EngineCheck()),
         permits_(loop_, self_.machine, &state_.upstreams, &peers_),
+        streams_(loop_, gateway_deps_.store, &peers_, self_, settings.bootstrap,
+                 StreamHooks()),
         callers_(loop_, &state_),
         kept_config_(loop_, gateway_deps_.store, KeptConfigHooks()),
         records_(loop_, RecordDeps()) {
@@ -171,6 +174,7 @@
     };
     hooks.on_full_read_started = [this](bool is_new_era) {
       records_.OnFullReadStarted(is_new_era);
+      streams_.OnEra(store_sync_.follower()->era());
       membership_.OnFullReadStarted();
     };
     hooks.on_full_read_completed = [this](const std::vector<StoreItem>& items,
@@ -191,13 +195,23 @@
     return hooks;
   }
 
+  // Of this instance, in an order on which all agree.
+  size_t RankOfSelf() {
+    const auto& members = membership_.ownership()->members();
+    auto self = members.find(self_.machine);
+    return static_cast<size_t>(std::distance(members.begin(), self));
+  }
+
+  StreamService::Hooks StreamHooks() {
+    StreamService::Hooks hooks;
+    hooks.rank = [this] { return RankOfSelf(); };
+    hooks.view_age = [this] { return state_.freshness.Age(EventLoop::Now()); };
+    return hooks;
+  }
+
   KeptConfigService::Hooks KeptConfigHooks() {
     KeptConfigService::Hooks hooks;
-    hooks.rank = [this] {
-      const auto& members = membership_.ownership()->members();
-      auto self = members.find(self_.machine);
-      return static_cast<size_t>(std::distance(members.begin(), self));
-    };
+    hooks.rank = [this] { return RankOfSelf(); };
     hooks.publish = [this](const StoreItem& item) {
       store_sync_.Publish(item);
     };
@@ -218,6 +232,7 @@
     deps.rate_limits = &rate_limits_;
     deps.callers = &callers_;
     deps.kept_config = &kept_config_;
+    deps.streams = &streams_;
     deps.decode_record = gateway_deps_.decode_record;
     deps.on_config_revision = [this](StoreRevision revision) {
       freshness_service_->OnConfigRevision(revision);
@@ -234,6 +249,7 @@
     deps.crashes = &crashes_;
     deps.part_crashes = &part_crashes_;
     deps.permits = &permits_;
+    deps.streams = &streams_;
     deps.freshness = freshness_service_.get();
     return deps;
   }
@@ -266,18 +282,25 @@
     return hooks;
   }
 
+  // Asks the engine whether it has the start that its entry states. Returns
+  // false if it is no engine that can be asked.
+  bool CheckStart(const CrashId& id, std::function<void(bool)> done) {
+    UpstreamState* upstream = state_.upstreams.Find(id.upstream);
+    if (upstream == nullptr ||
+        records_.EngineProfileOf(id.upstream) == nullptr) {
+      return false;
+    }
+    gateway_deps_.engines->FetchReport(
+        id.upstream, upstream->entry.address,
+        [id, done = std::move(done)](bool ok, const EngineReport& report) {
+          done(ok && report.started_ms == id.started_ms);
+        });
+    return true;
+  }
+
   PartCrashService::AliveCheck EngineCheck() {
     return [this](const CrashId& id, std::function<void(bool)> done) {
-      UpstreamState* upstream = state_.upstreams.Find(id.upstream);
-      if (upstream == nullptr ||
-          records_.EngineProfileOf(id.upstream) == nullptr) {
-        return;
-      }
-      gateway_deps_.engines->FetchReport(
-          id.upstream, upstream->entry.address,
-          [id, done = std::move(done)](bool ok, const EngineReport& report) {
-            done(ok && report.started_ms == id.started_ms);
-          });
+      CheckStart(id, std::move(done));
     };
   }
 
@@ -355,6 +378,26 @@
         [this](const UpstreamId& upstream, std::optional<double> limit) {
           permits_.OnLimitChanged(upstream, limit);
         };
+    request_deps_.hooks.may_begin_stream =
+        [this](const ServiceId& service, const SoftwareVersion& version) {
+          return streams_.MayBegin(service, version);
+        };
+    request_deps_.hooks.stream_running = [this](const RequestId& began_as,
+                                                const StreamOrigin& origin) {
+      streams_.OnStream(began_as, origin);
+    };
+    request_deps_.hooks.confirm_start = [this](const UpstreamId& id,
+                                               int64_t started_ms,
+                                               std::function<void(bool)> done) {
+      if (!CheckStart({id, started_ms}, done)) {
+        done(true);
+      }
+    };
+    request_deps_.hooks.find_stream =
+        [this](const RequestId& began_as, const ServiceId& service,
+               std::function<void(const StreamFinding&)> done) {
+          streams_.Find(began_as, service, std::move(done));
+        };
     request_deps_.hooks.request_ended = [this](uint64_t connection_id) {
       callers_.OnRequestEnded(connection_id);
     };
@@ -475,6 +518,7 @@
   CrashService crashes_;
   PartCrashService part_crashes_;
   PermitService permits_;
+  StreamService streams_;
   std::unique_ptr<FreshnessService> freshness_service_;
   std::unique_ptr<PeerDispatcher> dispatcher_;
   RequestDeps request_deps_;
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -26,6 +26,7 @@
   add("adapter_misses_total", counters.adapter_misses);
   add("reading_waits_total", counters.prefill_waits);
   add("prompt_part_quarantined_total", counters.part_quarantined);
+  add("take_ups_refused_total", counters.take_ups_refused);
   add("prompt_parts_quarantined",
       state.part_crash_tracker.Quarantined().size());
   for (size_t i = 1; i < counters.response_faults.size(); ++i) {
--- a/libs/gateway/src/peer_dispatcher.cc
+++ b/libs/gateway/src/peer_dispatcher.cc
@@ -9,6 +9,7 @@
 #include "gateway/permit_service.h"
 #include "gateway/prefill_service.h"
 #include "gateway/rate_limit_service.h"
+#include "gateway/stream_service.h"
 #include "schema/cluster.pb.h"
 #include "serving/upstream_registry.h"
 #include "transport/event_loop.h"
@@ -80,6 +81,15 @@
     case schema::PeerItem::kRateLimitNews:
       deps_.permits->OnNews(item.rate_limit_news());
       break;
+    case schema::PeerItem::kStreamNews:
+      deps_.streams->OnNews(item.stream_news());
+      break;
+    case schema::PeerItem::kStreamQuestion:
+      deps_.streams->OnQuestion(from, item.stream_question());
+      break;
+    case schema::PeerItem::kStreamAnswer:
+      deps_.streams->OnAnswer(from, item.stream_answer());
+      break;
     case schema::PeerItem::kQuestion:
       deps_.freshness->OnQuery(item.question());
       break;
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -15,6 +15,7 @@
 #include "gateway/prefill_service.h"
 #include "gateway/rate_limit_service.h"
 #include "gateway/serving_state.h"
+#include "gateway/stream_service.h"
 #include "transport/event_loop.h"
 
 namespace bilberrypitch {
@@ -55,6 +56,7 @@
   } else {
     deps_.membership->OnStoreItem(item);
     deps_.part_crashes->OnStoreItem(item);
+    deps_.streams->OnStoreItem(item);
   }
   return true;
 }
@@ -104,6 +106,7 @@
   const CallerLimits& limits = deps_.state->config->config().limits;
   deps_.callers->SetLimits(limits);
   ApplyRateLimits();
+  deps_.streams->SetTimeToLive(deps_.state->config->MaxStreamTimeout());
   for (const ResourceId& resource :
        deps_.membership->ownership()->Resources()) {
     NotifyOwnershipChanged(resource);
@@ -164,6 +167,7 @@
   deps_.part_crashes->OnUpstreamDown(upstream.entry.id);
   deps_.state->residency.OnEngineReset(upstream.entry.id);
   deps_.orders->OnEngineStarted(upstream.entry.id);
+  deps_.streams->OnUpstreamStarted(upstream);
   deps_.prefills->OnEngineReset(upstream.entry.id);
 }
 
@@ -226,15 +230,28 @@
   deps_.membership->OnFullReadCompleted(keys, revision);
   deps_.part_crashes->OnFullRead(keys, revision.era);
   deps_.kept_config->OnFullRead(keys);
+  deps_.streams->OnFullRead(keys);
   ExpireMissingUpstreams();
 }
 
+void RecordApplier::UpdateLiveVersions() {
+  std::map<ServiceId, std::set<SoftwareVersion>> live_versions;
+  for (const auto& [id, upstream] : deps_.state->upstreams.all()) {
+    auto& versions = live_versions[upstream->entry.service];
+    if (!upstream->removed) {
+      versions.insert(upstream->entry.software);
+    }
+  }
+  deps_.streams->SetLiveVersions(std::move(live_versions));
+}
+
 void RecordApplier::ExpireMissingUpstreams() {
   Millis now = EventLoop::Now();
   for (const UpstreamEntry& entry : departed_.TakeTrusted(now)) {
     OnUpstreamRecord({entry.id, entry}, now, Millis(0));
   }
   Millis due = deps_.state->upstreams.ExpireMissing(now);
+  UpdateLiveVersions();
   Millis trusted_at = departed_.NextDue();
   if (due == Millis(0) || (trusted_at != Millis(0) && trusted_at < due)) {
     due = trusted_at;
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -93,6 +93,17 @@
 }
 
 void RequestHandler::StartAttempt(UpstreamState* upstream) {
+  if (!MayStreamFrom(*upstream)) {
+    Dispatch();  // It has started anew in another version.
+    return;
+  }
+  bool is_confirmed = confirmed_upstream_ == upstream->entry.id &&
+                      confirmed_started_ms_ == upstream->entry.started_ms;
+  if (origin_ && !is_confirmed) {
+    ConfirmStart(*upstream);
+    return;
+  }
+  confirmed_upstream_ = UpstreamId();
   Millis now = EventLoop::Now();
   if (permit_upstream_ == upstream->entry.id) {
     permit_upstream_ = UpstreamId();  // Used by this attempt.
@@ -233,6 +244,7 @@
   if (!first_event_seen_) {
     first_event_seen_ = true;
     ReleasePrefill(true);
+    RecordOrigin();
     ReportBegun();
     UpstreamState* upstream = state_->upstreams.Find(upstream_);
     if (upstream != nullptr) {
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -63,7 +63,11 @@
   deadline_timer_.Start(std::max(Millis(1), TimeLeft()),
                         [self] { self->OnDeadline(); });
   state_->RetryBudgetFor(service_).OnRequest(arrived_at_);
-  AdmitRate();
+  if (IsTakeUp()) {
+    FindOrigin();
+  } else {
+    AdmitRate();
+  }
 }
 
 bool RequestHandler::Admit() {
@@ -81,7 +85,9 @@
   if (!AdmitCaller()) {
     return false;
   }
-  service_ = PickService(*route_, StableHash(request_.id.str()));
+  if (!ChooseService()) {
+    return false;
+  }
   deadline_ = arrived_at_ + std::min(request_.timeout.value_or(kDefaultTimeout),
                                      route_->timeout);
   if (EndIfTooLateToSend()) {
@@ -235,8 +241,7 @@
   if (!AdmitCaller()) {
     return false;
   }
-  service_ = PickService(*route_, StableHash(request_.id.str()));
-  return true;
+  return ChooseService();
 }
 
 void RequestHandler::Dispatch() {
@@ -264,8 +269,11 @@
   input.permit = permit_upstream_;
   input.permit_wait_ms = state_->permit_waits[service_].ExpectedMs(now);
   input.load_requested_at = &load_requested_at_;
-  std::optional<UpstreamChoice> choice = ChooseUpstream(
-      state_->upstreams.UsableOf(service_, now), state_->residency, input);
+  if (RejectIfVersionGone()) {
+    return;
+  }
+  std::optional<UpstreamChoice> choice =
+      ChooseUpstream(UsableUpstreams(now), state_->residency, input);
   if (!choice) {
     Millis bound =
         std::max(route_->latency_target, kNoUpstreamRetryInterval * 2);
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -234,7 +234,9 @@
 void StoreSync::ApplyItems(const std::vector<StoreItem>& items,
                            Millis return_deadline) {
   for (const StoreItem& item : items) {
-    if (!view_.HasRevisionOf(item)) {
+    if (IsStreamBatchKey(item.key)) {
+      hooks_.on_item(item, return_deadline);
+    } else if (!view_.HasRevisionOf(item)) {
       bool relevant = hooks_.on_item(item, return_deadline);
       view_.Apply(item, relevant);
     }
@@ -250,7 +252,11 @@
     }
   }
   hooks_.on_full_read_completed(items, revision, return_deadline);
-  view_.Reset(items, revision);
+  std::vector<StoreItem> passed_on = items;
+  std::erase_if(passed_on, [](const StoreItem& item) {
+    return IsStreamBatchKey(item.key);
+  });
+  view_.Reset(passed_on, revision);
 }
 
 void StoreSync::ApplyForeignItem(const StoreItem& item) {
--- a/libs/gateway/test/gateway_fixture.h
+++ b/libs/gateway/test/gateway_fixture.h
@@ -16,6 +16,7 @@
 
 #include "fake_store.h"
 #include "gateway/gateway.h"
+#include "killable_store.h"
 #include "platform/engine_client.h"
 #include "platform/request_codec.h"
 #include "platform/store_records.h"
@@ -94,6 +95,7 @@
       : client_(&loop),
         control_(&loop),
         store(&loop),
+        first_access_(&store),
         engines_(&control_),
         first(&loop),
         second(&loop) {
@@ -104,9 +106,16 @@
     settings_.ready_address = LocalAddress(FreePort());
     settings_.peer_address = LocalAddress(FreePort());
     settings_.bounds.key_revocation = Millis(1500);
+    settings_.bootstrap = true;
     PutConfig(1, "\"k1\"");
     PutUpstream("i-1", first.address(), "ready");
-    gateway = std::make_unique<Gateway>(settings_, MakeDeps(&store));
+    gateway = std::make_unique<Gateway>(settings_, MakeDeps(&first_access_));
+  }
+
+  // Ends the first instance without any farewell.
+  void KillFirst() {
+    first_access_.Kill();
+    gateway.reset();
   }
 
   GatewayDeps MakeDeps(ClusterStore* store_access) {
@@ -131,7 +140,9 @@
     return std::make_unique<Gateway>(settings_, MakeDeps(store_access));
   }
 
-  void PutConfig(int version, const std::string& keys) {
+  // `service_fields`: further fields of the service.
+  void PutConfig(int version, const std::string& keys,
+                 const std::string& service_fields = "") {
     store.Put("op/config", fmt::format(R"({{"version":{},"routes":[
       {{"name":"once","host":"h","prefix":"/once/","kind":"non_idempotent",
         "timeoutMs":2000,"goalMs":300,"attempts":1,"service":"s"}},
@@ -142,9 +153,9 @@
       {{"name":"resume","host":"h","prefix":"/resume/","kind":"stream",
         "canResume":true,"timeoutMs":2000,"goalMs":300,"attempts":2,
         "service":"s"}}],
-      "services":[{{"name":"s"}}],
+      "services":[{{"name":"s"{}}}],
       "tenants":[{{"name":"w","apiKeys":[{}]}}]}})",
-                                       version, keys));
+                                       version, service_fields, keys));
   }
 
   void PutUpstream(const std::string& id, const std::string& address,
@@ -258,6 +269,7 @@
   FakeStore store;
 
  private:
+  KillableStore first_access_;
   platform::EngineClient engines_;
   platform::RequestCodec codec_;
   InstanceSettings settings_;
--- a/libs/gateway/test/restored_store_test.cc
+++ b/libs/gateway/test/restored_store_test.cc
@@ -289,7 +289,7 @@
       GetsStatus(&fixture, "/once/x", "k2", kUnauthorizedStatus, Millis(2000)));
   ComeBackFromCopy(&fixture);
   fixture.WaitUntil([&] { return fixture.store.Has("bilberrypitch/config"); });
-  fixture.gateway.reset();
+  fixture.KillFirst();
   std::unique_ptr<Gateway> second = fixture.StartSecond(&fixture.store);
   fixture.WaitUntilReady();
   REQUIRE(fixture.SendRequest("/once/x", "k1").status == kOkStatus);
@@ -356,7 +356,7 @@
   REQUIRE(IsServed(&fixture, "a1", kOwnedWithin));
   int64_t highest_before = engine.highest_fence();
   ComeBackFromCopy(&fixture);
-  fixture.gateway.reset();
+  fixture.KillFirst();
   std::unique_ptr<Gateway> second = fixture.StartSecond(&fixture.store);
   fixture.WaitUntilReady();
   REQUIRE(IsServed(&fixture, "a2", kOwnedWithin));
--- a/libs/gateway/test/stream_version_test.cc
+++ b/libs/gateway/test/stream_version_test.cc
@@ -27,6 +27,7 @@
   }
 
   void Register(int started_ms = 2) {
+    started_ms_ = started_ms;
     fixture_->PutUpstream(id_, server_.address(), "ready", started_ms,
                           software_);
   }
@@ -38,7 +39,10 @@
   // All streams break off: new ones behind two events, others at once.
   void SetFailing(bool failing) { failing_ = failing; }
   // Starts anew under its id, as another version that is not registered yet.
-  void Replace(const std::string& software) { software_ = software; }
+  void Replace(const std::string& software) {
+    software_ = software;
+    ++started_ms_;
+  }
 
   int streams() const { return streams_; }
   std::string EventText(int number) const {
@@ -53,7 +57,19 @@
   }
 
  private:
+  void Report(const HttpRequest& request, Responder* to) {
+    HttpResponse response;
+    response.headers.Add("Request-Id",
+                         std::string(request.headers.Get("Request-Id")));
+    response.body = fmt::format(R"({{"seq":0,"born":{}}})", started_ms_);
+    to->Send(std::move(response));
+  }
+
   void Answer(const HttpRequest& request, Responder* to) {
+    if (request.path == "/report") {
+      Report(request, to);
+      return;
+    }
     ++streams_;
     const std::string after(request.headers.Get("Last-Event-Id"));
     const int first = after.empty() ? 1 : std::atoi(after.c_str()) + 1;
@@ -72,6 +88,7 @@
   Fixture* const fixture_;
   const std::string id_;
   std::string software_;
+  int started_ms_ = 0;
   bool holds_next_ = false;
   Responder* held_ = nullptr;
   bool failing_ = false;
@@ -110,6 +127,15 @@
     return Send(std::move(call));
   }
 
+  // Ends the instance as a kill does, and starts another one.
+  std::unique_ptr<Gateway> Replace() {
+    KillFirst();
+    store.ExpireLease(store.LeaseOf("bilberrypitch/members/z/m1"));
+    auto second = StartSecond(&store);
+    WaitUntilServing();
+    return second;
+  }
+
   // Waits until a stream begins; no upstream may break it.
   void WaitUntilServing() {
     WaitUntilReady();
@@ -212,9 +238,7 @@
   fixture.WaitFor(Millis(300));
   fixture.older.Leave();
   fixture.WaitFor(Millis(300));
-  fixture.gateway.reset();
-  auto second = fixture.StartSecond(&fixture.store);
-  fixture.WaitUntilServing();
+  auto second = fixture.Replace();
   CheckRefused(fixture.TakeUp(id));
   CheckRefused(fixture.TakeUp("unknown"));
 }
@@ -230,9 +254,7 @@
   CAPTURE(restarted);
   std::unique_ptr<Gateway> second;
   if (restarted) {
-    fixture.gateway.reset();
-    second = fixture.StartSecond(&fixture.store);
-    fixture.WaitUntilServing();
+    second = fixture.Replace();
   }
   fixture.older.Leave();
   fixture.WaitFor(Millis(300));
@@ -240,4 +262,160 @@
   CheckGoesOn(fixture.TakeUp("unknown"), fixture.older_too);
 }
 
+// Guards against: after a kill of all, what can go on is refused, as nobody
+// remembers at which of two versions it began.
+TEST_CASE("a kill of all instances does not forget where streams began",
+          "[version]") {
+  VersionFixture fixture;
+  fixture.older.Register();
+  fixture.newer.Register();
+  fixture.WaitUntilServing();
+  fixture.newer.Leave();
+  fixture.WaitFor(Millis(200));
+  const std::string old_id = fixture.SendBrokenStream(&fixture.older);
+  fixture.newer.Register(3);
+  fixture.older.Leave();
+  fixture.WaitFor(Millis(200));
+  const std::string new_id = fixture.SendBrokenStream(&fixture.newer);
+  fixture.older.Register(3);
+  fixture.WaitFor(Millis(1500));
+  auto second = fixture.Replace();
+  for (int i = 0; i < 6; ++i) {
+    CheckGoesOn(fixture.TakeUp(old_id), fixture.older);
+    CheckGoesOn(fixture.TakeUp(new_id), fixture.newer);
+  }
+  CheckRefused(fixture.TakeUp("unknown"));
+}
+
+// Guards against: a stream that began while one version served is forgotten as
+// soon as there are two.
+TEST_CASE("a stream from before a release goes on after a kill", "[version]") {
+  VersionFixture fixture;
+  fixture.older.Register();
+  fixture.WaitUntilServing();
+  const std::string id = fixture.SendBrokenStream(&fixture.older);
+  fixture.newer.Register();
+  fixture.WaitFor(Millis(1500));
+  auto second = fixture.Replace();
+  for (int i = 0; i < 6; ++i) {
+    CheckGoesOn(fixture.TakeUp(id), fixture.older);
+  }
+}
+
+// Guards against: an instance takes a stream up that began at another one, as
+// if it had begun at whatever serves best.
+TEST_CASE("another instance takes a stream up at its version", "[version]") {
+  VersionFixture fixture;
+  fixture.older.Register();
+  fixture.newer.Register();
+  fixture.WaitUntilServing();
+  fixture.newer.Leave();
+  fixture.WaitFor(Millis(200));
+  const std::string id = fixture.SendBrokenStream(&fixture.older);
+  const bool first_is_killed = GENERATE(false, true);
+  CAPTURE(first_is_killed);
+  auto second = fixture.StartSecond(&fixture.store);
+  fixture.WaitUntilServing();
+  fixture.newer.Register(3);
+  fixture.WaitFor(Millis(1200));
+  if (first_is_killed) {
+    fixture.KillFirst();
+  }
+  for (int i = 0; i < 8; ++i) {
+    CheckGoesOn(fixture.TakeUp(id), fixture.older);
+  }
+  CheckRefused(fixture.TakeUp("unknown"));
+}
+
+// Guards against: an upstream that starts anew under its id, as another
+// version, is taken for the one that it was.
+TEST_CASE("an id that another version uses again continues no stream",
+          "[version]") {
+  VersionFixture fixture;
+  fixture.older.Register();
+  fixture.WaitUntilServing();
+  const std::string id = fixture.SendBrokenStream(&fixture.older);
+  fixture.older.Replace("v2");
+  SECTION("when its entry says so") {
+    fixture.older.Register(3);
+    fixture.WaitFor(Millis(300));
+    CheckRefused(fixture.TakeUp(id));
+  }
+  SECTION("when its entry came late for what began before") {
+    const std::string late = fixture.SendBrokenStream(&fixture.older);
+    fixture.older.Register(3);
+    fixture.older_too.Register();
+    fixture.WaitFor(Millis(300));
+    CheckRefused(fixture.TakeUp(late));
+  }
+}
+
+// Guards against: a store that comes back from an older copy has forgotten the
+// newer version, and a stream of it goes on at the older one.
+TEST_CASE("a store that came back older joins no two versions", "[version]") {
+  VersionFixture fixture;
+  fixture.older.Register();
+  fixture.WaitUntilServing();
+  fixture.WaitFor(Millis(300));
+  fixture.store.TakeCopy();
+  fixture.newer.Register();
+  fixture.older.Leave();
+  fixture.WaitFor(Millis(300));
+  const std::string id = fixture.SendBrokenStream(&fixture.newer);
+  const bool all_killed = GENERATE(false, true);
+  CAPTURE(all_killed);
+  if (all_killed) {
+    fixture.KillFirst();
+  }
+  fixture.store.RestoreCopy();
+  std::unique_ptr<Gateway> second;
+  if (all_killed) {
+    fixture.store.ExpireLease(
+        fixture.store.LeaseOf("bilberrypitch/members/z/m1"));
+    second = fixture.StartSecond(&fixture.store);
+  }
+  fixture.WaitUntilServing();
+  fixture.WaitFor(Millis(300));
+  CheckRefused(fixture.TakeUp("unknown"));
+  if (all_killed) {
+    CheckRefused(fixture.TakeUp(id));
+  } else {
+    fixture.newer.Register(3);
+    fixture.WaitFor(Millis(300));
+    CheckGoesOn(fixture.TakeUp(id), fixture.newer);
+  }
+}
+
+// Guards against: a version that isn't stated counts as the same as another one
+// that isn't.
+TEST_CASE("a stream of a version that is not stated is not continued",
+          "[version]") {
+  VersionFixture fixture;
+  VersionedUpstream unstated(&fixture, "i-a", "");
+  VersionedUpstream unstated_too(&fixture, "i-b", "");
+  unstated.Register();
+  fixture.WaitUntilServing();
+  const std::string id = fixture.SendBrokenStream(&unstated);
+  unstated_too.Register();
+  fixture.WaitFor(Millis(300));
+  CheckRefused(fixture.TakeUp(id));
+  CheckRefused(fixture.TakeUp("unknown"));
+}
+
+// Guards against: a stream goes on at an upstream that has started anew, in
+// another version, before its entry says so.
+TEST_CASE("an upstream confirms its start before a stream goes on there",
+          "[version]") {
+  VersionFixture fixture;
+  fixture.PutConfig(2, "\"k1\"", R"(,"engine":{"capacity":8})");
+  fixture.older.Register();
+  fixture.WaitUntilServing();
+  const std::string id = fixture.SendBrokenStream(&fixture.older);
+  CheckGoesOn(fixture.TakeUp(id), fixture.older);
+  fixture.older.Replace("v2");
+  const int streams = fixture.older.streams();
+  CheckRefused(fixture.TakeUp(id));
+  REQUIRE(fixture.older.streams() == streams);
+}
+
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/active_config.h
+++ b/libs/serving/include/serving/active_config.h
@@ -33,6 +33,9 @@
   // zero if none of them states one.
   Millis MaxEventGapOf(const ServiceId& id) const;
 
+  // Returns the longest timeout of the routes with streams that may continue.
+  Millis MaxStreamTimeout() const;
+
   const ServingConfig& config() const { return config_; }
   int64_t version() const { return config_.version; }
 
--- a/libs/serving/include/serving/store_follower.h
+++ b/libs/serving/include/serving/store_follower.h
@@ -113,7 +113,6 @@
   struct ZoneMember {
     MachineId machine;
     double cpu_share = 0;
-    uint64_t hash = 0;
   };
 
   Millis MaxReaderAge() const;
--- a/libs/serving/src/active_config.cc
+++ b/libs/serving/src/active_config.cc
@@ -84,6 +84,16 @@
   return it == services_.end() ? nullptr : it->second;
 }
 
+Millis ActiveConfig::MaxStreamTimeout() const {
+  Millis longest;
+  for (const Route& route : config_.routes) {
+    if (route.resumable) {
+      longest = std::max(longest, route.timeout);
+    }
+  }
+  return longest;
+}
+
 const ServiceId& PickService(const Route& route, uint64_t hash) {
   BP_CHECK(!route.services.empty(), "a route must have at least one service");
   uint64_t total_weight = 0;
--- a/libs/serving/src/store_follower.cc
+++ b/libs/serving/src/store_follower.cc
@@ -2,17 +2,13 @@
 #include "serving/store_follower.h"
 
 #include <algorithm>
-#include <tuple>
 
 #include "base/hash.h"
+#include "serving/zone_readers.h"
 
 namespace bilberrypitch {
 namespace {
 
-// A zone has one reader, and another one for each of these members, up to the
-// maximum.
-constexpr size_t kMembersPerReader = 16;
-constexpr size_t kMaxReaders = 3;
 // Members after the readers that are queried when no reader responds.
 constexpr size_t kSpareReaders = 2;
 // An instance watches the store for this long after it was queried.
@@ -41,10 +37,6 @@
 constexpr Millis kReaderReturnTime{1200};
 constexpr int kMaxToleratedFailures = 1;
 
-size_t ReaderCount(size_t members) {
-  return std::min(kMaxReaders, 1 + members / kMembersPerReader);
-}
-
 }  // namespace
 
 StoreFollower::StoreFollower(const ClusterMember& self,
@@ -61,16 +53,15 @@
       members_.begin(), members_.end(),
       [&](const ZoneMember& known) { return known.machine == member.machine; });
   if (it == members_.end()) {
-    members_.push_back({member.machine, member.cpu_share,
-                        StableHash("store-reader", member.machine.str())});
+    members_.push_back({member.machine, member.cpu_share});
   } else {
     it->cpu_share = member.cpu_share;
     avoid_until_.erase(member.machine);
   }
   std::sort(members_.begin(), members_.end(),
             [](const ZoneMember& first, const ZoneMember& second) {
-              return std::tie(second.cpu_share, first.hash, first.machine) <
-                     std::tie(first.cpu_share, second.hash, second.machine);
+              return PrecedesAsReader(first.machine, first.cpu_share,
+                                      second.machine, second.cpu_share);
             });
 }
 
--- a/libs/serving/src/upstream_entry.cc
+++ b/libs/serving/src/upstream_entry.cc
@@ -9,7 +9,8 @@
 
 auto FieldsOf(const UpstreamEntry& entry) {
   return std::tie(entry.id, entry.service, entry.address, entry.zone,
-                  entry.slots, entry.draining, entry.started_ms, entry.software);
+                  entry.slots, entry.draining, entry.started_ms,
+                  entry.software);
 }
 
 }  // namespace
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -190,7 +190,12 @@
                 on_closed(first_id + id);
               }
             }))
-        .request_handler([this](restinio::request_handle_t request) {
+        .request_handler([this, pipelined = std::weak_ptr(pipelined_)](
+                             restinio::request_handle_t request) {
+          // A connection may outlive the server on a loop that goes on.
+          if (pipelined.expired()) {
+            return restinio::request_rejected();
+          }
           ReceivedRequest received{std::move(request), EventLoop::Now(), {}};
           if (pipelined_->Add(&received)) {
             Handle(std::move(received));
