--- a/libs/gateway/test/gateway_fixture.h
+++ b/libs/gateway/test/gateway_fixture.h
@@ -129,9 +129,11 @@
     return deps;
   }
 
-  // Starts a second, smaller instance of the zone. From now on requests go to
-  // it.
-  std::unique_ptr<Gateway> StartSecond(ClusterStore* store_access) {
+  // Starts a second, smaller instance. From now on requests go to it. In the
+  // zone of the first one, it takes changes of the store from that.
+  std::unique_ptr<Gateway> StartSecond(ClusterStore* store_access,
+                                       const std::string& zone = "z") {
+    settings_.zone = ZoneId(zone);
     settings_.machine = MachineId("m2");
     settings_.cpu_share = 0.1;
     settings_.caller_address = LocalAddress(FreePort());
