Relay requests by another instance while the path to upstreams is lost

Cause: each request tried the upstreams anew, and nothing knew that none can be reached. Class: a fault of the instance is taken for one of each upstream.

Now PathMonitor (no I/O) suspects a lost path when new connections fail at two upstreams, or when all are silent for 0.7 s while requests wait; probes settle it (connections to 1, then 3, then 8 more upstreams), so that a crash, a pause of one or a part out of reach loses nothing. While it is lost, requests that have not been sent go to an instance that has a path, of the own zone first: one hop, three instances at most, the rate charged and retries counted at one of them, responses passed on as they come. The instance tells the others, counts as not ready if one of them can serve, and refuses at once (503, Retry-After) if none can. A probe each half second finds the path again. Ways weighed: refusing at once (a first try fails, and callers on open connections come again), not ready alone (open connections stay; of a zone with fewer than half ready, all are used).

Not weighed in: engines owned by an instance that is cut off get no orders from it.

--- a/libs/completions/include/completions/completions_codec.h
+++ b/libs/completions/include/completions/completions_codec.h
@@ -26,6 +26,8 @@
   void EncodeCall(const ServingRequest& request,
                   const UpstreamCallOptions& options,
                   HttpCall* call) const override;
+  void EncodeForPeer(const ServingRequest& request, Millis time_left,
+                     HttpCall* call) const override;
   ResponseInfo DecodeResponse(const ServingRequest& request, int status,
                               const HttpHeaders& headers) const override;
   HttpResponse EncodeError(const Error& error, const RequestId& request_id,
--- a/libs/completions/src/completions_codec.cc
+++ b/libs/completions/src/completions_codec.cc
@@ -166,6 +166,20 @@
   upstream_codec_->EncodeCall(request, options, call);
 }
 
+void CompletionsCodec::EncodeForPeer(const ServingRequest& request,
+                                     Millis time_left, HttpCall* call) const {
+  call->method = request.method;
+  call->headers = request.headers;
+  call->body = request.body;
+  call->headers.Add(std::string(kRequestIdHeader), request.id.str());
+  call->headers.Add(std::string(kDeadlineHeader),
+                    std::to_string(std::max<int64_t>(1, time_left.count())));
+  if (!request.api_key.empty()) {
+    call->headers.Add(std::string(kAuthorizationHeader),
+                      std::string(kAuthorizationScheme) + request.api_key);
+  }
+}
+
 ResponseInfo CompletionsCodec::DecodeResponse(
     const ServingRequest& request, int status,
     const HttpHeaders& headers) const {
--- a/libs/completions/test/completions_test.cc
+++ b/libs/completions/test/completions_test.cc
@@ -20,6 +20,7 @@
                   HttpCall* call) const override {
     call->body = request.body;
   }
+  void EncodeForPeer(const ServingRequest&, Millis, HttpCall*) const override {}
   ResponseInfo DecodeResponse(const ServingRequest&, int,
                               const HttpHeaders&) const override {
     ResponseInfo info;
--- a/libs/gateway/include/gateway/caller_frontend.h
+++ b/libs/gateway/include/gateway/caller_frontend.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +31,14 @@
   // `deps` has to outlive this object. Throws std::exception if binding fails.
   void Listen(const std::string& address, const RequestDeps* deps);
   void SetLimits(const CallerLimits& limits);
+  // Offset of the ids of connections on which other instances relay requests.
+  static constexpr uint64_t kFirstRelayConnectionId = uint64_t{1} << 56;
+  // Handles a request that another instance relays, with the caller's target.
+  void OnRelayedRequest(const RequestDeps& deps, HttpRequest request,
+                        const RelayedTarget& relayed,
+                        std::shared_ptr<Responder> responder);
+  // A connection of a caller, or of another instance, was closed.
+  void OnConnectionClosed(uint64_t connection_id);
   // A request on that connection has ended: its handler is released later, on
   // the event loop.
   void OnRequestEnded(uint64_t connection_id);
@@ -43,10 +52,10 @@
 
  private:
   void OnRequest(const RequestDeps& deps, HttpRequest request,
+                 const std::optional<RelayedTarget>& relayed,
                  std::shared_ptr<Responder> responder);
   void Reject(const ApiCodec& codec, const Error& error, const RequestId& id,
               Millis retry_after, Responder* responder);
-  void OnConnectionClosed(uint64_t connection_id);
   void CheckShutdown();
   void CheckFlushed();
   // Responses that are open, or not yet written.
--- a/libs/gateway/include/gateway/peer_dispatcher.h
+++ b/libs/gateway/include/gateway/peer_dispatcher.h
@@ -13,6 +13,7 @@
 class PrefillService;
 class RateLimitService;
 class StreamService;
+class PathService;
 class UpstreamRegistry;
 namespace schema {
 class PeerItem;
@@ -31,6 +32,7 @@
     PartCrashService* part_crashes = nullptr;
     PermitService* permits = nullptr;
     StreamService* streams = nullptr;
+    PathService* paths = nullptr;
     FreshnessService* freshness = nullptr;
   };
 
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -11,8 +11,10 @@
 #include <vector>
 
 #include "base/error.h"
+#include "gateway/relay_target.h"
 #include "serving/attempt_policy.h"
 #include "serving/event_splitter.h"
+#include "serving/ownership.h"
 #include "serving/part_crash_tracker.h"
 #include "serving/permit_issuer.h"
 #include "serving/rate_limiter.h"
@@ -84,6 +86,18 @@
   // A response of the upstream states another rate limit, or none any more.
   std::function<void(const UpstreamId&, std::optional<double> limit)>
       rate_limit_changed;
+  // Whether this instance has lost its path to all upstreams.
+  std::function<bool()> path_is_lost;
+  // Another instance that has a path and is not in `excluded`.
+  std::function<std::optional<ClusterMember>(
+      uint64_t hash, const std::set<MachineId>& excluded)>
+      choose_relay;
+  // What attempts tell of the path; see PathMonitor.
+  std::function<void()> upstream_reached;
+  std::function<void(const UpstreamId&)> upstream_unreached;
+  std::function<void()> attempt_started;
+  std::function<void()> attempt_ended;
+  std::function<void()> bytes_received;
   // Whether a stream that callers can take up may begin at this version.
   std::function<bool(const ServiceId&, const SoftwareVersion&)>
       may_begin_stream;
@@ -117,6 +131,7 @@
   EventLoopHttpClient* client = nullptr;
   const ApiCodec* codec = nullptr;
   ServingState* state = nullptr;
+  CallerApi api = CallerApi::kPlatform;
   RequestHooks hooks;
 };
 
@@ -129,9 +144,11 @@
  public:
   // `connection_id` identifies the caller's connection. `arrived_at` is earlier
   // than now if the request had to wait for another one of its connection.
+  // `relayed`: set if another instance relays the request.
   RequestHandler(const RequestDeps* deps, ServingRequest request,
                  std::shared_ptr<Responder> responder, uint64_t connection_id,
-                 Millis arrived_at);
+                 Millis arrived_at,
+                 const std::optional<RelayedTarget>& relayed);
 
   void Start();
   // The caller closed its connection: cancels the request.
@@ -145,6 +162,8 @@
   // Ends the request if it waits to be sent and the instance stops before it
   // could be served. Returns whether the request was ended.
   bool EndIfTooLateToSend();
+  // This instance has lost its path to all upstreams.
+  void OnPathLost();
   // The process is about to exit: ends the request with an error.
   void OnShutdown();
   bool finished() const { return finished_; }
@@ -175,6 +194,15 @@
   // Rejects a take-up that no upstream could serve. Returns whether it did.
   bool RejectIfVersionGone();
   void RecordOrigin();
+  // Looks for the origin of a stream, charges the rate and goes on.
+  void Proceed();
+  // Lets another instance handle the request, or rejects it, if this one has
+  // lost its path to upstreams and has not sent it. Returns whether it did.
+  bool RelayIfPathLost();
+  void Relay(const ClusterMember& to);
+  bool OnRelayHeaders(const ResponseStart& start);
+  bool OnRelayData(std::string_view bytes);
+  void OnRelayDone(CallOutcome outcome);
   // Goes on with StartAttempt once the upstream has confirmed its start.
   void ConfirmStart(const UpstreamState& upstream);
   void OnStartConfirmed(const UpstreamId& id, int64_t started_ms, bool is_same);
@@ -303,6 +331,14 @@
   UpstreamId confirmed_upstream_;
   int64_t confirmed_started_ms_ = 0;
   std::set<UpstreamId> unconfirmed_upstreams_;  // They did not.
+  // Another instance relays the request; it is not relayed again.
+  const bool is_relayed_;
+  bool rate_is_charged_;  // The workspace's rate, here or there.
+  // It has a stream's origin and its rate, and waits for an upstream.
+  bool is_dispatched_ = false;
+  MachineId relay_;  // To which it was relayed last; empty: none.
+  std::set<MachineId> relays_tried_;
+  std::string relay_body_;  // Of a response that is no stream.
   // A connection broke while the request was running.
   bool is_suspect_ = false;
   UpstreamId suspect_upstream_;  // Upstream that counts it as a suspect.
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -30,12 +30,14 @@
   uint64_t failed = 0;    // Failed after an attempt that may have run.
   uint64_t caller_left = 0;
   uint64_t rate_limited = 0;
-  uint64_t retries = 0;           // Attempts after the first one.
-  uint64_t adapter_waits = 0;     // Requests that waited for an adapter.
-  uint64_t prefill_waits = 0;     // Prefill requests that were renewed.
-  uint64_t adapter_misses = 0;    // Attempts at engines without the adapter.
-  uint64_t take_ups_refused = 0;  // Of streams whose version is not there.
-  uint64_t part_quarantined = 0;  // Ended for a quarantined prompt part.
+  uint64_t retries = 0;         // Attempts after the first one.
+  uint64_t adapter_waits = 0;   // Requests that waited for an adapter.
+  uint64_t prefill_waits = 0;   // Prefill requests that were renewed.
+  uint64_t adapter_misses = 0;  // Attempts at engines without the adapter.
+  uint64_t relayed = 0;         // To other instances.
+  uint64_t refused_without_path = 0;  // To upstreams, or to such instances.
+  uint64_t take_ups_refused = 0;      // Of streams whose version is not there.
+  uint64_t part_quarantined = 0;      // Ended for a quarantined prompt part.
   // Responses of upstreams that were not passed on, by the fault.
   std::array<uint64_t, kResponseFaultCount> response_faults{};
 };
--- a/libs/gateway/src/caller_frontend.cc
+++ b/libs/gateway/src/caller_frontend.cc
@@ -52,7 +52,8 @@
   servers_.push_back(std::make_unique<HttpServer>(
       options,
       [this, deps](HttpRequest request, std::shared_ptr<Responder> responder) {
-        OnRequest(*deps, std::move(request), std::move(responder));
+        OnRequest(*deps, std::move(request), std::nullopt,
+                  std::move(responder));
       }));
 }
 
@@ -62,7 +63,17 @@
   }
 }
 
+void CallerFrontend::OnRelayedRequest(const RequestDeps& deps,
+                                      HttpRequest request,
+                                      const RelayedTarget& relayed,
+                                      std::shared_ptr<Responder> responder) {
+  request.target = relayed.target;
+  request.path = request.target.substr(0, request.target.find('?'));
+  OnRequest(deps, std::move(request), relayed, std::move(responder));
+}
+
 void CallerFrontend::OnRequest(const RequestDeps& deps, HttpRequest request,
+                               const std::optional<RelayedTarget>& relayed,
                                std::shared_ptr<Responder> responder) {
   uint64_t connection_id = request.connection_id;
   Millis received_at = request.received_at;
@@ -79,9 +90,9 @@
     Reject(*deps.codec, error, id, Millis(0), responder.get());
     return;
   }
-  auto handler = std::make_shared<RequestHandler>(&deps, std::move(*decoded),
-                                                  std::move(responder),
-                                                  connection_id, received_at);
+  auto handler = std::make_shared<RequestHandler>(
+      &deps, std::move(*decoded), std::move(responder), connection_id,
+      received_at, relayed);
   handlers_.emplace(connection_id, handler);
   handler->Start();
 }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -15,6 +15,7 @@
 #include "gateway/metrics_page.h"
 #include "gateway/order_service.h"
 #include "gateway/part_crash_service.h"
+#include "gateway/path_service.h"
 #include "gateway/peer_dispatcher.h"
 #include "gateway/peer_messenger.h"
 #include "gateway/permit_service.h"
@@ -23,6 +24,7 @@
 #include "gateway/reader_client.h"
 #include "gateway/reader_service.h"
 #include "gateway/record_applier.h"
+#include "gateway/relay_target.h"
 #include "gateway/request_handler.h"
 #include "gateway/serving_state.h"
 #include "gateway/store_sync.h"
@@ -46,6 +48,8 @@
 // key revocation bound if that is less.
 constexpr Millis kPeerQueryAge{2400};
 constexpr int64_t kPeerQueryAgeDivisor = 2;
+constexpr size_t kMaxPeerBodyBytes = 64 << 20;
+constexpr size_t kMaxPeerHeaderBytes = 128 << 10;
 constexpr int kOkStatus = 200;
 constexpr int kServiceUnavailableStatus = 503;
 
@@ -90,6 +94,8 @@
         permits_(loop_, self_.machine, &state_.upstreams, &peers_),
         streams_(loop_, gateway_deps_.store, &peers_, self_, settings.bootstrap,
                  StreamHooks()),
+        paths_(loop_, self_, &state_.upstreams, &peers_,
+               [this] { OnPathLost(); }),
         callers_(loop_, &state_),
         kept_config_(loop_, gateway_deps_.store, KeptConfigHooks()),
         records_(loop_, RecordDeps()) {
@@ -250,6 +256,7 @@
     deps.part_crashes = &part_crashes_;
     deps.permits = &permits_;
     deps.streams = &streams_;
+    deps.paths = &paths_;
     deps.freshness = freshness_service_.get();
     return deps;
   }
@@ -378,6 +385,18 @@
         [this](const UpstreamId& upstream, std::optional<double> limit) {
           permits_.OnLimitChanged(upstream, limit);
         };
+    request_deps_.hooks.path_is_lost = [this] { return paths_.is_lost(); };
+    request_deps_.hooks.choose_relay =
+        [this](uint64_t hash, const std::set<MachineId>& excluded) {
+          return paths_.ChooseRelay(hash, excluded);
+        };
+    request_deps_.hooks.upstream_reached = [this] { paths_.OnReached(); };
+    request_deps_.hooks.upstream_unreached = [this](const UpstreamId& id) {
+      paths_.OnUnreached(id);
+    };
+    request_deps_.hooks.attempt_started = [this] { paths_.OnRequestSent(); };
+    request_deps_.hooks.attempt_ended = [this] { paths_.OnRequestEnded(); };
+    request_deps_.hooks.bytes_received = [this] { paths_.OnBytes(); };
     request_deps_.hooks.may_begin_stream =
         [this](const ServiceId& service, const SoftwareVersion& version) {
           return streams_.MayBegin(service, version);
@@ -403,6 +422,7 @@
     };
     completions_request_deps_ = request_deps_;
     completions_request_deps_.codec = gateway_deps_.completions_codec;
+    completions_request_deps_.api = CallerApi::kCompletions;
   }
 
   static RateTolerance RateToleranceOf(const ClusterBounds& bounds) {
@@ -435,16 +455,39 @@
         [this](HttpRequest request, std::shared_ptr<Responder> responder) {
           responder->Send(OnReadyRequest(request));
         });
+    HttpServerOptions peer_options =
+        ServerOptionsFor(state_.settings.peer_address);
+    // For requests that other instances relay, which have checked their size.
+    peer_options.max_body_bytes = kMaxPeerBodyBytes;
+    peer_options.max_header_bytes = kMaxPeerHeaderBytes;
+    peer_options.first_connection_id = CallerFrontend::kFirstRelayConnectionId;
+    peer_options.on_connection_closed = [this](uint64_t connection_id) {
+      callers_.OnConnectionClosed(connection_id);
+    };
     peer_server_ = std::make_unique<HttpServer>(
-        ServerOptionsFor(state_.settings.peer_address),
+        peer_options,
         [this](HttpRequest request, std::shared_ptr<Responder> responder) {
-          OnPeerRequest(request, responder);
+          OnPeerRequest(std::move(request), std::move(responder));
         });
   }
 
-  void OnPeerRequest(const HttpRequest& request,
+  // Requests that have not been sent get another instance, or an end.
+  void OnPathLost() {
+    for (const auto& handler : callers_.open_requests()) {
+      handler->OnPathLost();
+    }
+  }
+
+  void OnPeerRequest(HttpRequest request,
                      std::shared_ptr<Responder> responder) {
-    if (request.path == kChangesPath) {
+    std::optional<RelayedTarget> relayed = ParseRelayTarget(request.target);
+    if (relayed) {
+      bool is_completions = relayed->api == CallerApi::kCompletions &&
+                            gateway_deps_.completions_codec != nullptr;
+      callers_.OnRelayedRequest(
+          is_completions ? completions_request_deps_ : request_deps_,
+          std::move(request), *relayed, std::move(responder));
+    } else if (request.path == kChangesPath) {
       reader_service_.OnQuery(request, std::move(responder));
     } else {
       responder->Send(freshness_service_->OnStateRequest(request));
@@ -476,7 +519,9 @@
   // Readiness and metrics.
 
   bool IsReady() const {
-    return !state_.stopping && state_.config != nullptr &&
+    // Without a path, callers are served better elsewhere, if there is one.
+    bool is_no_use = paths_.is_lost() && paths_.HasRelay();
+    return !state_.stopping && state_.config != nullptr && !is_no_use &&
            state_.freshness.MayServe(EventLoop::Now());
   }
 
@@ -519,6 +564,7 @@
   PartCrashService part_crashes_;
   PermitService permits_;
   StreamService streams_;
+  PathService paths_;
   std::unique_ptr<FreshnessService> freshness_service_;
   std::unique_ptr<PeerDispatcher> dispatcher_;
   RequestDeps request_deps_;
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -26,6 +26,8 @@
   add("adapter_misses_total", counters.adapter_misses);
   add("reading_waits_total", counters.prefill_waits);
   add("prompt_part_quarantined_total", counters.part_quarantined);
+  add("relayed_total", counters.relayed);
+  add("refused_without_path_total", counters.refused_without_path);
   add("take_ups_refused_total", counters.take_ups_refused);
   add("prompt_parts_quarantined",
       state.part_crash_tracker.Quarantined().size());
--- a/libs/gateway/src/peer_dispatcher.cc
+++ b/libs/gateway/src/peer_dispatcher.cc
@@ -6,6 +6,7 @@
 #include "gateway/crash_service.h"
 #include "gateway/freshness_service.h"
 #include "gateway/part_crash_service.h"
+#include "gateway/path_service.h"
 #include "gateway/permit_service.h"
 #include "gateway/prefill_service.h"
 #include "gateway/rate_limit_service.h"
@@ -90,6 +91,9 @@
     case schema::PeerItem::kStreamAnswer:
       deps_.streams->OnAnswer(from, item.stream_answer());
       break;
+    case schema::PeerItem::kPathNews:
+      deps_.paths->OnNews(from, item.path_news().lost());
+      break;
     case schema::PeerItem::kQuestion:
       deps_.freshness->OnQuery(item.question());
       break;
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -164,10 +164,16 @@
   call.on_done = [self](CallOutcome outcome) {
     self->OnCallDone(std::move(outcome));
   };
+  deps_->hooks.attempt_started();
   call_id_ = deps_->client->Start(std::move(call));
 }
 
 bool RequestHandler::OnHeaders(const ResponseStart& start) {
+  if (start.reused_connection) {
+    deps_->hooks.bytes_received();
+  } else {
+    deps_->hooks.upstream_reached();
+  }
   response_info_ =
       deps_->codec->DecodeResponse(request_, start.status, start.headers);
   response_fault_ = FaultOfHead(start);
@@ -206,6 +212,7 @@
 
 // Returns false to cancel the call.
 bool RequestHandler::OnData(std::string_view bytes) {
+  deps_->hooks.bytes_received();
   if (finished_ || !response_is_stream_) {
     return true;
   }
@@ -268,6 +275,12 @@
 
 void RequestHandler::OnCallDone(CallOutcome outcome) {
   call_id_ = 0;
+  deps_->hooks.attempt_ended();
+  if (DefinitelyNotSent(outcome.result) ||
+      (outcome.result == CallResult::kConnectionBroken &&
+       outcome.status == 0)) {
+    deps_->hooks.upstream_unreached(last_upstream_);
+  }
   if (finished_) {
     return;
   }
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -33,7 +33,8 @@
 
 RequestHandler::RequestHandler(const RequestDeps* deps, ServingRequest request,
                                std::shared_ptr<Responder> responder,
-                               uint64_t connection_id, Millis arrived_at)
+                               uint64_t connection_id, Millis arrived_at,
+                               const std::optional<RelayedTarget>& relayed)
     : deps_(deps),
       state_(deps->state),
       request_(std::move(request)),
@@ -42,7 +43,9 @@
       arrived_at_(arrived_at),
       shared_parts_(SharedParts(request_.prompt_parts)),
       deadline_timer_(deps->loop),
-      wait_timer_(deps->loop) {}
+      wait_timer_(deps->loop),
+      is_relayed_(relayed.has_value()),
+      rate_is_charged_(relayed && relayed->rate_is_charged) {}
 
 bool RequestHandler::IsStream() const {
   return route_->kind == RequestKind::kStream;
@@ -62,7 +65,15 @@
   auto self = shared_from_this();
   deadline_timer_.Start(std::max(Millis(1), TimeLeft()),
                         [self] { self->OnDeadline(); });
-  state_->RetryBudgetFor(service_).OnRequest(arrived_at_);
+  if (!RelayIfPathLost()) {
+    Proceed();
+  }
+}
+
+void RequestHandler::Proceed() {
+  if (!rate_is_charged_) {
+    state_->RetryBudgetFor(service_).OnRequest(arrived_at_);
+  }
   if (IsTakeUp()) {
     FindOrigin();
   } else {
@@ -170,7 +181,8 @@
   if (finished_) {
     return;
   }
-  if (workspace_ == nullptr || workspace_->rate_per_s <= 0) {
+  if (workspace_ == nullptr || workspace_->rate_per_s <= 0 ||
+      rate_is_charged_) {
     Dispatch();
     return;
   }
@@ -189,6 +201,7 @@
     return;
   }
   if (decision.granted) {
+    rate_is_charged_ = true;
     Dispatch();
     return;
   }
@@ -245,7 +258,11 @@
 }
 
 void RequestHandler::Dispatch() {
-  if (finished_ || !Revalidate()) {
+  if (finished_ || call_id_ != 0 || !Revalidate()) {
+    return;
+  }
+  is_dispatched_ = true;
+  if (RelayIfPathLost()) {
     return;
   }
   load_engine_ = UpstreamId();
@@ -421,7 +438,7 @@
       "request",
       "Ended id={} outcome={} status={} ms={} sends={} model={} "
       "workspace={} route={} first_ms={} pause_ms={} asked={} misses={} "
-      "upstream={} config={} from={} reused={} version={} after={} "
+      "upstream={} config={} from={} reused={} version={} relay={} after={} "
       "resumes={}.",
       request_.id.str(), outcome, status,
       (EventLoop::Now() - arrived_at_).count(), attempts_,
@@ -431,7 +448,7 @@
       max_event_gap_.count(), load_requests_, adapter_misses_,
       last_upstream_.str(), config_ != nullptr ? config_->version() : 0,
       attempts_ > 0 ? NameOf(framing_) : "-", reused_connection_ ? 1 : 0,
-      upstream_software_.str(),
+      upstream_software_.str(), relay_.empty() ? "-" : relay_.str(),
       request_.last_event_id.empty() ? "-" : request_.last_event_id,
       request_.resumed_request.empty() ? "-" : request_.resumed_request.str());
   responder_.reset();
--- a/libs/serving/include/serving/api_codec.h
+++ b/libs/serving/include/serving/api_codec.h
@@ -24,6 +24,10 @@
   virtual void EncodeCall(const ServingRequest& request,
                           const UpstreamCallOptions& options,
                           HttpCall* call) const = 0;
+  // Sets the method, header fields and body of a call by which another instance
+  // handles the request for its caller.
+  virtual void EncodeForPeer(const ServingRequest& request, Millis time_left,
+                             HttpCall* call) const = 0;
   // Reads the status and header fields of an upstream's response.
   virtual ResponseInfo DecodeResponse(const ServingRequest& request, int status,
                                       const HttpHeaders& headers) const = 0;
