Send brittle upstreams only what they have room for

Nothing read the field. Now it is decoded, told to the others at once, and such an upstream gets a request only if it has a free slot as far as the instance knows, and after a rejection none from that instance for its part of half of N. Checked when it is chosen and when the request is sent.

--- a/libs/gateway/include/gateway/peer_dispatcher.h
+++ b/libs/gateway/include/gateway/peer_dispatcher.h
@@ -16,8 +16,9 @@
 class PathService;
 class UpstreamRegistry;
 namespace schema {
+class BrittleNews;
 class PeerItem;
-}
+}  // namespace schema
 
 // Must be used on the event loop's thread only.
 class PeerDispatcher {
@@ -41,6 +42,8 @@
   void OnItem(const MachineId& from, const schema::PeerItem& item);
 
  private:
+  void OnBrittleNews(const schema::BrittleNews& news);
+
   const Deps deps_;
 };
 
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -116,6 +116,10 @@
   std::function<void(const RequestId& began_as, const ServiceId&,
                      std::function<void(const StreamFinding&)> done)>
       find_stream;
+  // A response of the upstream states that it bears another number of
+  // rejections, or any number.
+  std::function<void(const UpstreamId&, std::optional<double> per_s)>
+      brittleness_changed;
   // The request has ended. Called from within its handler.
   std::function<void(uint64_t connection_id)> request_ended;
   // Acquires tokens of the workspace's rate. `done` may be called before the
@@ -230,6 +234,8 @@
   void RejectForRateLimit(Millis retry_after);
   void KeepAdapter(const UpstreamId& engine);
   void ReturnPermit();
+  // Applies the rejections that the upstream bears by its response, if it says.
+  void OnBrittle(UpstreamState* upstream);
   // Applies the rate limit that the response states, or that it states none.
   void OnRateLimit(UpstreamState* upstream);
   // The response proves the shared parts of the prompt sound.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -397,6 +397,17 @@
     request_deps_.hooks.attempt_started = [this] { paths_.OnRequestSent(); };
     request_deps_.hooks.attempt_ended = [this] { paths_.OnRequestEnded(); };
     request_deps_.hooks.bytes_received = [this] { paths_.OnBytes(); };
+    request_deps_.hooks.brittleness_changed =
+        [this](const UpstreamId& id, std::optional<double> per_s) {
+          LogInfo("upstream", "Bears rejections id={} per_s={}.", id.str(),
+                  per_s.value_or(-1));
+          schema::PeerItem item;
+          schema::BrittleNews* news = item.mutable_brittle_news();
+          news->set_upstream(id.str());
+          news->set_is_brittle(per_s.has_value());
+          news->set_rejections_per_s(per_s.value_or(0));
+          peers_.Broadcast(item);
+        };
     request_deps_.hooks.may_begin_stream =
         [this](const ServiceId& service, const SoftwareVersion& version) {
           return streams_.MayBegin(service, version);
--- a/libs/gateway/src/peer_dispatcher.cc
+++ b/libs/gateway/src/peer_dispatcher.cc
@@ -19,6 +19,18 @@
 
 PeerDispatcher::PeerDispatcher(const Deps& deps) : deps_(deps) {}
 
+void PeerDispatcher::OnBrittleNews(const schema::BrittleNews& news) {
+  Millis now = EventLoop::Now();
+  UpstreamState* upstream = deps_.upstreams->Find(UpstreamId(news.upstream()));
+  if (upstream != nullptr) {
+    deps_.upstreams->OnBrittle(upstream,
+                               news.is_brittle()
+                                   ? std::optional(news.rejections_per_s())
+                                   : std::nullopt,
+                               now, now);
+  }
+}
+
 void PeerDispatcher::OnItem(const MachineId& from,
                             const schema::PeerItem& item) {
   deps_.rate_limits->OnMessageFrom(from);
@@ -91,6 +103,9 @@
     case schema::PeerItem::kStreamAnswer:
       deps_.streams->OnAnswer(from, item.stream_answer());
       break;
+    case schema::PeerItem::kBrittleNews:
+      OnBrittleNews(item.brittle_news());
+      break;
     case schema::PeerItem::kPathNews:
       deps_.paths->OnNews(from, item.path_news().lost());
       break;
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -93,8 +93,9 @@
 }
 
 void RequestHandler::StartAttempt(UpstreamState* upstream) {
-  if (!MayStreamFrom(*upstream)) {
-    Dispatch();  // It has started anew in another version.
+  if (!MayStreamFrom(*upstream) ||
+      !upstream->HasRoomIfBrittle(EventLoop::Now())) {
+    Dispatch();  // It has changed since it was chosen.
     return;
   }
   bool is_confirmed = confirmed_upstream_ == upstream->entry.id &&
@@ -189,6 +190,7 @@
                                      EventLoop::Now());
     }
     OnRateLimit(upstream);
+    OnBrittle(upstream);
     if (response_info_.idle_timeout_s > 0) {
       upstream->idle_timeout_s = response_info_.idle_timeout_s;
     }
@@ -202,6 +204,14 @@
   return start.status >= 300 || response_info_.has_signature;
 }
 
+void RequestHandler::OnBrittle(UpstreamState* upstream) {
+  const std::optional<double>& limit = response_info_.bearable_rejections_per_s;
+  if (state_->upstreams.OnBrittle(upstream, limit, sent_at_,
+                                  EventLoop::Now())) {
+    deps_->hooks.brittleness_changed(upstream_, limit);
+  }
+}
+
 void RequestHandler::OnRateLimit(UpstreamState* upstream) {
   const std::optional<double>& limit = response_info_.rate_limit_per_s;
   if (state_->upstreams.OnRateLimit(upstream, limit, sent_at_,
@@ -359,6 +369,12 @@
 void RequestHandler::HandleFailedAttempt(AttemptOutcome end,
                                          CallOutcome* outcome) {
   UpstreamId upstream = upstream_;
+  UpstreamState* rejected_by = state_->upstreams.Find(upstream);
+  if (end == AttemptOutcome::kRejectedNotRun && rejected_by != nullptr &&
+      outcome->status != kMisdirectedRequestStatus) {
+    state_->upstreams.OnRejection(rejected_by, state_->instance_count,
+                                  EventLoop::Now());
+  }
   bool not_run_by_upstream =
       end == AttemptOutcome::kNotSent || end == AttemptOutcome::kRejectedNotRun;
   bool adapter_missed = end == AttemptOutcome::kRejectedNotRun &&
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -289,8 +289,12 @@
   if (RejectIfVersionGone()) {
     return;
   }
+  std::vector<UpstreamState*> usable = UsableUpstreams(now);
+  std::erase_if(usable, [now](const UpstreamState* upstream) {
+    return !upstream->HasRoomIfBrittle(now);
+  });
   std::optional<UpstreamChoice> choice =
-      ChooseUpstream(UsableUpstreams(now), state_->residency, input);
+      ChooseUpstream(usable, state_->residency, input);
   if (!choice) {
     Millis bound =
         std::max(route_->latency_target, kNoUpstreamRetryInterval * 2);
--- a/libs/gateway/test/lost_path_test.cc
+++ b/libs/gateway/test/lost_path_test.cc
@@ -339,6 +339,7 @@
     hooks.upstream_reached = [] {};
     hooks.upstream_unreached = [](const UpstreamId&) {};
     hooks.upstream_unreachable = [](const UpstreamId&) {};
+    hooks.brittleness_changed = [](const UpstreamId&, std::optional<double>) {};
     hooks.attempt_started = [] {};
     hooks.attempt_ended = [] {};
     hooks.bytes_received = [] {};
--- a/libs/serving/include/serving/request.h
+++ b/libs/serving/include/serving/request.h
@@ -69,6 +69,9 @@
   std::optional<UpstreamLoadReport> load;
   // Requests a second that the upstream takes from all instances together.
   std::optional<double> rate_limit_per_s;
+  // Rejections a second, over all instances, at which it fails; empty: it says
+  // nothing of it.
+  std::optional<double> bearable_rejections_per_s;
   int idle_timeout_s = 0;  // Of idle connections; 0: not stated.
   HttpHeaders forward;     // Fields to forward to the caller.
 };
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -68,6 +68,17 @@
   Millis rate_limit_heard_at;  // When the latest such statement arrived.
   Millis rate_limited_until;   // When a permit is free, as last told.
 
+  // Rejections a second, over all instances, at which it fails, as it states;
+  // empty: it states none.
+  std::optional<double> bearable_rejections_per_s;
+  Millis brittle_heard_at;  // When the latest such statement arrived.
+  // After a rejection of a brittle upstream.
+  Millis rejected_until;
+
+  // Whether a request may be sent to it although it can't bear many rejections:
+  // it has a free slot, as far as this instance knows, and has not turned one
+  // away just before.
+  bool HasRoomIfBrittle(Millis now) const;
   // Sums over this instance and the recent reports of its peers.
   uint32_t TotalInFlight(Millis now) const;
   int64_t TotalPendingPrefillTokens(Millis now) const;
@@ -132,6 +143,14 @@
   // none. Returns whether the limit has changed.
   bool OnRateLimit(UpstreamState* upstream, std::optional<double> limit_per_s,
                    Millis sent_at, Millis now);
+  // A response to a request that was sent at `sent_at`, or another instance,
+  // states this number of rejections, or none. Returns whether it has changed.
+  bool OnBrittle(UpstreamState* upstream,
+                 std::optional<double> rejections_per_s, Millis sent_at,
+                 Millis now);
+  // It turned a request away for want of room. `instances`: that may do the
+  // same.
+  void OnRejection(UpstreamState* upstream, size_t instances, Millis now);
   // A response arrived (`failed` if it reports an upstream failure) or broke
   // off.
   void OnAttemptResult(UpstreamState* upstream, bool failed, Millis elapsed);
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -9,6 +9,10 @@
 namespace bilberrypitch {
 namespace {
 
+// How long a brittle upstream gets no request after it turned one away.
+constexpr Millis kMinPauseAfterRejection{300};
+constexpr Millis kMaxPauseAfterRejection{5000};
+
 constexpr Millis kInitialBackoff{150};
 constexpr Millis kMaxBackoff{2000};
 constexpr double kSmoothing = 0.15;  // Weight of a new observation.
@@ -252,6 +256,43 @@
   upstream->backoff_until = now + std::min(backoff, kMaxBackoff);
 }
 
+bool UpstreamState::HasRoomIfBrittle(Millis now) const {
+  if (!bearable_rejections_per_s) {
+    return true;
+  }
+  uint32_t reported =
+      load_report.running + load_report.waiting + started_since_report;
+  uint32_t busy = std::max(reported, TotalInFlight(now));
+  return now >= rejected_until && busy < entry.slots;
+}
+
+bool UpstreamRegistry::OnBrittle(UpstreamState* upstream,
+                                 std::optional<double> rejections_per_s,
+                                 Millis sent_at, Millis now) {
+  if (!rejections_per_s && sent_at <= upstream->brittle_heard_at) {
+    return false;  // The response may be older than the latest statement.
+  }
+  if (rejections_per_s) {
+    upstream->brittle_heard_at = now;
+  }
+  return std::exchange(upstream->bearable_rejections_per_s, rejections_per_s) !=
+         rejections_per_s;
+}
+
+void UpstreamRegistry::OnRejection(UpstreamState* upstream, size_t instances,
+                                   Millis now) {
+  if (!upstream->bearable_rejections_per_s) {
+    return;
+  }
+  // Each instance has an equal part of half of what the upstream bears.
+  double per_s = *upstream->bearable_rejections_per_s / 2 /
+                 static_cast<double>(std::max<size_t>(1, instances));
+  double pause_ms = per_s > 0 ? 1000 / per_s : 1e9;
+  upstream->rejected_until =
+      now + std::clamp(Millis(static_cast<int64_t>(pause_ms)),
+                       kMinPauseAfterRejection, kMaxPauseAfterRejection);
+}
+
 void UpstreamRegistry::OnAttemptResult(UpstreamState* upstream, bool failed,
                                        Millis elapsed) {
   upstream->connect_failures = 0;
