--- a/libs/gateway/include/gateway/stream_service.h
+++ b/libs/gateway/include/gateway/stream_service.h
@@ -16,6 +16,8 @@
 #include <string>
 #include <vector>
 
+#include "gateway/stream_saver.h"
+#include "gateway/stream_search.h"
 #include "serving/ownership.h"
 #include "serving/served_versions.h"
 #include "serving/store_item.h"
@@ -30,7 +32,6 @@
 struct UpstreamState;
 namespace schema {
 class StreamAnswer;
-class StreamBatchValue;
 class StreamNews;
 class StreamQuestion;
 class StreamsOfVersion;
@@ -74,51 +75,20 @@
   void OnAnswer(const MachineId& from, const schema::StreamAnswer& answer);
 
  private:
-  // Streams by where they began.
-  using Group = std::pair<ServiceId, SoftwareVersion>;
-  using Groups = std::map<Group, std::vector<StreamKey>>;
-
-  struct Search {
-    StreamKey key{};
-    ServiceId service;
-    std::function<void(const StreamFinding&)> done;
-    std::vector<MachineId> asked;
-    std::set<MachineId> ignorant;  // They don't know the stream.
-    // What others hold for possible beside what this instance does.
-    std::set<SoftwareVersion> served_elsewhere;
-    Millis repeat_at;  // Zero: the question was repeated.
-    Millis judged_at;
-  };
-
+  StreamSearch::Hooks SearchHooks();
   void WriteVersions();
   void ScheduleWriteVersions();
   void WriteRecord(const ServiceId& service, VersionRecord record);
   void ReportAll();
-  void Report(const Groups& groups);
-  void SendNews(const MachineId& to, const Group& group,
+  void Report(const StreamGroups& groups);
+  void SendNews(const MachineId& to, const StreamGroup& group,
                 const std::vector<StreamKey>& keys, bool save);
   std::vector<ClusterMember> ReadersOfZone(const ZoneId& zone) const;
   ZoneId NextZone() const;
   std::vector<MachineId> WhomToAsk() const;
   void Keep(const schema::StreamsOfVersion& group);
-  void AddUnsaved(const Group& group, StreamKey key);
-  void ScheduleSave();
-  void Save();
-  void SaveBatch();
-  void Ask(const Search& search, uint64_t nonce);
-  // The answers of others are in, or their time is over.
-  void Judge(uint64_t nonce);
-  // Reads the records from the store for the searches that wait for them.
-  void ReadRecords(const std::string& after_key);
-  void OnRecordsRead(bool ok);
-  void End(const Search& search, const SoftwareVersion& software) const;
-  void CheckSearches();
-  void ScheduleSearches();
   Millis SaveInterval() const;
-  schema::StreamsOfVersion* AddGroup(schema::StreamBatchValue* batch,
-                                     const Group& group) const;
 
-  EventLoop* const loop_;
   ClusterStore* const store_;
   PeerMessenger* const peers_;
   const ClusterMember self_;
@@ -128,22 +98,9 @@
   StreamOrigins origins_;
   std::set<ServiceId> mixed_;  // Services whose streams are reported.
 
-  Groups unsaved_;
-  size_t unsaved_count_ = 0;
-  uint64_t last_batch_ = 0;
-  int64_t batch_lease_ = 0;  // 0: none.
-  Millis batch_lease_until_;
-  bool saving_ = false;
-  Millis last_save_at_;
-
-  std::map<uint64_t, Search> searches_;  // By nonce.
-  uint64_t last_nonce_ = 0;
-  // Those that the reading of records will end, and those that came later.
-  std::vector<Search> reading_for_;
-  std::vector<Search> waiting_for_read_;
+  StreamSaver saver_;
+  StreamSearch search_;
   Timer versions_timer_;
-  Timer save_timer_;
-  Timer search_timer_;
 };
 
 }  // namespace bilberrypitch
--- a/libs/gateway/src/stream_service.cc
+++ b/libs/gateway/src/stream_service.cc
@@ -22,14 +22,8 @@
 // that is not saved yet.
 constexpr Millis kSaveIntervalPerSaver{125};
 constexpr Millis kMaxSaveInterval{1000};
-// The lease of batches; they are given another one after half of it.
-constexpr Millis kMaxBatchLease{10 * 60 * 1000};
-constexpr size_t kMaxUnsaved = 50'000;
 // All instances are asked for a stream up to this number, readers beyond it.
 constexpr size_t kMaxAskedOfAll = 16;
-// A question is repeated once, and its answers are awaited for this long.
-constexpr Millis kRepeatTime{60};
-constexpr Millis kSearchTime{180};
 // An instance with an older view may not know of the latest version.
 constexpr Millis kMaxViewAge{2000};
 // An instance may know of a change in the store this much later than it
@@ -43,20 +37,35 @@
 StreamService::StreamService(EventLoop* loop, ClusterStore* store,
                              PeerMessenger* peers, const ClusterMember& self,
                              bool is_first_start, Hooks hooks)
-    : loop_(loop),
-      store_(store),
+    : store_(store),
       peers_(peers),
       self_(self),
       hooks_(std::move(hooks)),
       time_to_live_(kDefaultTimeToLive),
       served_(kDefaultTimeToLive + kMaxEntryDelay, is_first_start),
-      versions_timer_(loop),
-      save_timer_(loop),
-      search_timer_(loop) {}
+      saver_(loop, store, self, kDefaultTimeToLive,
+             [this] { return SaveInterval(); }),
+      search_(loop, store, peers, SearchHooks()),
+      versions_timer_(loop) {}
+
+StreamSearch::Hooks StreamService::SearchHooks() {
+  StreamSearch::Hooks hooks;
+  hooks.whom_to_ask = [this] { return WhomToAsk(); };
+  hooks.known = [this](StreamKey key) {
+    return origins_.Find(key, EventLoop::Now());
+  };
+  hooks.only_version = [this](const ServiceId& service) {
+    return served_.OnlyVersion(service);
+  };
+  hooks.view_age = [this] { return hooks_.view_age(); };
+  hooks.apply = [this](const StoreItem& item) { OnStoreItem(item); };
+  return hooks;
+}
 
 void StreamService::SetTimeToLive(Millis time_to_live) {
   time_to_live_ = std::max(time_to_live, kDefaultTimeToLive);
   served_.SetTimeToLive(time_to_live_ + kMaxEntryDelay);
+  saver_.SetTimeToLive(time_to_live_);
 }
 
 // Versions.
@@ -106,14 +115,13 @@
     return;
   }
   // The copy may lack the batches, and it has lost their lease.
-  batch_lease_ = 0;
+  saver_.OnNewEra();
   for (const ServiceId& service : mixed_) {
     for (const auto& [key, origin] : origins_.All(service, EventLoop::Now())) {
-      AddUnsaved({service, origin.software}, key);
+      saver_.Add({service, origin.software}, key);
     }
   }
   ScheduleWriteVersions();
-  ScheduleSave();
 }
 
 void StreamService::ScheduleWriteVersions() {
@@ -176,7 +184,7 @@
   Millis now = EventLoop::Now();
   origin.begun_at = now;
   origin.expires_at = now + time_to_live_;
-  const Group group{origin.service, origin.software};
+  const StreamGroup group{origin.service, origin.software};
   const StreamKey key = StreamKeyOf(began_as);
   const bool is_mixed = mixed_.count(origin.service) > 0;
   origins_.Add(key, std::move(origin), now);
@@ -194,7 +202,7 @@
       continue;
     }
     mixed_.insert(service);
-    Groups groups;
+    StreamGroups groups;
     for (const auto& [key, origin] : origins_.TakeUnreported(service, now)) {
       groups[{service, origin.software}].push_back(key);
     }
@@ -229,7 +237,7 @@
   return next == zones.end() ? self_.zone : *next;
 }
 
-void StreamService::Report(const Groups& groups) {
+void StreamService::Report(const StreamGroups& groups) {
   const std::vector<ClusterMember> own = ReadersOfZone(self_.zone);
   const std::vector<ClusterMember> other = ReadersOfZone(NextZone());
   for (const auto& [group, keys] : groups) {
@@ -246,15 +254,14 @@
   }
 }
 
-void StreamService::SendNews(const MachineId& to, const Group& group,
+void StreamService::SendNews(const MachineId& to, const StreamGroup& group,
                              const std::vector<StreamKey>& keys, bool save) {
   if (to == self_.machine) {
     for (StreamKey key : keys) {
       if (save) {
-        AddUnsaved(group, key);
+        saver_.Add(group, key);
       }
     }
-    ScheduleSave();
     return;
   }
   constexpr size_t kKeysPerMessage = 64;
@@ -277,12 +284,11 @@
   if (!news.save()) {
     return;
   }
-  const Group group{ServiceId(news.group().service()),
-                    SoftwareVersion(news.group().software())};
+  const StreamGroup group{ServiceId(news.group().service()),
+                          SoftwareVersion(news.group().software())};
   for (uint64_t number : news.group().streams()) {
-    AddUnsaved(group, StreamKey{number});
+    saver_.Add(group, StreamKey{number});
   }
-  ScheduleSave();
 }
 
 void StreamService::Keep(const schema::StreamsOfVersion& group) {
@@ -304,7 +310,7 @@
 // An upstream that has started anew under its id may have written the latest
 // streams as the version that it is now, before its entry said so.
 void StreamService::OnUpstreamStarted(const UpstreamState& upstream) {
-  Groups groups;
+  StreamGroups groups;
   for (const auto& [key, origin] :
        origins_.Doubt(upstream.entry.id, upstream.entry.software,
                       EventLoop::Now() - kMaxEntryDelay)) {
@@ -313,15 +319,6 @@
   Report(groups);
 }
 
-// Batches in the store.
-
-void StreamService::AddUnsaved(const Group& group, StreamKey key) {
-  if (unsaved_count_ < kMaxUnsaved) {
-    unsaved_[group].push_back(key);
-    ++unsaved_count_;
-  }
-}
-
 Millis StreamService::SaveInterval() const {
   std::set<ZoneId> zones = {self_.zone};
   for (const auto& [machine, member] : peers_->peers()) {
@@ -335,76 +332,6 @@
                   kSaveIntervalPerSaver * static_cast<int64_t>(savers));
 }
 
-void StreamService::ScheduleSave() {
-  if (!saving_ && unsaved_count_ > 0) {
-    saving_ = true;
-    Millis due = last_save_at_ + SaveInterval();
-    save_timer_.Start(std::max(Millis(1), due - EventLoop::Now()),
-                      [this] { Save(); });
-  }
-}
-
-void StreamService::Save() {
-  Millis now = EventLoop::Now();
-  last_save_at_ = now;
-  if (batch_lease_ != 0 && now < batch_lease_until_) {
-    SaveBatch();
-    return;
-  }
-  Millis lease_time = std::min(time_to_live_ * 2, kMaxBatchLease);
-  store_->GrantLease(lease_time, [this](const StoreLeaseResult& result) {
-    saving_ = false;
-    if (result.outcome != StoreOutcome::kOk) {
-      ScheduleSave();
-      return;
-    }
-    batch_lease_ = result.lease;
-    batch_lease_until_ =
-        EventLoop::Now() + Millis(result.time_to_live.count() / 2);
-    saving_ = true;
-    SaveBatch();
-  });
-}
-
-schema::StreamsOfVersion* StreamService::AddGroup(
-    schema::StreamBatchValue* batch, const Group& group) const {
-  schema::StreamsOfVersion* added = batch->add_groups();
-  added->set_service(group.first.str());
-  added->set_software(group.second.str());
-  added->set_time_left_ms(time_to_live_.count());
-  return added;
-}
-
-void StreamService::SaveBatch() {
-  schema::StreamBatchValue batch;
-  Groups groups = std::exchange(unsaved_, {});
-  unsaved_count_ = 0;
-  for (const auto& [group, keys] : groups) {
-    schema::StreamsOfVersion* added = AddGroup(&batch, group);
-    for (StreamKey key : keys) {
-      added->add_streams(ToNumber(key));
-    }
-  }
-  StoreTransaction transaction;
-  transaction.writes.push_back({StreamBatchKey(self_, ++last_batch_),
-                                batch.SerializeAsString(), batch_lease_});
-  store_->Commit(std::move(transaction), [this, groups = std::move(groups)](
-                                             const StoreCommitResult& result) {
-    saving_ = false;
-    if (result.outcome == StoreOutcome::kLeaseNotFound) {
-      batch_lease_ = 0;
-    }
-    if (result.outcome != StoreOutcome::kOk) {
-      for (const auto& [group, keys] : groups) {
-        for (StreamKey key : keys) {
-          AddUnsaved(group, key);
-        }
-      }
-    }
-    ScheduleSave();
-  });
-}
-
 // Searches.
 
 std::vector<MachineId> StreamService::WhomToAsk() const {
@@ -431,39 +358,12 @@
 
 void StreamService::Find(const RequestId& began_as, const ServiceId& service,
                          std::function<void(const StreamFinding&)> done) {
-  Millis now = EventLoop::Now();
-  const StreamKey key = StreamKeyOf(began_as);
-  std::optional<StreamOrigin> origin =
-      began_as.empty() ? std::nullopt : origins_.Find(key, now);
+  const StreamKey key = began_as.empty() ? StreamKey{} : StreamKeyOf(began_as);
+  std::optional<StreamOrigin> origin = origins_.Find(key, EventLoop::Now());
   if (origin) {
     done({origin->service, origin->software});
-    return;
-  }
-  Search search;
-  search.key = began_as.empty() ? StreamKey{} : key;
-  search.service = service;
-  search.done = std::move(done);
-  search.asked = WhomToAsk();
-  search.repeat_at = now + kRepeatTime;
-  search.judged_at = now + kSearchTime;
-  const uint64_t nonce = ++last_nonce_;
-  const bool alone = search.asked.empty();
-  Ask(search, nonce);
-  searches_.emplace(nonce, std::move(search));
-  if (alone) {
-    Judge(nonce);
   } else {
-    ScheduleSearches();
-  }
-}
-
-void StreamService::Ask(const Search& search, uint64_t nonce) {
-  schema::PeerItem item;
-  item.mutable_stream_question()->set_nonce(nonce);
-  item.mutable_stream_question()->set_stream(ToNumber(search.key));
-  item.mutable_stream_question()->set_service(search.service.str());
-  for (const MachineId& machine : search.asked) {
-    peers_->Send(machine, item);
+    search_.Start(key, service, std::move(done));
   }
 }
 
@@ -488,123 +388,7 @@
 
 void StreamService::OnAnswer(const MachineId& from,
                              const schema::StreamAnswer& answer) {
-  auto it = searches_.find(answer.nonce());
-  if (it == searches_.end()) {
-    return;
-  }
-  Search& search = it->second;
-  if (answer.known()) {
-    auto done = std::move(search.done);
-    searches_.erase(it);
-    done({ServiceId(answer.service()), SoftwareVersion(answer.software())});
-    return;
-  }
-  search.ignorant.insert(from);
-  for (const std::string& version : answer.served()) {
-    search.served_elsewhere.insert(SoftwareVersion(version));
-  }
-  if (search.ignorant.size() >= search.asked.size()) {
-    Judge(answer.nonce());
-  }
-}
-
-// Nobody who was asked knows the stream: it is of the only version that there
-// has been, if that is certain, or the store knows more.
-void StreamService::Judge(uint64_t nonce) {
-  auto node = searches_.extract(nonce);
-  Search& search = node.mapped();
-  std::optional<SoftwareVersion> only = served_.OnlyVersion(search.service);
-  bool is_isolated = !search.asked.empty() && search.ignorant.empty();
-  bool is_certain = only && !is_isolated && hooks_.view_age() <= kMaxViewAge;
-  for (const SoftwareVersion& version : search.served_elsewhere) {
-    is_certain = is_certain && version == *only;
-  }
-  if (is_certain) {
-    End(search, *only);
-    return;
-  }
-  waiting_for_read_.push_back(std::move(search));
-  if (reading_for_.empty()) {
-    reading_for_ = std::exchange(waiting_for_read_, {});
-    ReadRecords("");
-  }
-}
-
-void StreamService::ReadRecords(const std::string& after_key) {
-  store_->ReadPage(StreamRecordsPrefix(), after_key,
-                   [this](const StorePage& page) {
-                     for (const StoreItem& item : page.items) {
-                       OnStoreItem(item);
-                     }
-                     bool ok = page.outcome == StoreOutcome::kOk;
-                     if (ok && page.more && !page.items.empty()) {
-                       ReadRecords(page.items.back().key);
-                     } else {
-                       OnRecordsRead(ok);
-                     }
-                   });
-}
-
-void StreamService::OnRecordsRead(bool ok) {
-  Millis now = EventLoop::Now();
-  for (const Search& search : std::exchange(reading_for_, {})) {
-    std::optional<StreamOrigin> origin = origins_.Find(search.key, now);
-    std::optional<SoftwareVersion> only = served_.OnlyVersion(search.service);
-    if (origin && origin->service == search.service) {
-      End(search, origin->software);
-    } else if (ok && only) {
-      End(search, *only);
-    } else {
-      End(search, SoftwareVersion());
-    }
-  }
-  if (!waiting_for_read_.empty()) {
-    reading_for_ = std::exchange(waiting_for_read_, {});
-    ReadRecords("");
-  }
-}
-
-void StreamService::End(const Search& search,
-                        const SoftwareVersion& software) const {
-  LogInfo("request",
-          "Stream of service={} is not known to {} of {}, versions={} "
-          "age_ms={} taken_for={}.",
-          search.service.str(), search.ignorant.size(), search.asked.size(),
-          served_.VersionsOf(search.service).size(), hooks_.view_age().count(),
-          software.str());
-  search.done({search.service, software});
-}
-
-void StreamService::ScheduleSearches() {
-  Millis next;
-  for (const auto& [nonce, search] : searches_) {
-    Millis due =
-        search.repeat_at != Millis(0) ? search.repeat_at : search.judged_at;
-    if (next == Millis(0) || due < next) {
-      next = due;
-    }
-  }
-  if (next != Millis(0)) {
-    search_timer_.Start(std::max(Millis(1), next - EventLoop::Now()),
-                        [this] { CheckSearches(); });
-  }
-}
-
-void StreamService::CheckSearches() {
-  Millis now = EventLoop::Now();
-  std::vector<uint64_t> due;
-  for (auto& [nonce, search] : searches_) {
-    if (search.repeat_at != Millis(0) && now >= search.repeat_at) {
-      search.repeat_at = Millis(0);
-      Ask(search, nonce);
-    } else if (now >= search.judged_at) {
-      due.push_back(nonce);
-    }
-  }
-  for (uint64_t nonce : due) {
-    Judge(nonce);
-  }
-  ScheduleSearches();
+  search_.OnAnswer(from, answer);
 }
 
 }  // namespace bilberrypitch
