--- a/libs/transport/test/response_head_test.cc
+++ b/libs/transport/test/response_head_test.cc
@@ -118,8 +118,10 @@
   const std::string chunked = "Transfer-Encoding: chunked\r\n";
   const std::string length = "Content-Length: 0\r\n";
   for (const std::string& fields :
-       {length + chunked, chunked + length, length + length,
-        "Content-Length: 1\r\n" + length, chunked + chunked,
+       {length + chunked, chunked + length,
+        std::string(
+            "Content-Length: 0\r\nX: y\r\nTransfer-Encoding: chunked\r\n"),
+        length + length, "Content-Length: 1\r\n" + length, chunked + chunked,
         std::string("Content-Length: 0, 0\r\n"),
         std::string("Content-Length: +5\r\n"),
         std::string("Content-Length: -1\r\n"),
