Look at the versions of all upstreams once for many changes

A pass over all upstreams followed each changed entry, so that a full read of 2,100 cost 2,100 passes.

--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -92,6 +92,7 @@
   void OnAdapterVersionRecord(const AdapterVersionRecord& record);
   // The upstreams of a service, or their versions, may have changed.
   void UpdateLiveVersions();
+  void ScheduleLiveVersions();
   // Removes upstreams whose entries have not returned in time.
   void ExpireMissingUpstreams();
 
@@ -100,6 +101,7 @@
   DepartedUpstreams departed_;
   bool reading_copy_ = false;  // The first full read of an era is applied.
   Timer expire_timer_;
+  Timer live_versions_timer_;
 };
 
 }  // namespace bilberrypitch
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -19,9 +19,15 @@
 #include "transport/event_loop.h"
 
 namespace bilberrypitch {
+namespace {
+
+// From a change of upstreams to the pass over their versions.
+constexpr Millis kLiveVersionsDelay{1};
+
+}  // namespace
 
 RecordApplier::RecordApplier(EventLoop* loop, Deps deps)
-    : deps_(std::move(deps)), expire_timer_(loop) {}
+    : deps_(std::move(deps)), expire_timer_(loop), live_versions_timer_(loop) {}
 
 bool RecordApplier::Apply(const StoreItem& item, Millis return_deadline) {
   if (item.key == KeptConfigKey()) {
@@ -245,13 +251,21 @@
   deps_.streams->SetLiveVersions(std::move(live_versions));
 }
 
+// A full read changes many upstreams at once, and each pass goes over all.
+void RecordApplier::ScheduleLiveVersions() {
+  if (!live_versions_timer_.pending()) {
+    live_versions_timer_.Start(kLiveVersionsDelay,
+                               [this] { UpdateLiveVersions(); });
+  }
+}
+
 void RecordApplier::ExpireMissingUpstreams() {
   Millis now = EventLoop::Now();
   for (const UpstreamEntry& entry : departed_.TakeTrusted(now)) {
     OnUpstreamRecord({entry.id, entry}, now, Millis(0));
   }
   Millis due = deps_.state->upstreams.ExpireMissing(now);
-  UpdateLiveVersions();
+  ScheduleLiveVersions();
   Millis trusted_at = departed_.NextDue();
   if (due == Millis(0) || (trusted_at != Millis(0) && trusted_at < due)) {
     due = trusted_at;
