Wire the callbacks of requests in a file of their own

They follow from the services alone, so they are made by a function of these. No change of behaviour.

--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -26,6 +26,7 @@
 #include "gateway/record_applier.h"
 #include "gateway/relay_target.h"
 #include "gateway/request_handler.h"
+#include "gateway/request_hooks.h"
 #include "gateway/serving_state.h"
 #include "gateway/store_sync.h"
 #include "gateway/stream_service.h"
@@ -311,126 +312,32 @@
     };
   }
 
+  RequestServices RequestServicesOf() {
+    RequestServices services;
+    services.adapters = &adapters_;
+    services.callers = &callers_;
+    services.crashes = &crashes_;
+    services.part_crashes = &part_crashes_;
+    services.paths = &paths_;
+    services.peers = &peers_;
+    services.permits = &permits_;
+    services.prefills = &prefills_;
+    services.rate_limits = &rate_limits_;
+    services.streams = &streams_;
+    services.check_start = [this](const CrashId& id,
+                                  std::function<void(bool)> done) {
+      return CheckStart(id, std::move(done));
+    };
+    return services;
+  }
+
   // The two APIs differ only in their codecs.
   void InitRequestDeps() {
     request_deps_.loop = loop_;
     request_deps_.client = gateway_deps_.client;
     request_deps_.codec = gateway_deps_.codec;
     request_deps_.state = &state_;
-    request_deps_.hooks.request_load =
-        [this](const UpstreamId& engine, const ModelRef& target,
-               int64_t version, bool reserve_slot) {
-          adapters_.RequestLoad(engine, target, version, reserve_slot);
-        };
-    request_deps_.hooks.adapter_wait_changed =
-        [this](const UpstreamId& engine, const ModelRef& target, int change) {
-          adapters_.UpdateWaitCount(engine, target, change);
-        };
-    request_deps_.hooks.adapter_missing = [this](const UpstreamId& engine,
-                                                 const ModelRef& target) {
-      adapters_.ReportMissing(engine, target);
-    };
-    request_deps_.hooks.adapter_use_changed =
-        [this](const UpstreamId& engine, const ModelRef& target, int change) {
-          adapters_.UpdateUseCount(engine, target, change);
-        };
-    request_deps_.hooks.connection_broken =
-        [this](uint64_t fingerprint, const UpstreamId& id, int64_t started_ms) {
-          crashes_.OnConnectionBroken(fingerprint, {id, started_ms});
-        };
-    request_deps_.hooks.broken_before_response =
-        [this](const PartCrash& suspicion) {
-          part_crashes_.OnConnectionBroken(suspicion);
-        };
-    request_deps_.hooks.response_begun =
-        [this](const std::vector<PartId>& parts) {
-          part_crashes_.OnResponseBegun(parts);
-        };
-    request_deps_.hooks.upstream_unreachable = [this](const UpstreamId& id) {
-      crashes_.OnUpstreamDown(id);
-      part_crashes_.OnUpstreamDown(id);
-    };
-    request_deps_.hooks.acquire_rate_tokens =
-        [this](const WorkspaceId& workspace, double cost,
-               std::function<void(RateDecision)> done) {
-          rate_limits_.Acquire(workspace, cost, std::move(done));
-        };
-    request_deps_.hooks.request_prefill =
-        [this](const UpstreamId& engine, int64_t tokens, int priority,
-               std::function<void()> on_granted) {
-          return prefills_.RequestPrefill(engine, tokens, priority,
-                                          std::move(on_granted));
-        };
-    request_deps_.hooks.renew_prefill_request =
-        [this](uint64_t request_number) {
-          prefills_.RenewRequest(request_number);
-        };
-    request_deps_.hooks.prefill_owner_responded =
-        [this](uint64_t request_number) {
-          return prefills_.OwnerResponded(request_number);
-        };
-    request_deps_.hooks.release_prefill = [this](uint64_t request_number,
-                                                 bool prefilled) {
-      prefills_.Release(request_number, prefilled);
-    };
-    request_deps_.hooks.acquire_permit =
-        [this](const UpstreamId& upstream, double rate_per_s, Millis max_wait,
-               std::function<void(Permit)> done) {
-          permits_.Acquire(upstream, rate_per_s, max_wait, std::move(done));
-        };
-    request_deps_.hooks.return_permit = [this](const UpstreamId& upstream) {
-      permits_.Return(upstream);
-    };
-    request_deps_.hooks.rate_limit_changed =
-        [this](const UpstreamId& upstream, std::optional<double> limit) {
-          permits_.OnLimitChanged(upstream, limit);
-        };
-    request_deps_.hooks.path_is_lost = [this] { return paths_.is_lost(); };
-    request_deps_.hooks.choose_relay =
-        [this](uint64_t hash, const std::set<MachineId>& excluded) {
-          return paths_.ChooseRelay(hash, excluded);
-        };
-    request_deps_.hooks.upstream_reached = [this] { paths_.OnReached(); };
-    request_deps_.hooks.upstream_unreached = [this](const UpstreamId& id) {
-      paths_.OnUnreached(id);
-    };
-    request_deps_.hooks.attempt_started = [this] { paths_.OnRequestSent(); };
-    request_deps_.hooks.attempt_ended = [this] { paths_.OnRequestEnded(); };
-    request_deps_.hooks.bytes_received = [this] { paths_.OnBytes(); };
-    request_deps_.hooks.brittleness_changed =
-        [this](const UpstreamId& id, std::optional<double> per_s) {
-          LogInfo("upstream", "Bears rejections id={} per_s={}.", id.str(),
-                  per_s.value_or(-1));
-          schema::PeerItem item;
-          schema::BrittleNews* news = item.mutable_brittle_news();
-          news->set_upstream(id.str());
-          news->set_is_brittle(per_s.has_value());
-          news->set_rejections_per_s(per_s.value_or(0));
-          peers_.Broadcast(item);
-        };
-    request_deps_.hooks.may_begin_stream =
-        [this](const ServiceId& service, const SoftwareVersion& version) {
-          return streams_.MayBegin(service, version);
-        };
-    request_deps_.hooks.stream_running = [this](const RequestId& began_as,
-                                                const StreamOrigin& origin) {
-      streams_.OnStream(began_as, origin);
-    };
-    request_deps_.hooks.confirm_start = [this](const UpstreamId& id,
-                                               int64_t started_ms,
-                                               std::function<void(bool)> done) {
-      if (!CheckStart({id, started_ms}, done)) {
-        done(true);
-      }
-    };
-    request_deps_.hooks.find_stream =
-        [this](const RequestId& began_as, const ServiceId& service,
-               std::function<void(const StreamFinding&)> done) {
-          streams_.Find(began_as, service, std::move(done));
-        };
-    request_deps_.hooks.request_ended = [this](uint64_t connection_id) {
-      callers_.OnRequestEnded(connection_id);
-    };
+    request_deps_.hooks = MakeRequestHooks(RequestServicesOf());
     completions_request_deps_ = request_deps_;
     completions_request_deps_.codec = gateway_deps_.completions_codec;
     completions_request_deps_.api = CallerApi::kCompletions;
