Learn how long engines take to load an adapter

Cause: owners assumed that a load is complete after 255 ms.

Change: the owner learns the time from the requests that came too early, extends the load instead of reading the engine again, and asks the engine after three such requests.

--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -20,6 +20,7 @@
 #include <set>
 #include <vector>
 
+#include "serving/adapter_load_time.h"
 #include "serving/config.h"
 #include "serving/engine_api.h"
 
@@ -105,13 +106,25 @@
     uint32_t running = 0;
     Millis updated_at;
   };
+  // A load whose end is expected and not known.
+  struct AssumedLoad {
+    Millis began_at;
+    Millis ended_at;
+    bool fetched = false;  // The engine had not held the adapter recently.
+    int extensions = 0;    // How often the end was expected too early.
+  };
   struct Resident {
     int64_t version = 0;
     std::set<MachineId> notified;  // Machines that regard it as loaded.
+    // Until the engine confirms it or rejects a request.
+    std::optional<AssumedLoad> assumed;
   };
   struct Loading {
     int64_t version = 0;
     Millis due;  // Expected end of the load.
+    Millis began_at;
+    bool fetched = false;
+    int extensions = 0;
   };
   struct LoadRequest {
     int64_t version = 0;
@@ -134,6 +147,11 @@
   bool IsStale(const EngineReport& report) const;
   // Marks loads as complete once their expected time has passed.
   void CompleteLoads(Millis now);
+  // Waits longer for a load that was assumed to be complete just now. Returns
+  // false if there is none.
+  bool ResumeLoad(const ModelRef& target, Millis now);
+  // Learns from a load after which no request was rejected.
+  void ConfirmLoad(Resident* resident, Millis now);
   void QueueNotification(PlacementAction::Kind kind, const ModelRef& target,
                          const MachineId& machine);
   // Notifies the machines whose load request for `target` is fulfilled.
@@ -158,10 +176,9 @@
   // Stops tracking adapters without recent demand or use.
   void TrimDemand(Millis now);
   void AddDemand(const ModelRef& target, double weight, Millis now);
-  void ApplyUnload(const ModelRef& target);
+  void ApplyUnload(const ModelRef& target, Millis now);
   const ModelSpec* SpecOf(const ModelId& model) const;
-  // Expected duration of a load.
-  Millis EstimateLoadTime(const ModelRef& target) const;
+  bool WasRecentlyHeld(const ModelRef& target) const;
   void RecordRecentlyHeld(const ModelRef& target);
 
   EngineProfile profile_;
@@ -189,6 +206,7 @@
   std::map<ModelRef, LoadRequest> load_requests_;
   std::map<ModelRef, Demand> demand_;
   size_t demand_trim_size_ = 0;  // Size of `demand_` that triggers a trim.
+  AdapterLoadTime load_time_;
   // Adapters that the engine held recently, newest last; they load faster.
   std::vector<ModelRef> recently_held_;
   std::vector<PlacementAction> pending_notifications_;
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -8,10 +8,15 @@
 namespace bilberrypitch {
 namespace {
 
-// Expected load times of an adapter: of one that the engine did not hold
-// recently, and of one that it did.
-constexpr Millis kColdLoadTime{255};
+// Expected load time of an adapter that the engine held recently.
 constexpr Millis kWarmLoadTime{30};
+// A request that is rejected within this time after the expected end of a load
+// arrived too early; after it, the engine has lost the adapter.
+constexpr Millis kMaxLoadDelay{600};
+constexpr Millis kLoadRecheckDelay{20};
+// After as many early requests the engine is asked what it holds: it may never
+// have accepted the order.
+constexpr int kMaxLoadExtensions = 3;
 constexpr Millis kReportInterval{250};
 // The state in a report may be older than this. A report that is fetched sooner
 // after an order still shows the state before that order.
@@ -210,7 +215,42 @@
   usage.updated_at = running > 0 ? now : now - kRequestGrace;
 }
 
+bool EnginePlacement::ResumeLoad(const ModelRef& target, Millis now) {
+  auto resident = resident_.find(target);
+  if (resident == resident_.end() || !resident->second.assumed) {
+    return false;
+  }
+  const AssumedLoad& load = *resident->second.assumed;
+  if (now - load.ended_at > kMaxLoadDelay ||
+      load.extensions >= kMaxLoadExtensions) {
+    return false;
+  }
+  Loading resumed{resident->second.version, now + kLoadRecheckDelay,
+                  load.began_at, true, load.extensions + 1};
+  if (load.fetched) {
+    load_time_.OnRejected(load.ended_at - load.began_at, load.extensions, now);
+  }
+  // An engine that no longer had the copy fetches the adapter.
+  resumed.due = std::max(resumed.due, load.began_at + load_time_.Estimate());
+  for (const MachineId& machine : resident->second.notified) {
+    QueueNotification(PlacementAction::Kind::kNotifyEvicted, target, machine);
+  }
+  resident_.erase(resident);
+  loading_[target] = resumed;
+  return true;
+}
+
+void EnginePlacement::ConfirmLoad(Resident* resident, Millis now) {
+  if (resident->assumed && resident->assumed->fetched) {
+    load_time_.OnLoadedInTime(now);
+  }
+  resident->assumed.reset();
+}
+
 void EnginePlacement::OnAdapterMissing(const ModelRef& target, Millis now) {
+  if (loading_.count(target) > 0 || ResumeLoad(target, now)) {
+    return;
+  }
   if (resident_.erase(target) > 0) {
     synced_ = false;
     report_not_before_ = std::max(report_not_before_, now);
@@ -343,7 +383,7 @@
   }
   if (order.action == OrderAction::kUnload) {
     ++orders_accepted_;
-    ApplyUnload(order.target);
+    ApplyUnload(order.target, now);
     if (outcome == OrderOutcome::kStarted) {
       unloading_ = order.target;
       unloading_since_ = now;
@@ -358,8 +398,9 @@
     return;
   }
   ++orders_accepted_;
-  loading_[order.target] = {order.version,
-                            now + EstimateLoadTime(order.target)};
+  bool fetched = !WasRecentlyHeld(order.target);
+  Millis load_time = fetched ? load_time_.Estimate() : kWarmLoadTime;
+  loading_[order.target] = {order.version, now + load_time, now, fetched};
   auto request = load_requests_.find(order.target);
   if (request != load_requests_.end()) {
     for (const MachineId& machine : request->second.machines) {
@@ -379,7 +420,7 @@
   pending_notifications_.push_back(std::move(notification));
 }
 
-void EnginePlacement::ApplyUnload(const ModelRef& target) {
+void EnginePlacement::ApplyUnload(const ModelRef& target, Millis now) {
   auto resident = resident_.find(target);
   if (resident == resident_.end()) {
     return;
@@ -388,6 +429,7 @@
     QueueNotification(PlacementAction::Kind::kNotifyEvicted, target, machine);
   }
   RecordRecentlyHeld(target);
+  ConfirmLoad(&resident->second, now);
   resident_.erase(resident);
 }
 
@@ -399,10 +441,9 @@
   }
 }
 
-Millis EnginePlacement::EstimateLoadTime(const ModelRef& target) const {
-  bool recently_held = std::find(recently_held_.begin(), recently_held_.end(),
-                                 target) != recently_held_.end();
-  return recently_held ? kWarmLoadTime : kColdLoadTime;
+bool EnginePlacement::WasRecentlyHeld(const ModelRef& target) const {
+  return std::find(recently_held_.begin(), recently_held_.end(), target) !=
+         recently_held_.end();
 }
 
 const ModelSpec* EnginePlacement::SpecOf(const ModelId& model) const {
--- a/libs/serving/src/engine_placement_orders.cc
+++ b/libs/serving/src/engine_placement_orders.cc
@@ -19,6 +19,8 @@
     }
     Resident& resident = resident_[it->first];
     resident.version = std::max(resident.version, it->second.version);
+    resident.assumed = {it->second.began_at, it->second.due, it->second.fetched,
+                        it->second.extensions};
     RecordRecentlyHeld(it->first);
     it = loading_.erase(it);
   }
