Keep an adapter while a prompt waits for its turn on the engine

Cause: a request whose adapter is ready waits for its prefill grant, and the owner evicted the adapter after 120 ms. Owners also heard 100 ms late that the last request on an adapter had ended.

Change: prefill requests name the adapter, so that the owner of the engine keeps it; the end of the last use is reported at once; each status of an adapter tells the length of the engine's prefill queue, so that requests don't wait for a load on an engine whose queue is long.

--- a/libs/gateway/include/gateway/adapter_service.h
+++ b/libs/gateway/include/gateway/adapter_service.h
@@ -31,15 +31,22 @@
 // Must be used on the event loop's thread only.
 class AdapterService {
  public:
-  // Receives the status of an adapter from the owner of the engine.
-  using StatusCallback =
-      std::function<void(const UpstreamId& engine, const ModelRef& target,
-                         int64_t version, AdapterStatus status)>;
+  // All of them have to be set.
+  struct Hooks {
+    // Receives the status of an adapter from the owner of the engine.
+    std::function<void(const UpstreamId& engine, const ModelRef& target,
+                       int64_t version, AdapterStatus status)>
+        on_status;
+    // The tokens of the prompts that wait for an engine owned by this instance.
+    std::function<int64_t(const UpstreamId& engine)> queued_tokens;
+    // Receives the same from the owner of an engine.
+    std::function<void(const UpstreamId& engine, int64_t tokens)>
+        on_queued_tokens;
+  };
 
   // Starts to report the adapters in use at regular intervals.
   AdapterService(EventLoop* loop, MachineId self, Ownership* ownership,
-                 OrderService* orders, PeerMessenger* peers,
-                 StatusCallback on_status);
+                 OrderService* orders, PeerMessenger* peers, Hooks hooks);
 
   // Sends a status as the owner of the engine. `machine` may be this one.
   void SendStatus(const MachineId& machine, const UpstreamId& engine,
@@ -78,7 +85,7 @@
   Ownership* const ownership_;
   OrderService* const orders_;
   PeerMessenger* const peers_;
-  const StatusCallback on_status_;
+  const Hooks hooks_;
   // Requests per engine and adapter. Neither map holds zeros.
   std::map<EngineAdapter, int> running_counts_;
   std::map<EngineAdapter, int> waiting_counts_;
--- a/libs/gateway/include/gateway/order_service.h
+++ b/libs/gateway/include/gateway/order_service.h
@@ -64,6 +64,9 @@
   // `running`: the number of requests of `machine` that use the adapter.
   void OnUsage(const MachineId& machine, const UpstreamId& engine,
                const ModelRef& target, uint32_t running);
+  // A prompt of `machine` for the adapter waits to be sent to the engine.
+  void OnPromptWaiting(const MachineId& machine, const UpstreamId& engine,
+                       const ModelRef& target);
   void OnAdapterMissing(const UpstreamId& engine, const ModelRef& target);
   void OnRequiredVersion(const ModelRef& target, int64_t version);
   void OnMachineRemoved(const MachineId& machine);
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -66,8 +66,8 @@
   // Asks the owner of the engine for permission to send it a prompt. Returns
   // the number of the prefill request, or 0 if the engine has no owner.
   // `on_granted` is not called before the return.
-  std::function<uint64_t(const UpstreamId&, int64_t tokens, int priority,
-                         std::function<void()> on_granted)>
+  std::function<uint64_t(const UpstreamId&, const ModelRef&, int64_t tokens,
+                         int priority, std::function<void()> on_granted)>
       request_prefill;
   // Sends the prefill request again, so that it keeps its position in the
   // queue.
--- a/libs/gateway/src/adapter_service.cc
+++ b/libs/gateway/src/adapter_service.cc
@@ -57,12 +57,12 @@
 
 AdapterService::AdapterService(EventLoop* loop, MachineId self,
                                Ownership* ownership, OrderService* orders,
-                               PeerMessenger* peers, StatusCallback on_status)
+                               PeerMessenger* peers, Hooks hooks)
     : self_(std::move(self)),
       ownership_(ownership),
       orders_(orders),
       peers_(peers),
-      on_status_(std::move(on_status)),
+      hooks_(std::move(hooks)),
       use_update_timer_(loop),
       use_refresh_timer_(loop) {
   SendAllUses();
@@ -114,7 +114,7 @@
                                 const ModelRef& target, int64_t version,
                                 AdapterStatus status) {
   if (machine == self_) {
-    on_status_(engine, target, version, status);
+    hooks_.on_status(engine, target, version, status);
     return;
   }
   schema::PeerItem item;
@@ -122,12 +122,15 @@
   SetModelName(item.mutable_state()->mutable_target(), target);
   item.mutable_state()->set_version(version);
   item.mutable_state()->set_place(ToWire(status));
+  item.mutable_state()->set_waiting_tokens(hooks_.queued_tokens(engine));
   peers_->Send(machine, std::move(item));
 }
 
 void AdapterService::OnAdapterStatus(const schema::AdapterState& state) {
-  on_status_(UpstreamId(state.engine()), ToModelRef(state.target()),
-             state.version(), FromWire(state.place()));
+  UpstreamId engine(state.engine());
+  hooks_.on_queued_tokens(engine, state.waiting_tokens());
+  hooks_.on_status(engine, ToModelRef(state.target()), state.version(),
+                   FromWire(state.place()));
 }
 
 void AdapterService::OnLoadRequest(const MachineId& from,
@@ -172,8 +175,9 @@
   if (running <= 0) {
     running_counts_.erase(key);
   }
-  if (change > 0 || OwnerOf(engine) == self_) {
-    // Reported at once, before the owner considers the adapter idle.
+  if (change > 0 || running <= 0 || OwnerOf(engine) == self_) {
+    // Reported at once, before the owner considers the adapter idle, and so
+    // that its slot is free as soon as its last request has ended.
     SendUse(key, running);
     return;
   }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -78,11 +78,7 @@
                 membership_.lease_manager(), &state_.upstreams,
                 gateway_deps_.engines, OrderHooks()),
         adapters_(loop_, self_.machine, membership_.ownership(), &orders_,
-                  &peers_,
-                  [this](const UpstreamId& engine, const ModelRef& target,
-                         int64_t version, AdapterStatus status) {
-                    ApplyAdapterStatus(engine, target, version, status);
-                  }),
+                  &peers_, AdapterHooks()),
         load_broadcaster_(loop_, &state_.upstreams, &peers_),
         rate_limits_(loop_, self_.machine, RateToleranceOf(settings.bounds),
                      membership_.ownership(), membership_.lease_manager(),
@@ -202,6 +198,21 @@
     return hooks;
   }
 
+  AdapterService::Hooks AdapterHooks() {
+    AdapterService::Hooks hooks;
+    hooks.on_status = [this](const UpstreamId& engine, const ModelRef& target,
+                             int64_t version, AdapterStatus status) {
+      ApplyAdapterStatus(engine, target, version, status);
+    };
+    hooks.queued_tokens = [this](const UpstreamId& engine) {
+      return prefills_.QueuedTokens(engine);
+    };
+    hooks.on_queued_tokens = [this](const UpstreamId& engine, int64_t tokens) {
+      prefills_.OnQueuedTokens(engine, tokens);
+    };
+    return hooks;
+  }
+
   // Of this instance, in an order on which all agree.
   size_t RankOfSelf() {
     const auto& members = membership_.ownership()->members();
@@ -287,6 +298,11 @@
       return known ? state_.config->MaxEventGapOf(upstream->entry.service)
                    : Millis(0);
     };
+    hooks.prompt_waiting = [this](const MachineId& machine,
+                                  const UpstreamId& engine,
+                                  const ModelRef& target) {
+      orders_.OnPromptWaiting(machine, engine, target);
+    };
     return hooks;
   }
 
--- a/libs/gateway/src/order_service.cc
+++ b/libs/gateway/src/order_service.cc
@@ -103,6 +103,14 @@
   }
 }
 
+void OrderService::OnPromptWaiting(const MachineId& machine,
+                                   const UpstreamId& engine,
+                                   const ModelRef& target) {
+  if (OwnedEngine* owned = Find(engine)) {
+    owned->placement.OnExpectedUse(machine, target, EventLoop::Now());
+  }
+}
+
 void OrderService::OnAdapterMissing(const UpstreamId& engine,
                                     const ModelRef& target) {
   if (OwnedEngine* owned = Find(engine)) {
--- a/libs/gateway/src/prefill_service.cc
+++ b/libs/gateway/src/prefill_service.cc
@@ -33,7 +33,8 @@
 PrefillService::~PrefillService() = default;
 
 uint64_t PrefillService::RequestPrefill(const UpstreamId& engine,
-                                        int64_t tokens, int priority,
+                                        const ModelRef& target, int64_t tokens,
+                                        int priority,
                                         std::function<void()> on_granted) {
   const OwnerRecord* owner = ownership_->OwnerOf(EngineResource(engine));
   if (owner == nullptr) {
@@ -43,6 +44,7 @@
   PendingRequest& pending = pending_requests_[request_number];
   pending.engine = engine;
   pending.owner = owner->machine;
+  pending.target = target;
   pending.tokens = tokens;
   pending.priority = priority;
   pending.on_granted = std::move(on_granted);
@@ -61,7 +63,7 @@
   pending->owner_responded = false;
   if (pending->owner == self_) {
     pending->owner_responded = true;
-    Enqueue(pending->engine,
+    Enqueue(pending->engine, pending->target,
             {{self_, request_number}, pending->tokens, pending->priority});
     return;
   }
@@ -71,6 +73,10 @@
   request->set_number(request_number);
   request->set_tokens(pending->tokens);
   request->set_urgency(static_cast<uint32_t>(pending->priority));
+  if (pending->target.is_adapter()) {
+    request->mutable_target()->set_model(pending->target.model.str());
+    request->mutable_target()->set_adapter(pending->target.adapter.str());
+  }
   peers_->Send(pending->owner, std::move(item));
 }
 
@@ -98,7 +104,7 @@
 }
 
 void PrefillService::OnResponse(const schema::ReadingAnswer& response) {
-  UpdateQueuedTokens(UpstreamId(response.engine()), response.waiting_tokens());
+  OnQueuedTokens(UpstreamId(response.engine()), response.waiting_tokens());
   auto request = pending_requests_.find(response.number());
   if (request == pending_requests_.end()) {
     return;
@@ -119,8 +125,7 @@
   on_granted();
 }
 
-void PrefillService::UpdateQueuedTokens(const UpstreamId& engine,
-                                        int64_t tokens) {
+void PrefillService::OnQueuedTokens(const UpstreamId& engine, int64_t tokens) {
   if (UpstreamState* upstream = upstreams_->Find(engine)) {
     upstream->queued_prefill_tokens = tokens;
     upstream->queued_prefill_tokens_at = EventLoop::Now();
@@ -129,9 +134,12 @@
 
 void PrefillService::OnRequest(const MachineId& from,
                                const schema::ReadingQuestion& request) {
-  Enqueue(UpstreamId(request.engine()), {{from, request.number()},
-                                         request.tokens(),
-                                         static_cast<int>(request.urgency())});
+  ModelRef target{ModelId(request.target().model()),
+                  AdapterId(request.target().adapter())};
+  Enqueue(UpstreamId(request.engine()), target,
+          {{from, request.number()},
+           request.tokens(),
+           static_cast<int>(request.urgency())});
 }
 
 void PrefillService::OnRelease(const MachineId& from,
@@ -150,8 +158,16 @@
   return queue_entry->second.get();
 }
 
-void PrefillService::Enqueue(const UpstreamId& engine,
+int64_t PrefillService::QueuedTokens(const UpstreamId& engine) const {
+  auto it = queues_.find(engine);
+  return it == queues_.end() ? 0 : it->second->queue.queued_tokens();
+}
+
+void PrefillService::Enqueue(const UpstreamId& engine, const ModelRef& target,
                              const PrefillRequest& request) {
+  if (target.is_adapter()) {
+    hooks_.prompt_waiting(request.id.machine, engine, target);
+  }
   GetOrCreateQueue(engine)->queue.OnRequest(request, EventLoop::Now());
   ProcessQueue(engine);
   auto it = queues_.find(engine);
@@ -193,7 +209,7 @@
                              const PrefillRequestId& id, bool granted,
                              int64_t queued_tokens) {
   if (id.machine == self_) {
-    UpdateQueuedTokens(engine, queued_tokens);
+    OnQueuedTokens(engine, queued_tokens);
     if (granted) {
       // Posted, because the caller of RequestPrefill has no number before it
       // returns.
--- a/libs/gateway/src/request_hooks.cc
+++ b/libs/gateway/src/request_hooks.cc
@@ -58,10 +58,11 @@
                                   std::function<void(RateDecision)> done) {
     services.rate_limits->Acquire(workspace, cost, std::move(done));
   };
-  hooks.request_prefill = [services](const UpstreamId& engine, int64_t tokens,
+  hooks.request_prefill = [services](const UpstreamId& engine,
+                                     const ModelRef& target, int64_t tokens,
                                      int priority,
                                      std::function<void()> on_granted) {
-    return services.prefills->RequestPrefill(engine, tokens, priority,
+    return services.prefills->RequestPrefill(engine, target, tokens, priority,
                                              std::move(on_granted));
   };
   hooks.renew_prefill_request = [services](uint64_t request_number) {
--- a/libs/gateway/src/request_waits.cc
+++ b/libs/gateway/src/request_waits.cc
@@ -77,7 +77,8 @@
   auto self = shared_from_this();
   prefill_engine_ = engine;
   prefill_request_number_ = deps_->hooks.request_prefill(
-      engine, PromptTokens(), Priority(), [self] { self->OnPrefillGranted(); });
+      engine, request_.model, PromptTokens(), Priority(),
+      [self] { self->OnPrefillGranted(); });
 }
 
 void RequestHandler::OnPrefillGranted() {
--- a/libs/serving/include/serving/engine_placement.h
+++ b/libs/serving/include/serving/engine_placement.h
@@ -70,6 +70,9 @@
   // Number of the machine's requests that currently run on the adapter.
   void OnUsage(const MachineId& machine, const ModelRef& target,
                uint32_t running, Millis now);
+  // A request of the machine is about to run on the adapter.
+  void OnExpectedUse(const MachineId& machine, const ModelRef& target,
+                     Millis now);
   // The engine rejected a request because it does not hold the adapter.
   void OnAdapterMissing(const ModelRef& target, Millis now);
   // The adapter has to be used in this version or a newer one from now on.
--- a/libs/serving/src/engine_placement.cc
+++ b/libs/serving/src/engine_placement.cc
@@ -33,7 +33,7 @@
 // A machine sends its requests within this time after its load request or the
 // notification that the adapter is ready. Until then, the adapter counts as
 // used.
-constexpr Millis kRequestGrace{120};
+constexpr Millis kRequestGrace{300};
 constexpr double kDemandDecaySeconds = 8.0;  // Time constant.
 // From this number of adapters on, those with a lower score than `kMinScore`
 // are no longer tracked.
@@ -215,6 +215,12 @@
   usage.updated_at = running > 0 ? now : now - kRequestGrace;
 }
 
+void EnginePlacement::OnExpectedUse(const MachineId& machine,
+                                    const ModelRef& target, Millis now) {
+  Usage& usage = demand_[target].usage[machine];
+  usage.updated_at = std::max(usage.updated_at, now);
+}
+
 bool EnginePlacement::ResumeLoad(const ModelRef& target, Millis now) {
   auto resident = resident_.find(target);
   if (resident == resident_.end() || !resident->second.assumed) {
