Take only 200 to 599 for a response

Cause: the status line of a response was checked for three digits only. A status above 599 was a final response, 000 to 199 were interim ones, and 101 too, although nothing that can be read follows it.

Change: ResponseHead, which reads every response to a call of ours, takes a status from 200 to 599 for final and 1xx other than 101 without a length or a transfer coding for interim. Any other head is malformed, so that an attempt ends as an invalid response that may have run. There is no second check.

--- a/libs/transport/include/transport/response_head.h
+++ b/libs/transport/include/transport/response_head.h
@@ -5,6 +5,10 @@
 // that part breaks off within the head, the head of the next response follows
 // it, and both would be read as one: with the status of the one and the fields
 // of the other.
+//
+// A final response has a status from 200 to 599. Any other status, but those of
+// interim responses, makes the head malformed. All calls of the HTTP clients
+// are read here, so no other code checks this.
 #pragma once
 
 #include <cstddef>
@@ -26,8 +30,8 @@
   enum class Progress : uint8_t {
     kIncomplete,
     kComplete,  // The head of the final response.
-    // Not the head of one response, or with more than one framing or one that
-    // can't be read; nothing of it can be trusted.
+    // Not the head of one response, with an invalid status, or with more than
+    // one framing or one that can't be read; nothing of it can be trusted.
     kMalformed,
     kTooLarge,
   };
--- a/libs/transport/src/response_head.cc
+++ b/libs/transport/src/response_head.cc
@@ -17,7 +17,10 @@
 // "HTTP/1.1 200".
 constexpr size_t kVersionEnd = 8;
 constexpr size_t kStatusEnd = 12;
+constexpr int kFirstInterimStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastFinalStatus = 599;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 // Of a length that the HTTP library surely reads as a number.
@@ -39,6 +42,16 @@
                      IsDigit);
 }
 
+bool IsFinal(int status) {
+  return status >= kFirstFinalStatus && status <= kLastFinalStatus;
+}
+
+// No call asks for another protocol, so nothing follows a 101 that can be read.
+bool IsInterim(int status) {
+  return status >= kFirstInterimStatus && status < kFirstFinalStatus &&
+         status != kSwitchingProtocols;
+}
+
 // True if a status line begins at `from` or later.
 bool ContainsStatusLine(std::string_view text, size_t from) {
   for (size_t at = text.find(kProtocol, from); at != std::string_view::npos;
@@ -161,6 +174,9 @@
   for (char c : line.substr(kVersionEnd + 1, kStatusEnd - kVersionEnd - 1)) {
     status_ = status_ * 10 + (c - '0');
   }
+  if (!IsFinal(status_) && !IsInterim(status_)) {
+    return Progress::kMalformed;
+  }
   headers_ = HttpHeaders();
   part_ = Part::kFields;
   return Progress::kIncomplete;
@@ -181,10 +197,13 @@
   return Progress::kIncomplete;
 }
 
-// An interim response is followed by another head, the final one perhaps by
-// trailers.
+// An interim response has no body and is followed by another head, the final
+// one perhaps by trailers.
 ResponseHead::Progress ResponseHead::EndBlock() {
-  if (status_ < kFirstFinalStatus) {
+  if (IsInterim(status_)) {
+    if (headers_.Count(kLengthField) + headers_.Count(kCodingField) > 0) {
+      return Progress::kMalformed;
+    }
     part_ = Part::kStatusLine;
     return Progress::kIncomplete;
   }
--- a/libs/transport/test/response_head_test.cc
+++ b/libs/transport/test/response_head_test.cc
@@ -72,6 +72,38 @@
   }
 }
 
+// Guards against: a status that is none of a final response is passed on or
+// waited behind, since nothing else checks it.
+TEST_CASE("a status outside 200 to 599 is malformed", "[head]") {
+  for (int status = 0; status < 1000; ++status) {
+    const std::string text = std::to_string(1000 + status).substr(1);
+    CAPTURE(text);
+    const bool is_final = status >= 200 && status <= 599;
+    const bool is_interim = status >= 100 && status < 200 && status != 101;
+    ResponseHead head;
+    REQUIRE(head.Feed("HTTP/1.1 " + text + " Status\r\n") ==
+            (is_final || is_interim ? Progress::kIncomplete
+                                    : Progress::kMalformed));
+    if (is_final) {
+      REQUIRE(head.Feed("\r\n") == Progress::kComplete);
+    } else if (is_interim) {
+      // With a body it is meant to be final.
+      const std::string field = status % 2 == 0
+                                    ? "Content-Length: 0\r\n"
+                                    : "Transfer-Encoding: chunked\r\n";
+      REQUIRE(head.Feed(field) == Progress::kIncomplete);
+      REQUIRE(head.Feed("\r\n") == Progress::kMalformed);
+    }
+  }
+  for (const char* status :
+       {"0", "20", "1000", "+20", "-20", "2x0", " 200", "", "0200"}) {
+    CAPTURE(status);
+    ResponseHead head;
+    REQUIRE(head.Feed(std::string("HTTP/1.1 ") + status + " Status\r\n") ==
+            Progress::kMalformed);
+  }
+}
+
 TEST_CASE("a head without an end is too large", "[head]") {
   ResponseHead head;
   Progress progress = head.Feed("HTTP/1.1 200 OK\r\n");
