Keep a fake upstream's counter while its connections last

Cause: connections on the loop outlive the FakeUpstream that accepted them, and count their closing in it. "a request that no instance can serve is refused at once" destroys its upstreams while connections are open. gateway_test ended with SIGSEGV in this case in 1 of 1 whole run, and passed it in 6 of 6 runs alone; that the access was the reason of the crash is likely, and not shown.

Change: the counter is shared with the hook. What the tests check is the same.

Result: valgrind on this case finds 2 errors before (gateway_fixture.h:55) and none after.

--- a/libs/gateway/test/gateway_fixture.h
+++ b/libs/gateway/test/gateway_fixture.h
@@ -52,7 +52,10 @@
     options.bind_ip = "127.0.0.1";
     options.port = port_;
     options.loop = loop;
-    options.on_connection_closed = [this](uint64_t) { ++closed_connections_; };
+    // Connections on the loop outlive the server.
+    options.on_connection_closed = [closed = closed_connections_](uint64_t) {
+      ++*closed;
+    };
     server_ = std::make_unique<HttpServer>(
         options,
         [this](HttpRequest request, std::shared_ptr<Responder> responder) {
@@ -65,7 +68,7 @@
   std::string address() const { return LocalAddress(port_); }
   void SetHandler(Handler handler) { handler_ = std::move(handler); }
   const std::vector<HttpRequest>& requests() const { return requests_; }
-  int closed_connections() const { return closed_connections_; }
+  int closed_connections() const { return *closed_connections_; }
 
   static HttpResponse OkResponse(const HttpRequest& request) {
     HttpResponse response;
@@ -84,7 +87,7 @@
   std::vector<HttpRequest> requests_;
   // Kept alive: a responder that is destroyed unused responds with status 500.
   std::vector<std::shared_ptr<Responder>> responders_;
-  int closed_connections_ = 0;
+  const std::shared_ptr<int> closed_connections_ = std::make_shared<int>(0);
   std::unique_ptr<HttpServer> server_;
 };
 
