Explain where a request would be sent: bilberrypitch route

Cause: why a request goes to an upstream, or to none, can't be asked before it is sent.

Change: an instance answers GET /route at its address for other instances with the decision that it would take now: route, service, workspace, next step, and for each upstream of the service its cost with parts, the adapter, limits and load, or why it is no candidate. RouteService follows a request up to its choice and calls ChooseUpstream; MakeChoiceInput collects the input for it and for requests. Nothing is sent, counted or charged, and no key is asked for or shown. The command prints the answer.

"[route]" fails when draining upstreams are taken, and when a query is counted.

--- a/apps/bilberrypitch/main.cc
+++ b/apps/bilberrypitch/main.cc
@@ -1,5 +1,5 @@
 // The bilberrypitch program: runs an instance (serve) and offers commands that
-// check files, replay traces and explain requests.
+// check files, replay traces, explain requests and explain routing decisions.
 #include <fmt/format.h>
 
 #include <boost/program_options.hpp>
@@ -12,6 +12,7 @@
 #include "explain/explain.h"
 #include "platform_serve.h"
 #include "replay/replay.h"
+#include "route_command.h"
 #include "schema/settings.pb.h"
 #include "settings_file.h"
 
@@ -34,6 +35,10 @@
     "expected outcomes\n"
     "  explain REQUEST-ID LOG...               timeline of a request from "
     "logs\n"
+    "  route --address IP:PORT --host HOST --path PATH [--workspace ID]\n"
+    "        [--model MODEL] [--adapter ADAPTER] [--tokens N] [--id ID]\n"
+    "                                          where an instance would send "
+    "a request now, and why\n"
     "--boot is the platform's boot file; default: $BILBERRYPITCH_BOOT.\n"
     "--settings is the program's settings file, in JSON; optional.\n"
     "--help and --version print and exit.\n";
@@ -158,6 +163,9 @@
   if (command == "explain") {
     return Explain(args);
   }
+  if (command == "route") {
+    return ExplainRoute(args);
+  }
   if (command == "replay") {
     return Replay(args);
   }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -27,6 +27,7 @@
 #include "gateway/relay_target.h"
 #include "gateway/request_handler.h"
 #include "gateway/request_hooks.h"
+#include "gateway/route_service.h"
 #include "gateway/serving_state.h"
 #include "gateway/store_sync.h"
 #include "gateway/stream_service.h"
@@ -98,6 +99,7 @@
         paths_(loop_, self_, &state_.upstreams, &peers_,
                [this] { OnPathLost(); }),
         callers_(loop_, &state_),
+        routes_(&state_, RouteHooks()),
         kept_config_(loop_, gateway_deps_.store, KeptConfigHooks()),
         records_(loop_, RecordDeps()) {
     freshness_service_ = std::make_unique<FreshnessService>(
@@ -343,6 +345,16 @@
     completions_request_deps_.api = CallerApi::kCompletions;
   }
 
+  RouteService::Hooks RouteHooks() {
+    RouteService::Hooks hooks;
+    hooks.path_is_lost = [this] { return paths_.is_lost(); };
+    hooks.may_begin_stream = [this](const ServiceId& service,
+                                    const SoftwareVersion& version) {
+      return streams_.MayBegin(service, version);
+    };
+    return hooks;
+  }
+
   static RateTolerance RateToleranceOf(const ClusterBounds& bounds) {
     return {bounds.rate_excess_ratio, bounds.rate_extra_tokens,
             bounds.rate_window.seconds()};
@@ -407,6 +419,8 @@
           std::move(request), *relayed, std::move(responder));
     } else if (request.path == kChangesPath) {
       reader_service_.OnQuery(request, std::move(responder));
+    } else if (request.path == kRoutePath) {
+      responder->Send(routes_.OnQuery(request));
     } else {
       responder->Send(freshness_service_->OnStateRequest(request));
     }
@@ -488,6 +502,7 @@
   RequestDeps request_deps_;
   RequestDeps completions_request_deps_;
   CallerFrontend callers_;
+  RouteService routes_;
   KeptConfigService kept_config_;
   RecordApplier records_;
   std::unique_ptr<HttpServer> ready_server_;
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -7,6 +7,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "gateway/choice_input.h"
 #include "gateway/serving_state.h"
 #include "serving/api_codec.h"
 #include "transport/event_loop.h"
@@ -268,23 +269,11 @@
   load_engine_ = UpstreamId();
   state_->upstreams.MoveSuspectRequest(&suspect_upstream_, UpstreamId());
   Millis now = EventLoop::Now();
-  ChoiceInput input;
-  input.model = request_.model;
-  const Service* service = config_->FindService(service_);
-  if (service == nullptr || !service->engine) {
-    input.model = ModelRef();
-  }
-  auto required_version = state_->required_versions.find(input.model);
-  input.minimum_version = required_version != state_->required_versions.end()
-                              ? required_version->second
-                              : 0;
-  input.prompt_tokens = PromptTokens();
-  input.zone = state_->settings.zone;
-  input.now = now;
+  ChoiceInput input = MakeChoiceInput(
+      *state_, *config_, service_, request_.model, request_.prompt_tokens, now);
   input.tried = tried_upstreams_;
   input.suspect = is_suspect_;
   input.permit = permit_upstream_;
-  input.permit_wait_ms = state_->permit_waits[service_].ExpectedMs(now);
   input.load_requested_at = &load_requested_at_;
   if (RejectIfVersionGone()) {
     return;
