--- a/libs/serving/include/serving/request.h
+++ b/libs/serving/include/serving/request.h
@@ -56,6 +56,9 @@
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t slots = 0;  // Requests that it can run at once.
+  // How long work takes there now, as a multiple of the usual time; empty: not
+  // stated.
+  std::optional<double> slowdown;
 };
 
 // What the head of an upstream's response says.
