Choose upstreams by their slowdown, and spread requests to plain services

The choice followed a smoothed latency, so a plain upstream that slowed down kept requests for seconds and one that had recovered got none. Costs now count the slowdown. While an estimate is in effect, requests to a plain service are spread at random by their costs, so that instances with the same report choose different upstreams; a probe ignores the slowdown. Without a stated figure, equal latencies and no rejection, the cheapest is chosen as before.

--- a/libs/serving/include/serving/upstream_chooser.h
+++ b/libs/serving/include/serving/upstream_chooser.h
@@ -33,6 +33,9 @@
   const std::set<UpstreamId>* load_requested_at = nullptr;
   // Upstreams that have already rejected or failed this request.
   std::vector<UpstreamId> tried;
+  // Differs between requests and instances, so that those which know the same
+  // of the upstreams don't all choose the same one. 0: the cheapest is chosen.
+  uint64_t seed = 0;
 };
 
 struct UpstreamChoice {
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "serving/capacity_estimate.h"
 #include "serving/connection_trust.h"
 #include "serving/request.h"
 #include "serving/store_record.h"
@@ -46,6 +47,7 @@
   uint32_t started_since_report = 0;    // Attempts of this instance.
   double first_event_ms_per_token = 0;  // Smoothed; 0: not measured yet.
   double latency_ms = 0;                // Smoothed; services without models.
+  CapacityEstimate capacity;            // What it can handle now.
   double failure_rate = 0;              // Smoothed, 0 to 1.
   uint32_t connect_failures = 0;        // Consecutive.
   Millis backoff_until;                 // After connect failures.
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -3,6 +3,9 @@
 #include "serving/upstream_chooser.h"
 
 #include <algorithm>
+#include <cmath>
+#include <string>
+#include <string_view>
 
 #include "base/hash.h"
 
@@ -40,6 +43,22 @@
 // Share of the event gap available for prefill; the rest is for decoding.
 constexpr double kPrefillShare = 0.85;
 constexpr double kFailureMs = 2500;  // Multiplied by the failure rate.
+// Of an engine, for each multiple of the usual time by which it is slower.
+// Decoding takes longer there, too.
+constexpr double kSlowdownMs = 100;
+// Of a slow engine, for each request beyond its concurrency limit.
+constexpr double kOverLimitMs = 10;
+// A plain upstream that has just turned a request away costs this many times
+// more.
+constexpr double kFullFactor = 4;
+// A request goes to a plain upstream with a weight of its cost to the power of
+// minus this.
+constexpr double kSpreadExponent = 3;
+// Above these multiples of the least usual latency, latencies differ clearly. A
+// usual one is the mean of at least eight requests; the other may be of a
+// single one. Requests of plain services take 15 to 60 ms of work.
+constexpr double kClearUsualRatio = 1.75;
+constexpr double kClearLatencyRatio = 2.5;
 
 double PrefillMsPerToken(const UpstreamState& upstream) {
   return upstream.first_event_ms_per_token > 0
@@ -47,23 +66,57 @@
              : kDefaultPrefillMsPerToken;
 }
 
+// In [0, 1); the same for the same request, instance and upstream.
+double DrawFor(uint64_t seed, std::string_view purpose) {
+  constexpr uint64_t kParts = uint64_t{1} << 53;
+  uint64_t hash = StableHash(std::to_string(seed), purpose);
+  return static_cast<double>(hash % kParts) / static_cast<double>(kParts);
+}
+
+// 1 if the request is to find out whether a slow upstream has recovered.
+double SlowdownFor(const UpstreamState& upstream, const ChoiceInput& input) {
+  bool probes = input.seed != 0 &&
+                upstream.capacity.ProbeDue(
+                    DrawFor(input.seed, upstream.entry.id.str()), input.now);
+  return probes ? 1 : upstream.capacity.Slowdown(input.now);
+}
+
+// Zero for an engine that is not slow.
+double SlowEngineCost(const UpstreamState& upstream, const ChoiceInput& input,
+                      double slowdown) {
+  if (slowdown <= 1) {
+    return 0;
+  }
+  double limit = upstream.capacity.ConcurrencyLimit(upstream.entry.slots);
+  double excess = upstream.TotalInFlight(input.now) + 1 - limit;
+  return kSlowdownMs * (slowdown - 1) + kOverLimitMs * std::max(0.0, excess);
+}
+
 double PromptCost(const UpstreamState& upstream, const ChoiceInput& input) {
   double per_token = PrefillMsPerToken(upstream);
   double tokens = static_cast<double>(
       upstream.TotalPendingPrefillTokens(input.now) +
       upstream.QueuedPrefillTokens(input.now) + input.prompt_tokens);
-  return per_token * tokens +
-         kStepMsPerRequest * upstream.TotalInFlight(input.now);
+  double slowdown = SlowdownFor(upstream, input);
+  return slowdown * per_token * tokens +
+         kStepMsPerRequest * upstream.TotalInFlight(input.now) +
+         SlowEngineCost(upstream, input, slowdown);
 }
 
-double NonModelCost(const UpstreamState& upstream) {
+double NonModelCost(const UpstreamState& upstream, const ChoiceInput& input) {
   double latency =
       upstream.latency_ms > 0 ? upstream.latency_ms : kDefaultLatencyMs;
+  double slowdown = SlowdownFor(upstream, input);
+  if (upstream.capacity.IsInEffect(input.now)) {
+    double usual = upstream.capacity.UsualLatencyMs().value_or(latency);
+    latency = usual * slowdown *
+              (1 + kFullFactor * upstream.capacity.Fullness(input.now));
+  }
   double reported = upstream.load_report.running +
                     upstream.load_report.waiting +
                     upstream.started_since_report;
   double busy = std::max<double>(reported, upstream.in_flight);
-  double slots = std::max<double>(1, upstream.entry.slots);
+  double slots = upstream.capacity.ConcurrencyLimit(upstream.entry.slots);
   double overload = std::max(0.0, busy + 1 - slots) / slots;
   return latency * (1 + overload) + busy;
 }
@@ -83,6 +136,48 @@
   return cost + (tried ? kAlreadyTriedMs : 0);
 }
 
+bool LatenciesDifferClearly(const std::vector<UpstreamState*>& usable) {
+  std::optional<double> least_ms;
+  for (const UpstreamState* upstream : usable) {
+    auto usual_ms = upstream->capacity.UsualLatencyMs();
+    if (usual_ms) {
+      least_ms = std::min(least_ms.value_or(*usual_ms), *usual_ms);
+    }
+  }
+  return least_ms && std::any_of(usable.begin(), usable.end(), [&](auto* it) {
+           double usual_ms = it->capacity.UsualLatencyMs().value_or(0);
+           return usual_ms >= kClearUsualRatio * *least_ms ||
+                  it->latency_ms >= kClearLatencyRatio * *least_ms;
+         });
+}
+
+// Whether requests to these plain upstreams are spread.
+bool IsSpread(const std::vector<UpstreamState*>& usable,
+              const ChoiceInput& input) {
+  bool in_effect = std::any_of(
+      usable.begin(), usable.end(),
+      [&](auto* upstream) { return upstream->capacity.IsInEffect(input.now); });
+  return input.seed != 0 && (in_effect || LatenciesDifferClearly(usable));
+}
+
+// Chooses at random, with weights by the slots and the costs, which are higher
+// beyond the concurrency limits.
+// `choices` is not empty.
+const UpstreamChoice& SpreadChoice(const std::vector<UpstreamChoice>& choices,
+                                   const ChoiceInput& input) {
+  std::vector<double> sums;
+  double sum = 0;
+  for (const UpstreamChoice& choice : choices) {
+    double slots = std::max<double>(1, choice.upstream->entry.slots);
+    sum += slots * std::pow(std::max(1.0, choice.cost_ms), -kSpreadExponent);
+    sums.push_back(sum);
+  }
+  double drawn = DrawFor(input.seed, "") * sum;
+  auto chosen = std::upper_bound(sums.begin(), sums.end(), drawn);
+  size_t index = std::min<size_t>(chosen - sums.begin(), choices.size() - 1);
+  return choices[index];
+}
+
 // Returns the rank of each candidate in the adapter's own order.
 std::vector<size_t> RanksFor(const std::vector<UpstreamState*>& usable,
                              const std::string& name) {
@@ -125,6 +220,7 @@
                residency.Holds(upstream->entry.id, input.model,
                                input.minimum_version, input.now);
       });
+  std::vector<UpstreamChoice> plain_choices;
   std::optional<UpstreamChoice> best;
   double next_best_ms = kNoOtherUpstreamMs;
   auto cost_of_change = [](const UpstreamChoice& choice) {
@@ -136,7 +232,8 @@
     choice.upstream = upstream;
     choice.cost_ms = CommonCost(*upstream, input);
     if (without_model) {
-      choice.cost_ms += NonModelCost(*upstream);
+      choice.cost_ms += NonModelCost(*upstream, input);
+      plain_choices.push_back(choice);
     } else {
       if (!residency.HoldsBaseModel(upstream->entry.id, input.model.model,
                                     input.now)) {
@@ -168,6 +265,14 @@
   if (best) {
     best->margin_ms = next_best_ms - best->cost_ms;
   }
+  if (!plain_choices.empty() && IsSpread(usable, input)) {
+    double best_ms = best->cost_ms;
+    UpstreamChoice chosen = SpreadChoice(plain_choices, input);
+    if (chosen.upstream != best->upstream) {
+      chosen.margin_ms = std::max(0.0, best_ms - chosen.cost_ms);
+      best = chosen;
+    }
+  }
   return best;
 }
 
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -233,6 +233,7 @@
   upstream->load_report = report;
   upstream->load_report_at = now;
   upstream->started_since_report = 0;
+  upstream->capacity.OnReport(report, now);
 }
 
 bool UpstreamRegistry::OnRateLimit(UpstreamState* upstream,
--- a/libs/serving/test/brittle_upstream_test.cc
+++ b/libs/serving/test/brittle_upstream_test.cc
@@ -102,10 +102,11 @@
     UpstreamRegistry& registry = *instances_[instance];
     UpstreamState* state = registry.Find(kUpstream);
     registry.OnAttemptEnded(state, 0);
-    registry.OnLoadReport(state,
-                          {static_cast<uint32_t>(running_.size()),
-                           static_cast<uint32_t>(queue_.size()), kSlots},
-                          Now());
+    registry.OnLoadReport(
+        state,
+        {static_cast<uint32_t>(running_.size()),
+         static_cast<uint32_t>(queue_.size()), kSlots, std::nullopt},
+        Now());
     registry.OnBrittle(state, rejections_per_s_, Now(), Now());
     if (rejected) {
       registry.OnRejection(state, instances_.size(), Now());
