Do not count the time of a rejection as a latency

The time until an upstream turned a request away went into its smoothed latency. A full plain upstream answers 503 within a millisecond, so it seemed to be the fastest and got every request first. Attempts that were not run have no latency now.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -173,6 +173,14 @@
   bool finished() const { return finished_; }
 
  private:
+  // What an attempt that has ended tells of its upstream.
+  enum class AttemptEnd {
+    kCompleted,
+    kFailed,
+    kNotRun,   // Not sent, or rejected.
+    kAborted,  // By the caller, the deadline or a stop.
+  };
+
   bool Admit();
   bool AdmitCaller();
   bool RejectIfQuarantined();
@@ -255,7 +263,7 @@
   void RecordFault(AttemptOutcome end, const CallOutcome& outcome);
   void OnCompleteResponse(const CallOutcome& outcome, bool failed);
   void HandleFailedAttempt(AttemptOutcome end, CallOutcome* outcome);
-  void EndAttempt(bool failed);
+  void EndAttempt(AttemptEnd end);
   void OnDeadline();
   void Abort(ErrorKind kind_if_sent, ErrorKind kind_if_not_sent,
              std::string detail);
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -318,7 +318,7 @@
 
 void RequestHandler::OnCompleteResponse(const CallOutcome& outcome,
                                         bool failed) {
-  EndAttempt(failed);
+  EndAttempt(failed ? AttemptEnd::kFailed : AttemptEnd::kCompleted);
   if (!failed) {
     state_->crash_tracker.OnSuccess(fingerprint_);
   }
@@ -348,7 +348,7 @@
   Finish("answered", outcome.status);
 }
 
-void RequestHandler::EndAttempt(bool failed) {
+void RequestHandler::EndAttempt(AttemptEnd end) {
   ReleasePrefill(false);
   if (upstream_.empty()) {
     return;
@@ -358,7 +358,10 @@
   if (upstream != nullptr) {
     state_->upstreams.OnAttemptEnded(upstream,
                                      first_event_seen_ ? 0 : PromptTokens());
-    state_->upstreams.OnAttemptResult(upstream, failed, duration);
+    // A rejection is fast, but says nothing of how fast requests are served.
+    state_->upstreams.OnAttemptResult(
+        upstream, end == AttemptEnd::kFailed,
+        end == AttemptEnd::kNotRun ? std::nullopt : std::optional(duration));
   }
   if (request_.model.is_adapter()) {
     deps_->hooks.adapter_use_changed(upstream_, request_.model, -1);
@@ -380,7 +383,12 @@
   bool adapter_missed = end == AttemptOutcome::kRejectedNotRun &&
                         outcome->status == kMisdirectedRequestStatus &&
                         request_.model.is_adapter();
-  EndAttempt(!not_run_by_upstream && end != AttemptOutcome::kDeadlineExceeded);
+  if (not_run_by_upstream) {
+    EndAttempt(AttemptEnd::kNotRun);
+  } else {
+    EndAttempt(end == AttemptOutcome::kDeadlineExceeded ? AttemptEnd::kAborted
+                                                        : AttemptEnd::kFailed);
+  }
   if (end == AttemptOutcome::kNotSent) {
     if (UpstreamState* it = state_->upstreams.Find(upstream)) {
       state_->upstreams.OnConnectFailure(it, EventLoop::Now());
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -355,7 +355,7 @@
   CallId call = call_id_;
   call_id_ = 0;
   may_have_run_ = may_have_run_ || call != 0;
-  EndAttempt(false);
+  EndAttempt(AttemptEnd::kAborted);
   Error error{kind_if_not_sent, std::move(detail), NotRun::kTrue};
   if (may_have_run_) {
     error.kind = kind_if_sent;
@@ -374,7 +374,7 @@
   ++state_->counters.caller_left;
   CallId call = call_id_;
   call_id_ = 0;
-  EndAttempt(false);
+  EndAttempt(AttemptEnd::kAborted);
   if (response_started_) {
     responder_->AbortStream();
   }
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -154,8 +154,9 @@
   // same.
   void OnRejection(UpstreamState* upstream, size_t instances, Millis now);
   // A response arrived (`failed` if it reports an upstream failure) or broke
-  // off.
-  void OnAttemptResult(UpstreamState* upstream, bool failed, Millis elapsed);
+  // off. `elapsed`: empty if it was not run.
+  void OnAttemptResult(UpstreamState* upstream, bool failed,
+                       std::optional<Millis> elapsed);
 
  private:
   // Handles a missing entry: marks the upstream as removed, or schedules that.
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -295,13 +295,13 @@
 }
 
 void UpstreamRegistry::OnAttemptResult(UpstreamState* upstream, bool failed,
-                                       Millis elapsed) {
+                                       std::optional<Millis> elapsed) {
   upstream->connect_failures = 0;
   upstream->backoff_until = Millis(0);
   upstream->failure_rate +=
       kSmoothing * ((failed ? 1.0 : 0.0) - upstream->failure_rate);
-  if (!failed) {
-    UpdateAverage(&upstream->latency_ms, static_cast<double>(elapsed.count()));
+  if (!failed && elapsed) {
+    UpdateAverage(&upstream->latency_ms, static_cast<double>(elapsed->count()));
   }
 }
 
