Assume a latency for upstreams of which little is known

While requests are spread, an upstream without a completed request cost the default of 40 ms: beside upstreams of 2 ms it got none. With fewer than eight latencies the smoothed one, which includes the slowdown, was multiplied by the slowdown again, so that probes never reached a slow upstream that had recovered. Now the usual latency is drawn toward an assumed one, the least known of the service. News counts for more than other samples, as its sender has smoothed it, and an upstream that is full several times in a row counts as full for longer.

serving_test: 161 cases pass; the assumed latency taken out fails a case.

--- a/libs/serving/include/serving/capacity_estimate.h
+++ b/libs/serving/include/serving/capacity_estimate.h
@@ -36,8 +36,10 @@
   double ConcurrencyLimit(uint32_t slots) const;
   // Without slowdown; empty: too few latencies were observed.
   std::optional<double> UsualLatencyMs() const;
+  // The same, closer to `assumed_ms` the fewer latencies were observed.
+  double UsualLatencyMsOr(double assumed_ms) const;
   // 1 just after the upstream was full; falls to 0 within about the time that
-  // requests take.
+  // requests take, and later if it was full several times in a row.
   double Fullness(Millis now) const;
   // Whether a request may be sent as if the upstream was not slow, to see if it
   // has recovered. `draw`: in [0, 1), of the request and the upstream.
@@ -54,7 +56,7 @@
   void OnNewsSent(Millis now);
 
  private:
-  void OnSample(double slowdown, Millis now);
+  void OnSample(double slowdown, double min_weight, Millis now);
   void UpdateLimit(Millis since_previous);
   void OnLatency(double latency_ms, Millis now);
   // How late the oldest open attempt is, as a slowdown.
@@ -70,6 +72,7 @@
   std::optional<Millis> sampled_at_;  // The latest sample of any source.
   std::optional<Millis> slow_at_;     // The latest that showed a slowdown.
   std::optional<Millis> full_at_;
+  uint32_t full_in_a_row_ = 0;
   bool is_slow_ = false;
   // 0 to 1, of the upstream's slots.
   double limit_share_ = 1;
--- a/libs/serving/src/capacity_estimate.cc
+++ b/libs/serving/src/capacity_estimate.cc
@@ -10,6 +10,8 @@
 // Figures that change many times a second are averaged over about this time.
 constexpr Millis kSmoothingTime{200};
 constexpr double kMinWeight = 0.3;  // Of a new sample.
+// News is smoothed by its sender.
+constexpr double kMinNewsWeight = 0.8;
 // The limit falls at once and rises over about this time.
 constexpr Millis kLimitRiseTime{1000};
 // Slowdowns below this are noise.
@@ -23,6 +25,7 @@
 constexpr double kMaxSlowdown = 50;
 // Latencies needed for a usual one.
 constexpr int kMinLatencies = 8;
+constexpr int kMaxLatencies = 1000;  // Further ones need not be counted.
 // Least weight of a latency in the usual one. It counts as at most
 // `kClearRatio` times the usual one, so that a slow upstream becomes the usual
 // one only after many requests.
@@ -42,6 +45,10 @@
 // The same after a rejection.
 constexpr Millis kEffectTimeAfterFull{10 * 1000};
 constexpr double kDefaultLatencyMs = 40;
+// An assumed latency counts as this many observed ones.
+constexpr double kAssumedWeight = 2;
+// The time for which an upstream counts as full doubles up to this often.
+constexpr uint32_t kMaxFullDoublings = 4;
 constexpr double kNewsRatio = 1.2;
 constexpr Millis kNewsRepeatTime{500};
 
@@ -65,7 +72,7 @@
   if (report.slowdown) {
     stated_at_ = now;
     has_own_sample_ = true;
-    OnSample(*report.slowdown, now);
+    OnSample(*report.slowdown, kMinWeight, now);
   }
 }
 
@@ -76,7 +83,7 @@
   known_to_others_ = std::clamp(slowdown, 1.0, kMaxSlowdown);
   known_to_others_at_ = now;
   has_own_sample_ = false;  // The next one shows whether they need to know.
-  OnSample(slowdown, now);
+  OnSample(slowdown, kMinNewsWeight, now);
 }
 
 void CapacityEstimate::OnAttemptBegun(Millis now) { open_.insert(now); }
@@ -89,6 +96,7 @@
   }
   open_.erase(open);
   if (completed) {
+    full_in_a_row_ = 0;
     OnLatency(static_cast<double>((now - begun_at).count()), now);
   }
 }
@@ -103,22 +111,26 @@
   if (has_usual_latency()) {
     usual_ms = std::min(usual_ms, kClearRatio * usual_latency_ms_);
   }
-  ++latency_samples_;
+  latency_samples_ = std::min(latency_samples_ + 1, kMaxLatencies);
   double weight = std::max(kLatencyWeight, 1.0 / latency_samples_);
   usual_latency_ms_ += weight * (usual_ms - usual_latency_ms_);
   if (has_usual_latency() && !states_slowdown(now)) {
     has_own_sample_ = true;
-    OnSample(ratio >= kClearRatio ? ratio : 1, now);
+    OnSample(ratio >= kClearRatio ? ratio : 1, kMinWeight, now);
   }
 }
 
-void CapacityEstimate::OnFull(Millis now) { full_at_ = now; }
+void CapacityEstimate::OnFull(Millis now) {
+  full_at_ = now;
+  ++full_in_a_row_;
+}
 
-void CapacityEstimate::OnSample(double slowdown, Millis now) {
+void CapacityEstimate::OnSample(double slowdown, double min_weight,
+                                Millis now) {
   slowdown = std::clamp(slowdown, 1 / kMaxSlowdown, kMaxSlowdown);
   Millis since_previous = sampled_at_ ? now - *sampled_at_ : kForgetTime;
   double weight =
-      std::max(kMinWeight, WeightAfter(since_previous, kSmoothingTime));
+      std::max(min_weight, WeightAfter(since_previous, kSmoothingTime));
   slowdown_ += weight * (slowdown - slowdown_);
   sampled_at_ = now;
   if (slowdown_ >= kNoise) {
@@ -171,13 +183,20 @@
   return has_usual_latency() ? std::optional(usual_latency_ms_) : std::nullopt;
 }
 
+double CapacityEstimate::UsualLatencyMsOr(double assumed_ms) const {
+  double sum =
+      usual_latency_ms_ * latency_samples_ + assumed_ms * kAssumedWeight;
+  return sum / (latency_samples_ + kAssumedWeight);
+}
+
 double CapacityEstimate::Fullness(Millis now) const {
-  if (!full_at_) {
+  if (!full_at_ || full_in_a_row_ == 0) {
     return 0;
   }
   auto age_ms = static_cast<double>((now - *full_at_).count());
-  double latency_ms = UsualLatencyMs().value_or(kDefaultLatencyMs);
-  return std::exp(-age_ms / (latency_ms * Slowdown(now)));
+  double time_ms = UsualLatencyMsOr(kDefaultLatencyMs) * Slowdown(now) *
+                   (1U << std::min(full_in_a_row_ - 1, kMaxFullDoublings));
+  return std::exp(-age_ms / time_ms);
 }
 
 bool CapacityEstimate::ProbeDue(double draw, Millis now) const {
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -103,12 +103,14 @@
          SlowEngineCost(upstream, input, slowdown);
 }
 
-double NonModelCost(const UpstreamState& upstream, const ChoiceInput& input) {
+// `default_latency_ms`: if no request has completed there.
+double NonModelCost(const UpstreamState& upstream, const ChoiceInput& input,
+                    double default_latency_ms) {
   double latency =
-      upstream.latency_ms > 0 ? upstream.latency_ms : kDefaultLatencyMs;
+      upstream.latency_ms > 0 ? upstream.latency_ms : default_latency_ms;
   double slowdown = SlowdownFor(upstream, input);
   if (upstream.capacity.IsInEffect(input.now)) {
-    double usual = upstream.capacity.UsualLatencyMs().value_or(latency);
+    double usual = upstream.capacity.UsualLatencyMsOr(default_latency_ms);
     latency = usual * slowdown *
               (1 + kFullFactor * upstream.capacity.Fullness(input.now));
   }
@@ -160,6 +162,17 @@
   return input.seed != 0 && (in_effect || LatenciesDifferClearly(usable));
 }
 
+// So that an upstream of which nothing is known gets its share.
+double LeastLatencyMs(const std::vector<UpstreamState*>& usable) {
+  double least_ms = kDefaultLatencyMs;
+  for (const UpstreamState* upstream : usable) {
+    if (upstream->latency_ms > 0) {
+      least_ms = std::min(least_ms, upstream->latency_ms);
+    }
+  }
+  return least_ms;
+}
+
 // Chooses at random, with weights by the slots and the costs, which are higher
 // beyond the concurrency limits.
 // `choices` is not empty.
@@ -220,6 +233,9 @@
                residency.Holds(upstream->entry.id, input.model,
                                input.minimum_version, input.now);
       });
+  bool is_spread = without_model && IsSpread(usable, input);
+  double default_latency_ms =
+      is_spread ? LeastLatencyMs(usable) : kDefaultLatencyMs;
   std::vector<UpstreamChoice> plain_choices;
   std::optional<UpstreamChoice> best;
   double next_best_ms = kNoOtherUpstreamMs;
@@ -232,7 +248,7 @@
     choice.upstream = upstream;
     choice.cost_ms = CommonCost(*upstream, input);
     if (without_model) {
-      choice.cost_ms += NonModelCost(*upstream, input);
+      choice.cost_ms += NonModelCost(*upstream, input, default_latency_ms);
       plain_choices.push_back(choice);
     } else {
       if (!residency.HoldsBaseModel(upstream->entry.id, input.model.model,
@@ -265,7 +281,7 @@
   if (best) {
     best->margin_ms = next_best_ms - best->cost_ms;
   }
-  if (!plain_choices.empty() && IsSpread(usable, input)) {
+  if (is_spread && best) {
     double best_ms = best->cost_ms;
     UpstreamChoice chosen = SpreadChoice(plain_choices, input);
     if (chosen.upstream != best->upstream) {
--- a/libs/serving/test/plain_choice_test.cc
+++ b/libs/serving/test/plain_choice_test.cc
@@ -259,6 +259,17 @@
   }
   REQUIRE(*std::max_element(chosen.begin(), chosen.end()) < 500);
   REQUIRE(*std::min_element(chosen.begin(), chosen.end()) > 150);
+  SECTION("and one of which nothing is known as well") {
+    chosen = {};
+    for (size_t i = 1; i < states.size(); ++i) {
+      states[i].latency_ms = 5;
+    }
+    for (input.seed = 1; input.seed <= 1000; ++input.seed) {
+      UpstreamChoice choice = *ChooseUpstream(usable, {}, input);
+      ++chosen[choice.upstream - states.data()];
+    }
+    REQUIRE(chosen[0] > 150);
+  }
   SECTION("but not one that has just rejected the request or others") {
     states[1].capacity.OnFull(input.now);
     input.tried = {states[0].entry.id};
