Feed capacity estimates and send slowdowns to the instances of the zone

Each instance sees a response of a plain upstream only every few seconds, so it can't follow a slowdown alone. Requests now feed the estimates and give the choice a seed. A slowdown that others don't know goes to the instances of the zone at once: at most 8 of them in 100 ms, or in the longer period of load reports. Metrics bilberrypitch_upstream_slowdown and _concurrency_limit; log lines when an upstream becomes slow and when it has recovered.

gateway_test [full]: the second instance knows the slowdown and the recovery without a request of its own; with news ignored it fails (1.0 > 5).

--- a/libs/gateway/include/gateway/load_broadcaster.h
+++ b/libs/gateway/include/gateway/load_broadcaster.h
@@ -1,5 +1,5 @@
 // Reports to the other instances the load that this instance has in flight to
-// each engine.
+// each engine, and to those of its zone how slow upstreams are.
 #pragma once
 
 #include <set>
@@ -9,27 +9,47 @@
 
 namespace bilberrypitch {
 
+namespace schema {
+class EngineLoad;
+class PeerItem;
+}  // namespace schema
+
 class EventLoop;
 class PeerMessenger;
 class UpstreamRegistry;
+struct UpstreamState;
 
 // The pointers passed to the constructor must outlive it. Must be used on the
 // event loop's thread only.
 class LoadBroadcaster {
  public:
-  LoadBroadcaster(EventLoop* loop, UpstreamRegistry* upstreams,
-                  PeerMessenger* peers);
+  // `zone`: of this instance.
+  LoadBroadcaster(EventLoop* loop, const ZoneId& zone,
+                  UpstreamRegistry* upstreams, PeerMessenger* peers);
   // Schedules a report, which also covers the changes made until it is sent.
   void OnLoadChanged(const UpstreamId& engine);
+  // The capacity estimate of the upstream has a new sample of this instance.
+  void OnCapacitySample(const UpstreamId& id);
+  // Applies news of another instance. Returns false if `load` is no such news
+  // but the load of an engine.
+  bool OnNews(const schema::EngineLoad& load);
 
  private:
   Millis Period() const;
   void BroadcastLoads();
+  void SendSlowdowns();
+  void SendToZone(const schema::PeerItem& item);
+  // Logs that the upstream has become slow or has recovered.
+  void LogIfClassified(const UpstreamState& upstream);
 
+  const ZoneId zone_;
   UpstreamRegistry* const upstreams_;
   PeerMessenger* const peers_;
   std::set<UpstreamId> changed_;
   Timer timer_;
+  std::set<UpstreamId> slowdowns_due_;
+  Timer slowdown_timer_;
+  std::set<UpstreamId> slow_;  // As last logged.
 };
 
 }  // namespace bilberrypitch
--- a/libs/gateway/include/gateway/peer_dispatcher.h
+++ b/libs/gateway/include/gateway/peer_dispatcher.h
@@ -8,6 +8,7 @@
 class AdapterService;
 class CrashService;
 class FreshnessService;
+class LoadBroadcaster;
 class PartCrashService;
 class PermitService;
 class PrefillService;
@@ -35,6 +36,7 @@
     StreamService* streams = nullptr;
     PathService* paths = nullptr;
     FreshnessService* freshness = nullptr;
+    LoadBroadcaster* loads = nullptr;
   };
 
   explicit PeerDispatcher(const Deps& deps);
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -120,6 +120,8 @@
   // rejections, or any number.
   std::function<void(const UpstreamId&, std::optional<double> per_s)>
       brittleness_changed;
+  // The upstream's capacity estimate has a new sample.
+  std::function<void(const UpstreamId&)> capacity_sampled;
   // The request has ended. Called from within its handler.
   std::function<void(uint64_t connection_id)> request_ended;
   // Acquires tokens of the workspace's rate. `done` may be called before the
@@ -242,6 +244,9 @@
   void RejectForRateLimit(Millis retry_after);
   void KeepAdapter(const UpstreamId& engine);
   void ReturnPermit();
+  // Whether the service has no models. The latencies of its requests can be
+  // compared with each other.
+  bool IsPlainService() const;
   // Applies the rejections that the upstream bears by its response, if it says.
   void OnBrittle(UpstreamState* upstream);
   // Applies the rate limit that the response states, or that it states none.
@@ -291,7 +296,8 @@
   ServiceId service_;
   uint64_t fingerprint_ = 0;
   const std::vector<PartId> shared_parts_;  // Of the prompt.
-  bool is_probe_ = false;  // May be sent although a part is quarantined.
+  const uint64_t choice_seed_;  // Differs between requests and instances.
+  bool is_probe_ = false;       // May be sent although a part is quarantined.
   double rate_cost_ = 0;
   Millis deadline_;
   Timer deadline_timer_;
--- a/libs/gateway/include/gateway/request_hooks.h
+++ b/libs/gateway/include/gateway/request_hooks.h
@@ -10,6 +10,7 @@
 class AdapterService;
 class CallerFrontend;
 class CrashService;
+class LoadBroadcaster;
 class PartCrashService;
 class PathService;
 class PeerMessenger;
@@ -25,6 +26,7 @@
   AdapterService* adapters = nullptr;
   CallerFrontend* callers = nullptr;
   CrashService* crashes = nullptr;
+  LoadBroadcaster* loads = nullptr;
   PartCrashService* part_crashes = nullptr;
   PathService* paths = nullptr;
   PeerMessenger* peers = nullptr;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -83,7 +83,7 @@
                          int64_t version, AdapterStatus status) {
                     ApplyAdapterStatus(engine, target, version, status);
                   }),
-        load_broadcaster_(loop_, &state_.upstreams, &peers_),
+        load_broadcaster_(loop_, settings.zone, &state_.upstreams, &peers_),
         rate_limits_(loop_, self_.machine, RateToleranceOf(settings.bounds),
                      membership_.ownership(), membership_.lease_manager(),
                      &peers_),
@@ -259,6 +259,7 @@
     deps.streams = &streams_;
     deps.paths = &paths_;
     deps.freshness = freshness_service_.get();
+    deps.loads = &load_broadcaster_;
     return deps;
   }
 
@@ -317,6 +318,7 @@
     services.adapters = &adapters_;
     services.callers = &callers_;
     services.crashes = &crashes_;
+    services.loads = &load_broadcaster_;
     services.part_crashes = &part_crashes_;
     services.paths = &paths_;
     services.peers = &peers_;
--- a/libs/gateway/src/load_broadcaster.cc
+++ b/libs/gateway/src/load_broadcaster.cc
@@ -1,9 +1,16 @@
-// Collects load changes and broadcasts them.
+// Collects load changes and slowdowns and sends them.
 #include "gateway/load_broadcaster.h"
 
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <string>
+
+#include "base/log.h"
 #include "gateway/peer_messenger.h"
 #include "schema/cluster.pb.h"
 #include "serving/upstream_registry.h"
+#include "transport/event_loop.h"
 
 namespace bilberrypitch {
 namespace {
@@ -13,11 +20,42 @@
 // the number of instances.
 constexpr size_t kInstancesSquaredPerStep = 200;
 
+// Slowdowns are sent no more often than this, and not more of them at once.
+// With `Period` this bounds what each instance receives.
+constexpr Millis kMinSlowdownPeriod{100};
+constexpr size_t kMaxSlowdownsAtOnce = 8;
+
+// A slowdown is sent as the load of an engine of this prefix and the id, with
+// the slowdown in percent as its `in_flight`. No upstream has such an id, so
+// that instances of earlier versions ignore it.
+constexpr std::string_view kSlowdownPrefix = "slowdown ";
+
+schema::PeerItem EncodeSlowdown(const UpstreamId& id, double slowdown) {
+  schema::PeerItem item;
+  item.mutable_load()->set_engine(std::string(kSlowdownPrefix) + id.str());
+  item.mutable_load()->set_in_flight(
+      static_cast<uint32_t>(std::lround(slowdown * 100)));
+  return item;
+}
+
+// Returns the upstream if `load` is a slowdown.
+std::optional<UpstreamId> DecodeSlowdown(const schema::EngineLoad& load) {
+  if (!load.engine().starts_with(kSlowdownPrefix)) {
+    return std::nullopt;
+  }
+  return UpstreamId(load.engine().substr(kSlowdownPrefix.size()));
+}
+
 }  // namespace
 
-LoadBroadcaster::LoadBroadcaster(EventLoop* loop, UpstreamRegistry* upstreams,
+LoadBroadcaster::LoadBroadcaster(EventLoop* loop, const ZoneId& zone,
+                                 UpstreamRegistry* upstreams,
                                  PeerMessenger* peers)
-    : upstreams_(upstreams), peers_(peers), timer_(loop) {}
+    : zone_(zone),
+      upstreams_(upstreams),
+      peers_(peers),
+      timer_(loop),
+      slowdown_timer_(loop) {}
 
 void LoadBroadcaster::OnLoadChanged(const UpstreamId& engine) {
   changed_.insert(engine);
@@ -49,4 +87,80 @@
   changed_.clear();
 }
 
+void LoadBroadcaster::OnCapacitySample(const UpstreamId& id) {
+  UpstreamState* upstream = upstreams_->Find(id);
+  if (upstream == nullptr) {
+    return;
+  }
+  LogIfClassified(*upstream);
+  if (!upstream->capacity.IsNewsDue(EventLoop::Now())) {
+    return;
+  }
+  slowdowns_due_.insert(id);
+  if (!slowdown_timer_.pending()) {
+    SendSlowdowns();
+  }
+}
+
+// The first is sent at once, further ones when a period has passed.
+void LoadBroadcaster::SendSlowdowns() {
+  Millis now = EventLoop::Now();
+  size_t sent = 0;
+  while (!slowdowns_due_.empty() && sent < kMaxSlowdownsAtOnce) {
+    UpstreamId id = slowdowns_due_.extract(slowdowns_due_.begin()).value();
+    UpstreamState* upstream = upstreams_->Find(id);
+    // Another instance may have sent it meanwhile.
+    if (upstream != nullptr && upstream->capacity.IsNewsDue(now)) {
+      SendToZone(EncodeSlowdown(id, upstream->capacity.Slowdown(now)));
+      upstream->capacity.OnNewsSent(now);
+      ++sent;
+    }
+  }
+  if (sent > 0) {
+    slowdown_timer_.Start(std::max(kMinSlowdownPeriod, Period()),
+                          [this] { SendSlowdowns(); });
+  }
+}
+
+void LoadBroadcaster::SendToZone(const schema::PeerItem& item) {
+  for (const auto& [machine, member] : peers_->peers()) {
+    if (member.zone == zone_) {
+      peers_->Send(machine, item);
+    }
+  }
+}
+
+bool LoadBroadcaster::OnNews(const schema::EngineLoad& load) {
+  std::optional<UpstreamId> id = DecodeSlowdown(load);
+  if (!id) {
+    return false;
+  }
+  UpstreamState* upstream = upstreams_->Find(*id);
+  if (upstream != nullptr) {
+    upstream->capacity.OnNews(load.in_flight() / 100.0, EventLoop::Now());
+    LogIfClassified(*upstream);
+  }
+  return true;
+}
+
+void LoadBroadcaster::LogIfClassified(const UpstreamState& upstream) {
+  const UpstreamId& id = upstream.entry.id;
+  bool is_slow = upstream.capacity.is_slow();
+  if (is_slow == slow_.contains(id)) {
+    return;
+  }
+  std::erase_if(slow_, [this](const UpstreamId& it) {
+    return upstreams_->Find(it) == nullptr;
+  });
+  if (is_slow) {
+    slow_.insert(id);
+  } else {
+    slow_.erase(id);
+  }
+  LogInfo("upstream", "{} id={} slowdown={:.2f} limit={:.1f}.",
+          is_slow ? "Is slow" : "Has recovered", id.str(),
+          upstream.capacity.Slowdown(EventLoop::Now()),
+          upstream.capacity.ConcurrencyLimit(upstream.entry.slots));
+}
+
 }  // namespace bilberrypitch
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -5,8 +5,33 @@
 
 #include "base/log.h"
 #include "gateway/serving_state.h"
+#include "transport/event_loop.h"
 
 namespace bilberrypitch {
+namespace {
+
+// The capacity estimate of each upstream.
+std::string CapacityText(const UpstreamRegistry& upstreams, Millis now) {
+  std::string slowdowns;
+  std::string limits;
+  for (const auto& [id, upstream] : upstreams.all()) {
+    std::string label;
+    for (char c : id.str()) {
+      label += c == '"' || c == '\\' ? "\\" : "";
+      label += c;
+    }
+    const CapacityEstimate& capacity = upstream->capacity;
+    slowdowns += fmt::format(
+        "bilberrypitch_upstream_slowdown{{upstream=\"{}\"}} {:.2f}\n", label,
+        capacity.Slowdown(now));
+    limits += fmt::format(
+        "bilberrypitch_upstream_concurrency_limit{{upstream=\"{}\"}} {:.1f}\n",
+        label, capacity.ConcurrencyLimit(upstream->entry.slots));
+  }
+  return slowdowns + limits;
+}
+
+}  // namespace
 
 std::string FormatMetrics(const ServingState& state,
                           const InstanceMetrics& metrics) {
@@ -36,6 +61,7 @@
         "bilberrypitch_responses_refused_total{{fault=\"{}\"}} {}\n",
         NameOf(static_cast<ResponseFault>(i)), counters.response_faults[i]);
   }
+  text += CapacityText(state.upstreams, EventLoop::Now());
   add("orders_total", metrics.orders);
   add("reports_total", metrics.reports);
   add("upstream_connections_total", metrics.upstream_connections);
--- a/libs/gateway/src/peer_dispatcher.cc
+++ b/libs/gateway/src/peer_dispatcher.cc
@@ -5,6 +5,7 @@
 #include "gateway/adapter_service.h"
 #include "gateway/crash_service.h"
 #include "gateway/freshness_service.h"
+#include "gateway/load_broadcaster.h"
 #include "gateway/part_crash_service.h"
 #include "gateway/path_service.h"
 #include "gateway/permit_service.h"
@@ -54,10 +55,12 @@
       deps_.rate_limits->OnResponse(item.rate_answer());
       break;
     case schema::PeerItem::kLoad:
-      deps_.upstreams->OnPeerLoad(
-          UpstreamId(item.load().engine()), from,
-          {item.load().in_flight(), item.load().tokens_unread(),
-           EventLoop::Now()});
+      if (!deps_.loads->OnNews(item.load())) {
+        deps_.upstreams->OnPeerLoad(
+            UpstreamId(item.load().engine()), from,
+            {item.load().in_flight(), item.load().tokens_unread(),
+             EventLoop::Now()});
+      }
       break;
     case schema::PeerItem::kReadingQuestion:
       deps_.prefills->OnRequest(from, item.reading_question());
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kMisdirectedRequestStatus = 421;
+constexpr int kUnavailableStatus = 503;
 constexpr Millis kConnectTimeout{350};
 // The timeout given to the upstream ends this long before the caller's
 // deadline.
@@ -149,6 +150,9 @@
   }
   ++attempts_;
   state_->upstreams.OnAttemptStarted(upstream, PromptTokens());
+  if (IsPlainService() && !IsStream()) {
+    upstream->capacity.OnAttemptBegun(now);
+  }
   if (request_.model.is_adapter()) {
     deps_->hooks.adapter_use_changed(upstream_, request_.model, 1);
   }
@@ -188,6 +192,7 @@
     if (response_info_.load) {
       state_->upstreams.OnLoadReport(upstream, *response_info_.load,
                                      EventLoop::Now());
+      deps_->hooks.capacity_sampled(upstream_);
     }
     OnRateLimit(upstream);
     OnBrittle(upstream);
@@ -362,6 +367,11 @@
     state_->upstreams.OnAttemptResult(
         upstream, end == AttemptEnd::kFailed,
         end == AttemptEnd::kNotRun ? std::nullopt : std::optional(duration));
+    upstream->capacity.OnAttemptEnded(sent_at_, end == AttemptEnd::kCompleted,
+                                      EventLoop::Now());
+    if (end == AttemptEnd::kCompleted) {
+      deps_->hooks.capacity_sampled(upstream_);
+    }
   }
   if (request_.model.is_adapter()) {
     deps_->hooks.adapter_use_changed(upstream_, request_.model, -1);
@@ -377,6 +387,9 @@
       outcome->status != kMisdirectedRequestStatus) {
     state_->upstreams.OnRejection(rejected_by, state_->instance_count,
                                   EventLoop::Now());
+    if (IsPlainService() && outcome->status == kUnavailableStatus) {
+      rejected_by->capacity.OnFull(EventLoop::Now());
+    }
   }
   bool not_run_by_upstream =
       end == AttemptOutcome::kNotSent || end == AttemptOutcome::kRejectedNotRun;
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -42,6 +42,10 @@
       connection_id_(connection_id),
       arrived_at_(arrived_at),
       shared_parts_(SharedParts(request_.prompt_parts)),
+      choice_seed_(
+          StableHash(request_.id.str() + std::to_string(arrived_at.count()),
+                     deps->state->settings.machine.str()) |
+          1),
       deadline_timer_(deps->loop),
       wait_timer_(deps->loop),
       is_relayed_(relayed.has_value()),
@@ -270,8 +274,7 @@
   Millis now = EventLoop::Now();
   ChoiceInput input;
   input.model = request_.model;
-  const Service* service = config_->FindService(service_);
-  if (service == nullptr || !service->engine) {
+  if (IsPlainService()) {
     input.model = ModelRef();
   }
   auto required_version = state_->required_versions.find(input.model);
@@ -283,6 +286,7 @@
   input.now = now;
   input.tried = tried_upstreams_;
   input.suspect = is_suspect_;
+  input.seed = choice_seed_;
   input.permit = permit_upstream_;
   input.permit_wait_ms = state_->permit_waits[service_].ExpectedMs(now);
   input.load_requested_at = &load_requested_at_;
@@ -323,6 +327,11 @@
   }
 }
 
+bool RequestHandler::IsPlainService() const {
+  const Service* service = config_->FindService(service_);
+  return service == nullptr || !service->engine;
+}
+
 void RequestHandler::OnDeadline() {
   Abort(ErrorKind::kUpstreamTimeout, ErrorKind::kQueueTimeout,
         "The time for the request is over.");
--- a/libs/gateway/src/request_hooks.cc
+++ b/libs/gateway/src/request_hooks.cc
@@ -7,6 +7,7 @@
 #include "gateway/adapter_service.h"
 #include "gateway/caller_frontend.h"
 #include "gateway/crash_service.h"
+#include "gateway/load_broadcaster.h"
 #include "gateway/part_crash_service.h"
 #include "gateway/path_service.h"
 #include "gateway/peer_messenger.h"
@@ -108,6 +109,9 @@
     news->set_rejections_per_s(per_s.value_or(0));
     services.peers->Broadcast(item);
   };
+  hooks.capacity_sampled = [services](const UpstreamId& id) {
+    services.loads->OnCapacitySample(id);
+  };
   hooks.may_begin_stream = [services](const ServiceId& service,
                                       const SoftwareVersion& version) {
     return services.streams->MayBegin(service, version);
--- a/libs/gateway/test/full_upstream_test.cc
+++ b/libs/gateway/test/full_upstream_test.cc
@@ -54,4 +54,44 @@
   REQUIRE(fixture.first.requests().size() <= 5);
 }
 
+// Guards against: each instance has to find out by itself that an upstream has
+// become slow.
+TEST_CASE("instances of a zone hear of a slow upstream from each other",
+          "[full]") {
+  Fixture fixture;
+  fixture.PutUpstream("i-2", fixture.second.address(), "ready");
+  fixture.WaitUntilReady();
+  std::string first_instance = fixture.caller_address();
+  std::unique_ptr<Gateway> other = fixture.StartSecond(&fixture.store);
+  fixture.WaitUntilReady();
+  // Of i-1, by the metrics page of the second instance.
+  auto slowdown = [&] {
+    constexpr std::string_view kName =
+        "bilberrypitch_upstream_slowdown{upstream=\"i-1\"} ";
+    HttpCall call;
+    call.address = fixture.ready_address();
+    call.target = "/metrics";
+    std::string page = fixture.Send(std::move(call)).body;
+    REQUIRE(page.find(kName) != std::string::npos);
+    return std::stod(page.substr(page.find(kName) + kName.size()));
+  };
+  REQUIRE(slowdown() == 1);
+  auto send_until = [&](auto done) {
+    Millis end = EventLoop::Now() + Millis(5000);
+    while (!done() && EventLoop::Now() < end) {
+      HttpCall call = fixture.CallTo("/once/x", "k1");
+      call.address = first_instance;
+      int status = fixture.Send(std::move(call)).status;
+      REQUIRE(status == 200);
+    }
+  };
+  fixture.first.SetHandler(SlowHandler(&fixture.loop, Millis(20), "1,0,6,900"));
+  fixture.second.SetHandler(SlowHandler(&fixture.loop, Millis(2), "1,0,6,100"));
+  send_until([&] { return slowdown() > 5; });
+  REQUIRE(slowdown() > 5);
+  fixture.first.SetHandler(SlowHandler(&fixture.loop, Millis(2), "1,0,6,100"));
+  send_until([&] { return slowdown() < 1.5; });
+  REQUIRE(slowdown() < 1.5);
+}
+
 }  // namespace bilberrypitch
--- a/libs/gateway/test/lost_path_test.cc
+++ b/libs/gateway/test/lost_path_test.cc
@@ -340,6 +340,7 @@
     hooks.upstream_unreached = [](const UpstreamId&) {};
     hooks.upstream_unreachable = [](const UpstreamId&) {};
     hooks.brittleness_changed = [](const UpstreamId&, std::optional<double>) {};
+    hooks.capacity_sampled = [](const UpstreamId&) {};
     hooks.attempt_started = [] {};
     hooks.attempt_ended = [] {};
     hooks.bytes_received = [] {};
--- a/libs/gateway/test/metrics_test.cc
+++ b/libs/gateway/test/metrics_test.cc
@@ -4,6 +4,7 @@
 #include "gateway/latency_histogram.h"
 #include "gateway/metrics_page.h"
 #include "gateway/serving_state.h"
+#include "transport/event_loop.h"
 
 namespace bilberrypitch {
 
@@ -37,6 +38,12 @@
   state.counters
       .response_faults[static_cast<size_t>(ResponseFault::kOtherRequest)] = 2;
   state.first_event_latency.Add(Millis(300));
+  UpstreamEntry entry;
+  entry.id = UpstreamId("i\"1");
+  entry.slots = 6;
+  state.upstreams.OnRecord({entry.id, entry}, EventLoop::Now(), Millis(0));
+  state.upstreams.OnLoadReport(state.upstreams.Find(entry.id), {3, 0, 6, 2.5},
+                               EventLoop::Now());
   InstanceMetrics metrics;
   metrics.orders = 3;
   std::string text = FormatMetrics(state, metrics);
@@ -44,6 +51,8 @@
        {"bilberrypitch_requests_received_total 7\n",
         "bilberrypitch_responses_refused_total{fault=\"other_request\"} 2\n",
         "bilberrypitch_responses_refused_total{fault=\"unsigned\"} 0\n",
+        "bilberrypitch_upstream_slowdown{upstream=\"i\\\"1\"} 2.50\n",
+        "bilberrypitch_upstream_concurrency_limit{upstream=\"i\\\"1\"} 3.6\n",
         "bilberrypitch_orders_total 3\n", "bilberrypitch_config_version 0\n",
         "bilberrypitch_first_event_seconds_bucket{le=\"0.4\"} 1\n",
         "bilberrypitch_longest_pause_seconds_count 0\n"}) {
