Reject a request at once when all plain upstreams are full

A request went round upstreams that had turned it away with 503 (not run) until eight attempts or the retry budget were spent, which adds load to full upstreams. Once each usable upstream has done so, the caller gets 503 with Retry-After. Counter refused_all_full_total.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -244,6 +244,9 @@
   void RejectForRateLimit(Millis retry_after);
   void KeepAdapter(const UpstreamId& engine);
   void ReturnPermit();
+  // Rejects the request if each upstream that could take it has turned it away
+  // because it is full. Returns whether it did.
+  bool RejectIfAllFull(const std::vector<UpstreamState*>& usable);
   // Whether the service has no models. The latencies of its requests can be
   // compared with each other.
   bool IsPlainService() const;
@@ -340,6 +343,8 @@
   UpstreamId last_upstream_;  // Upstream of the last attempt, for the log.
   // Upstreams that failed or rejected the request, adapter misses excluded.
   std::vector<UpstreamId> tried_upstreams_;
+  // Plain upstreams that turned the request away because they are full.
+  std::set<UpstreamId> full_upstreams_;
   // Connections to these may still carry a response to an earlier attempt.
   std::set<std::string> sent_to_addresses_;
   uint32_t attempts_ = 0;
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -36,6 +36,7 @@
   uint64_t adapter_misses = 0;  // Attempts at engines without the adapter.
   uint64_t relayed = 0;         // To other instances.
   uint64_t refused_without_path = 0;  // To upstreams, or to such instances.
+  uint64_t refused_all_full = 0;      // All upstreams rejected it as full.
   uint64_t take_ups_refused = 0;      // Of streams whose version is not there.
   uint64_t part_quarantined = 0;      // Ended for a quarantined prompt part.
   // Responses of upstreams that were not passed on, by the fault.
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -53,6 +53,7 @@
   add("prompt_part_quarantined_total", counters.part_quarantined);
   add("relayed_total", counters.relayed);
   add("refused_without_path_total", counters.refused_without_path);
+  add("refused_all_full_total", counters.refused_all_full);
   add("take_ups_refused_total", counters.take_ups_refused);
   add("prompt_parts_quarantined",
       state.part_crash_tracker.Quarantined().size());
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -389,6 +389,7 @@
                                   EventLoop::Now());
     if (IsPlainService() && outcome->status == kUnavailableStatus) {
       rejected_by->capacity.OnFull(EventLoop::Now());
+      full_upstreams_.insert(upstream);
     }
   }
   bool not_run_by_upstream =
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -294,6 +294,9 @@
     return;
   }
   std::vector<UpstreamState*> usable = UsableUpstreams(now);
+  if (RejectIfAllFull(usable)) {
+    return;
+  }
   std::erase_if(usable, [now](const UpstreamState* upstream) {
     return !upstream->HasRoomIfBrittle(now);
   });
@@ -332,6 +335,21 @@
   return service == nullptr || !service->engine;
 }
 
+bool RequestHandler::RejectIfAllFull(
+    const std::vector<UpstreamState*>& usable) {
+  bool all_full =
+      !full_upstreams_.empty() && !usable.empty() && !may_have_run_ &&
+      std::all_of(usable.begin(), usable.end(), [this](auto* upstream) {
+        return full_upstreams_.contains(upstream->entry.id);
+      });
+  if (all_full) {
+    ++state_->counters.refused_all_full;
+    Reject(ErrorKind::kUpstreamUnavailable, "All upstreams are full.",
+           kRejectionRetryAfter);
+  }
+  return all_full;
+}
+
 void RequestHandler::OnDeadline() {
   Abort(ErrorKind::kUpstreamTimeout, ErrorKind::kQueueTimeout,
         "The time for the request is over.");
--- a/libs/gateway/test/full_upstream_test.cc
+++ b/libs/gateway/test/full_upstream_test.cc
@@ -54,6 +54,24 @@
   REQUIRE(fixture.first.requests().size() <= 5);
 }
 
+// Guards against: a request is sent again and again to upstreams that are full,
+// or its caller waits.
+TEST_CASE("a request that all upstreams reject as full is rejected at once",
+          "[full]") {
+  Fixture fixture;
+  fixture.PutUpstream("i-2", fixture.second.address(), "ready");
+  fixture.WaitUntilReady();
+  fixture.first.SetHandler(RejectAsFull);
+  fixture.second.SetHandler(RejectAsFull);
+  Millis begin = EventLoop::Now();
+  CallOutcome outcome = fixture.SendRequest("/once/x");
+  REQUIRE(outcome.status == 503);
+  REQUIRE_FALSE(outcome.headers.Get("Retry-After").empty());
+  REQUIRE(EventLoop::Now() - begin < Millis(500));
+  REQUIRE(fixture.first.requests().size() == 1);
+  REQUIRE(fixture.second.requests().size() == 1);
+}
+
 // Guards against: each instance has to find out by itself that an upstream has
 // become slow.
 TEST_CASE("instances of a zone hear of a slow upstream from each other",
