Bound the slowdowns that an instance receives by the size of its zone

The period followed that of load reports, which is 3 s at 200 instances. Slowdowns go to one zone only, so 10 ms for each of its instances, and at least 100 ms, bound what each receives to 100 datagrams a second. gateway_test [full] passes.

--- a/libs/gateway/include/gateway/load_broadcaster.h
+++ b/libs/gateway/include/gateway/load_broadcaster.h
@@ -37,6 +37,7 @@
  private:
   Millis Period() const;
   void BroadcastLoads();
+  Millis SlowdownPeriod() const;
   void SendSlowdowns();
   void SendToZone(const schema::PeerItem& item);
   // Logs that the upstream has become slow or has recovered.
--- a/libs/gateway/src/load_broadcaster.cc
+++ b/libs/gateway/src/load_broadcaster.cc
@@ -20,8 +20,10 @@
 // the number of instances.
 constexpr size_t kInstancesSquaredPerStep = 200;
 
-// Slowdowns are sent no more often than this, and not more of them at once.
-// With `Period` this bounds what each instance receives.
+// An instance sends slowdowns, at most so many at once, no more often than this
+// time for each instance of the zone: each receives up to 100 datagrams a
+// second, however many instances there are.
+constexpr Millis kSlowdownPeriodPerInstance{10};
 constexpr Millis kMinSlowdownPeriod{100};
 constexpr size_t kMaxSlowdownsAtOnce = 8;
 
@@ -117,11 +119,17 @@
     }
   }
   if (sent > 0) {
-    slowdown_timer_.Start(std::max(kMinSlowdownPeriod, Period()),
-                          [this] { SendSlowdowns(); });
+    slowdown_timer_.Start(SlowdownPeriod(), [this] { SendSlowdowns(); });
   }
 }
 
+Millis LoadBroadcaster::SlowdownPeriod() const {
+  auto in_zone =
+      std::count_if(peers_->peers().begin(), peers_->peers().end(),
+                    [this](const auto& it) { return it.second.zone == zone_; });
+  return std::max(kMinSlowdownPeriod, kSlowdownPeriodPerInstance * in_zone);
+}
+
 void LoadBroadcaster::SendToZone(const schema::PeerItem& item) {
   for (const auto& [machine, member] : peers_->peers()) {
     if (member.zone == zone_) {
