--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -247,6 +247,8 @@
   // Rejects the request if each upstream that could take it has turned it away
   // because it is full. Returns whether it did.
   bool RejectIfAllFull(const std::vector<UpstreamState*>& usable);
+  // Whether the upstream, which has rejected the request with 503, is full.
+  bool WasFull(const UpstreamState& upstream) const;
   // Whether the service has no models. The latencies of its requests can be
   // compared with each other.
   bool IsPlainService() const;
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -379,6 +379,16 @@
   upstream_ = UpstreamId();
 }
 
+// A plain upstream that states neither its load nor a slowdown may have
+// rejected the request for another reason, and may take it when it is sent
+// again.
+bool RequestHandler::WasFull(const UpstreamState& upstream) const {
+  const std::optional<UpstreamLoadReport>& load = response_info_.load;
+  bool states_full = load && load->slots > 0 && load->running >= load->slots;
+  return IsPlainService() &&
+         (states_full || upstream.capacity.StatesSlowdown(EventLoop::Now()));
+}
+
 void RequestHandler::HandleFailedAttempt(AttemptOutcome end,
                                          CallOutcome* outcome) {
   UpstreamId upstream = upstream_;
@@ -387,7 +397,7 @@
       outcome->status != kMisdirectedRequestStatus) {
     state_->upstreams.OnRejection(rejected_by, state_->instance_count,
                                   EventLoop::Now());
-    if (IsPlainService() && outcome->status == kUnavailableStatus) {
+    if (outcome->status == kUnavailableStatus && WasFull(*rejected_by)) {
       rejected_by->capacity.OnFull(EventLoop::Now());
       full_upstreams_.insert(upstream);
     }
--- a/libs/serving/include/serving/capacity_estimate.h
+++ b/libs/serving/include/serving/capacity_estimate.h
@@ -47,6 +47,8 @@
   // Whether there is anything to estimate from: a stated figure, latencies that
   // differed clearly, or a rejection, all of them recent.
   bool IsInEffect(Millis now) const;
+  // Whether the upstream has stated a figure of its own recently.
+  bool StatesSlowdown(Millis now) const;
   // By the latest sample, with hysteresis.
   bool is_slow() const { return is_slow_; }
 
@@ -62,7 +64,6 @@
   // How late the oldest open attempt is, as a slowdown.
   double OverdueSlowdown(Millis now) const;
   bool has_usual_latency() const;
-  bool states_slowdown(Millis now) const;
 
   // By all sources; smoothed. Below 1 if the upstream states so.
   double slowdown_ = 1;
--- a/libs/serving/src/capacity_estimate.cc
+++ b/libs/serving/src/capacity_estimate.cc
@@ -63,7 +63,7 @@
   return latency_samples_ >= kMinLatencies;
 }
 
-bool CapacityEstimate::states_slowdown(Millis now) const {
+bool CapacityEstimate::StatesSlowdown(Millis now) const {
   return stated_at_ && now - *stated_at_ < kEffectTime;
 }
 
@@ -104,7 +104,7 @@
 void CapacityEstimate::OnLatency(double latency_ms, Millis now) {
   latency_ms = std::max(1.0, latency_ms);
   double usual_ms = latency_ms;
-  if (states_slowdown(now)) {
+  if (StatesSlowdown(now)) {
     usual_ms /= std::max(1.0, slowdown_);
   }
   double ratio = has_usual_latency() ? latency_ms / usual_latency_ms_ : 1;
@@ -114,7 +114,7 @@
   latency_samples_ = std::min(latency_samples_ + 1, kMaxLatencies);
   double weight = std::max(kLatencyWeight, 1.0 / latency_samples_);
   usual_latency_ms_ += weight * (usual_ms - usual_latency_ms_);
-  if (has_usual_latency() && !states_slowdown(now)) {
+  if (has_usual_latency() && !StatesSlowdown(now)) {
     has_own_sample_ = true;
     OnSample(ratio >= kClearRatio ? ratio : 1, kMinWeight, now);
   }
@@ -208,7 +208,7 @@
 }
 
 bool CapacityEstimate::IsInEffect(Millis now) const {
-  return states_slowdown(now) || (slow_at_ && now - *slow_at_ < kEffectTime) ||
+  return StatesSlowdown(now) || (slow_at_ && now - *slow_at_ < kEffectTime) ||
          (full_at_ && now - *full_at_ < kEffectTimeAfterFull) ||
          OverdueSlowdown(now) > 1;
 }
