--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -120,6 +120,8 @@
   // rejections, or any number.
   std::function<void(const UpstreamId&, std::optional<double> per_s)>
       brittleness_changed;
+  // The upstream's capacity estimate has a new sample.
+  std::function<void(const UpstreamId&)> capacity_sampled;
   // The request has ended. Called from within its handler.
   std::function<void(uint64_t connection_id)> request_ended;
   // Acquires tokens of the workspace's rate. `done` may be called before the
@@ -173,6 +175,14 @@
   bool finished() const { return finished_; }
 
  private:
+  // What an attempt that has ended tells of its upstream.
+  enum class AttemptEnd {
+    kCompleted,
+    kFailed,
+    kNotRun,   // Not sent, or rejected.
+    kAborted,  // By the caller, the deadline or a stop.
+  };
+
   bool Admit();
   bool AdmitCaller();
   bool RejectIfQuarantined();
@@ -234,6 +244,14 @@
   void RejectForRateLimit(Millis retry_after);
   void KeepAdapter(const UpstreamId& engine);
   void ReturnPermit();
+  // Rejects the request if each upstream that could take it has turned it away
+  // because it is full. Returns whether it did.
+  bool RejectIfAllFull(const std::vector<UpstreamState*>& usable);
+  // Whether the upstream, which has rejected the request with 503, is full.
+  bool WasFull(const UpstreamState& upstream) const;
+  // Whether the service has no models. The latencies of its requests can be
+  // compared with each other.
+  bool IsPlainService() const;
   // Applies the rejections that the upstream bears by its response, if it says.
   void OnBrittle(UpstreamState* upstream);
   // Applies the rate limit that the response states, or that it states none.
@@ -255,7 +273,7 @@
   void RecordFault(AttemptOutcome end, const CallOutcome& outcome);
   void OnCompleteResponse(const CallOutcome& outcome, bool failed);
   void HandleFailedAttempt(AttemptOutcome end, CallOutcome* outcome);
-  void EndAttempt(bool failed);
+  void EndAttempt(AttemptEnd end);
   void OnDeadline();
   void Abort(ErrorKind kind_if_sent, ErrorKind kind_if_not_sent,
              std::string detail);
@@ -283,7 +301,8 @@
   ServiceId service_;
   uint64_t fingerprint_ = 0;
   const std::vector<PartId> shared_parts_;  // Of the prompt.
-  bool is_probe_ = false;  // May be sent although a part is quarantined.
+  const uint64_t choice_seed_;  // Differs between requests and instances.
+  bool is_probe_ = false;       // May be sent although a part is quarantined.
   double rate_cost_ = 0;
   Millis deadline_;
   Timer deadline_timer_;
@@ -326,6 +345,8 @@
   UpstreamId last_upstream_;  // Upstream of the last attempt, for the log.
   // Upstreams that failed or rejected the request, adapter misses excluded.
   std::vector<UpstreamId> tried_upstreams_;
+  // Plain upstreams that turned the request away because they are full.
+  std::set<UpstreamId> full_upstreams_;
   // Connections to these may still carry a response to an earlier attempt.
   std::set<std::string> sent_to_addresses_;
   uint32_t attempts_ = 0;
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -5,8 +5,33 @@
 
 #include "base/log.h"
 #include "gateway/serving_state.h"
+#include "transport/event_loop.h"
 
 namespace bilberrypitch {
+namespace {
+
+// The capacity estimate of each upstream.
+std::string CapacityText(const UpstreamRegistry& upstreams, Millis now) {
+  std::string slowdowns;
+  std::string limits;
+  for (const auto& [id, upstream] : upstreams.all()) {
+    std::string label;
+    for (char c : id.str()) {
+      label += c == '"' || c == '\\' ? "\\" : "";
+      label += c;
+    }
+    const CapacityEstimate& capacity = upstream->capacity;
+    slowdowns += fmt::format(
+        "bilberrypitch_upstream_slowdown{{upstream=\"{}\"}} {:.2f}\n", label,
+        capacity.Slowdown(now));
+    limits += fmt::format(
+        "bilberrypitch_upstream_concurrency_limit{{upstream=\"{}\"}} {:.1f}\n",
+        label, capacity.ConcurrencyLimit(upstream->entry.slots));
+  }
+  return slowdowns + limits;
+}
+
+}  // namespace
 
 std::string FormatMetrics(const ServingState& state,
                           const InstanceMetrics& metrics) {
@@ -28,6 +53,7 @@
   add("prompt_part_quarantined_total", counters.part_quarantined);
   add("relayed_total", counters.relayed);
   add("refused_without_path_total", counters.refused_without_path);
+  add("refused_all_full_total", counters.refused_all_full);
   add("take_ups_refused_total", counters.take_ups_refused);
   add("prompt_parts_quarantined",
       state.part_crash_tracker.Quarantined().size());
@@ -36,6 +62,7 @@
         "bilberrypitch_responses_refused_total{{fault=\"{}\"}} {}\n",
         NameOf(static_cast<ResponseFault>(i)), counters.response_faults[i]);
   }
+  text += CapacityText(state.upstreams, EventLoop::Now());
   add("orders_total", metrics.orders);
   add("reports_total", metrics.reports);
   add("upstream_connections_total", metrics.upstream_connections);
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kMisdirectedRequestStatus = 421;
+constexpr int kUnavailableStatus = 503;
 constexpr Millis kConnectTimeout{350};
 // The timeout given to the upstream ends this long before the caller's
 // deadline.
@@ -149,6 +150,9 @@
   }
   ++attempts_;
   state_->upstreams.OnAttemptStarted(upstream, PromptTokens());
+  if (IsPlainService() && !IsStream()) {
+    upstream->capacity.OnAttemptBegun(now);
+  }
   if (request_.model.is_adapter()) {
     deps_->hooks.adapter_use_changed(upstream_, request_.model, 1);
   }
@@ -188,6 +192,7 @@
     if (response_info_.load) {
       state_->upstreams.OnLoadReport(upstream, *response_info_.load,
                                      EventLoop::Now());
+      deps_->hooks.capacity_sampled(upstream_);
     }
     OnRateLimit(upstream);
     OnBrittle(upstream);
@@ -318,7 +323,7 @@
 
 void RequestHandler::OnCompleteResponse(const CallOutcome& outcome,
                                         bool failed) {
-  EndAttempt(failed);
+  EndAttempt(failed ? AttemptEnd::kFailed : AttemptEnd::kCompleted);
   if (!failed) {
     state_->crash_tracker.OnSuccess(fingerprint_);
   }
@@ -348,7 +353,7 @@
   Finish("answered", outcome.status);
 }
 
-void RequestHandler::EndAttempt(bool failed) {
+void RequestHandler::EndAttempt(AttemptEnd end) {
   ReleasePrefill(false);
   if (upstream_.empty()) {
     return;
@@ -358,7 +363,15 @@
   if (upstream != nullptr) {
     state_->upstreams.OnAttemptEnded(upstream,
                                      first_event_seen_ ? 0 : PromptTokens());
-    state_->upstreams.OnAttemptResult(upstream, failed, duration);
+    // A rejection is fast, but says nothing of how fast requests are served.
+    state_->upstreams.OnAttemptResult(
+        upstream, end == AttemptEnd::kFailed,
+        end == AttemptEnd::kNotRun ? std::nullopt : std::optional(duration));
+    upstream->capacity.OnAttemptEnded(sent_at_, end == AttemptEnd::kCompleted,
+                                      EventLoop::Now());
+    if (end == AttemptEnd::kCompleted) {
+      deps_->hooks.capacity_sampled(upstream_);
+    }
   }
   if (request_.model.is_adapter()) {
     deps_->hooks.adapter_use_changed(upstream_, request_.model, -1);
@@ -366,6 +379,16 @@
   upstream_ = UpstreamId();
 }
 
+// A plain upstream that states neither its load nor a slowdown may have
+// rejected the request for another reason, and may take it when it is sent
+// again.
+bool RequestHandler::WasFull(const UpstreamState& upstream) const {
+  const std::optional<UpstreamLoadReport>& load = response_info_.load;
+  bool states_full = load && load->slots > 0 && load->running >= load->slots;
+  return IsPlainService() &&
+         (states_full || upstream.capacity.StatesSlowdown(EventLoop::Now()));
+}
+
 void RequestHandler::HandleFailedAttempt(AttemptOutcome end,
                                          CallOutcome* outcome) {
   UpstreamId upstream = upstream_;
@@ -374,13 +397,22 @@
       outcome->status != kMisdirectedRequestStatus) {
     state_->upstreams.OnRejection(rejected_by, state_->instance_count,
                                   EventLoop::Now());
+    if (outcome->status == kUnavailableStatus && WasFull(*rejected_by)) {
+      rejected_by->capacity.OnFull(EventLoop::Now());
+      full_upstreams_.insert(upstream);
+    }
   }
   bool not_run_by_upstream =
       end == AttemptOutcome::kNotSent || end == AttemptOutcome::kRejectedNotRun;
   bool adapter_missed = end == AttemptOutcome::kRejectedNotRun &&
                         outcome->status == kMisdirectedRequestStatus &&
                         request_.model.is_adapter();
-  EndAttempt(!not_run_by_upstream && end != AttemptOutcome::kDeadlineExceeded);
+  if (not_run_by_upstream) {
+    EndAttempt(AttemptEnd::kNotRun);
+  } else {
+    EndAttempt(end == AttemptOutcome::kDeadlineExceeded ? AttemptEnd::kAborted
+                                                        : AttemptEnd::kFailed);
+  }
   if (end == AttemptOutcome::kNotSent) {
     if (UpstreamState* it = state_->upstreams.Find(upstream)) {
       state_->upstreams.OnConnectFailure(it, EventLoop::Now());
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -43,6 +43,10 @@
       connection_id_(connection_id),
       arrived_at_(arrived_at),
       shared_parts_(SharedParts(request_.prompt_parts)),
+      choice_seed_(
+          StableHash(request_.id.str() + std::to_string(arrived_at.count()),
+                     deps->state->settings.machine.str()) |
+          1),
       deadline_timer_(deps->loop),
       wait_timer_(deps->loop),
       is_relayed_(relayed.has_value()),
@@ -273,12 +277,16 @@
       *state_, *config_, service_, request_.model, request_.prompt_tokens, now);
   input.tried = tried_upstreams_;
   input.suspect = is_suspect_;
+  input.seed = choice_seed_;
   input.permit = permit_upstream_;
   input.load_requested_at = &load_requested_at_;
   if (RejectIfVersionGone()) {
     return;
   }
   std::vector<UpstreamState*> usable = UsableUpstreams(now);
+  if (RejectIfAllFull(usable)) {
+    return;
+  }
   std::erase_if(usable, [now](const UpstreamState* upstream) {
     return !upstream->HasRoomIfBrittle(now);
   });
@@ -312,6 +320,26 @@
   }
 }
 
+bool RequestHandler::IsPlainService() const {
+  const Service* service = config_->FindService(service_);
+  return service == nullptr || !service->engine;
+}
+
+bool RequestHandler::RejectIfAllFull(
+    const std::vector<UpstreamState*>& usable) {
+  bool all_full =
+      !full_upstreams_.empty() && !usable.empty() && !may_have_run_ &&
+      std::all_of(usable.begin(), usable.end(), [this](auto* upstream) {
+        return full_upstreams_.contains(upstream->entry.id);
+      });
+  if (all_full) {
+    ++state_->counters.refused_all_full;
+    Reject(ErrorKind::kUpstreamUnavailable, "All upstreams are full.",
+           kRejectionRetryAfter);
+  }
+  return all_full;
+}
+
 void RequestHandler::OnDeadline() {
   Abort(ErrorKind::kUpstreamTimeout, ErrorKind::kQueueTimeout,
         "The time for the request is over.");
@@ -344,7 +372,7 @@
   CallId call = call_id_;
   call_id_ = 0;
   may_have_run_ = may_have_run_ || call != 0;
-  EndAttempt(false);
+  EndAttempt(AttemptEnd::kAborted);
   Error error{kind_if_not_sent, std::move(detail), NotRun::kTrue};
   if (may_have_run_) {
     error.kind = kind_if_sent;
@@ -363,7 +391,7 @@
   ++state_->counters.caller_left;
   CallId call = call_id_;
   call_id_ = 0;
-  EndAttempt(false);
+  EndAttempt(AttemptEnd::kAborted);
   if (response_started_) {
     responder_->AbortStream();
   }
