--- a/libs/gateway/include/gateway/load_broadcaster.h
+++ b/libs/gateway/include/gateway/load_broadcaster.h
@@ -10,8 +10,8 @@
 namespace bilberrypitch {
 
 namespace schema {
-class EngineLoad;
 class PeerItem;
+class SlowdownNews;
 }  // namespace schema
 
 class EventLoop;
@@ -30,9 +30,8 @@
   void OnLoadChanged(const UpstreamId& engine);
   // The capacity estimate of the upstream has a new sample of this instance.
   void OnCapacitySample(const UpstreamId& id);
-  // Applies news of another instance. Returns false if `load` is no such news
-  // but the load of an engine.
-  bool OnNews(const schema::EngineLoad& load);
+  // Applies news of another instance.
+  void OnNews(const schema::SlowdownNews& news);
 
  private:
   Millis Period() const;
--- a/libs/gateway/src/load_broadcaster.cc
+++ b/libs/gateway/src/load_broadcaster.cc
@@ -3,8 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
-#include <string>
 
 #include "base/log.h"
 #include "gateway/peer_messenger.h"
@@ -27,27 +25,16 @@
 constexpr Millis kMinSlowdownPeriod{100};
 constexpr size_t kMaxSlowdownsAtOnce = 8;
 
-// A slowdown is sent as the load of an engine of this prefix and the id, with
-// the slowdown in percent as its `in_flight`. No upstream has such an id, so
-// that instances of earlier versions ignore it.
-constexpr std::string_view kSlowdownPrefix = "slowdown ";
+constexpr double kPercent = 100;
 
 schema::PeerItem EncodeSlowdown(const UpstreamId& id, double slowdown) {
   schema::PeerItem item;
-  item.mutable_load()->set_engine(std::string(kSlowdownPrefix) + id.str());
-  item.mutable_load()->set_in_flight(
-      static_cast<uint32_t>(std::lround(slowdown * 100)));
+  item.mutable_slowdown_news()->set_upstream(id.str());
+  item.mutable_slowdown_news()->set_percent(
+      static_cast<uint32_t>(std::lround(slowdown * kPercent)));
   return item;
 }
 
-// Returns the upstream if `load` is a slowdown.
-std::optional<UpstreamId> DecodeSlowdown(const schema::EngineLoad& load) {
-  if (!load.engine().starts_with(kSlowdownPrefix)) {
-    return std::nullopt;
-  }
-  return UpstreamId(load.engine().substr(kSlowdownPrefix.size()));
-}
-
 }  // namespace
 
 LoadBroadcaster::LoadBroadcaster(EventLoop* loop, const ZoneId& zone,
@@ -138,17 +125,12 @@
   }
 }
 
-bool LoadBroadcaster::OnNews(const schema::EngineLoad& load) {
-  std::optional<UpstreamId> id = DecodeSlowdown(load);
-  if (!id) {
-    return false;
-  }
-  UpstreamState* upstream = upstreams_->Find(*id);
+void LoadBroadcaster::OnNews(const schema::SlowdownNews& news) {
+  UpstreamState* upstream = upstreams_->Find(UpstreamId(news.upstream()));
   if (upstream != nullptr) {
-    upstream->capacity.OnNews(load.in_flight() / 100.0, EventLoop::Now());
+    upstream->capacity.OnNews(news.percent() / kPercent, EventLoop::Now());
     LogIfClassified(*upstream);
   }
-  return true;
 }
 
 void LoadBroadcaster::LogIfClassified(const UpstreamState& upstream) {
--- a/libs/gateway/src/peer_dispatcher.cc
+++ b/libs/gateway/src/peer_dispatcher.cc
@@ -55,12 +55,13 @@
       deps_.rate_limits->OnResponse(item.rate_answer());
       break;
     case schema::PeerItem::kLoad:
-      if (!deps_.loads->OnNews(item.load())) {
-        deps_.upstreams->OnPeerLoad(
-            UpstreamId(item.load().engine()), from,
-            {item.load().in_flight(), item.load().tokens_unread(),
-             EventLoop::Now()});
-      }
+      deps_.upstreams->OnPeerLoad(
+          UpstreamId(item.load().engine()), from,
+          {item.load().in_flight(), item.load().tokens_unread(),
+           EventLoop::Now()});
+      break;
+    case schema::PeerItem::kSlowdownNews:
+      deps_.loads->OnNews(item.slowdown_news());
       break;
     case schema::PeerItem::kReadingQuestion:
       deps_.prefills->OnRequest(from, item.reading_question());
