Evacuate availability zones on a key of the store

Cause: nothing lets the operator move all traffic out of a zone.

ZoneEvacuations keeps the zones, and UpstreamState::IsUsable asks it. StartAttempt looks once more. Requests that wait in the zone for an adapter, a prefill grant or a permit end that and choose again 1 ms after the records were applied; without an upstream outside they are rejected at once. A full read ends evacuations whose key it lacks, unless the key was written later. Log lines, a gauge and a counter.

--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -48,6 +48,9 @@
     StoreRecordDecoder decode_record;
     // A configuration of this store revision was seen.
     std::function<void(StoreRevision revision)> on_config_revision;
+    // Zones have been evacuated: requests that wait for their upstreams have
+    // to choose again.
+    std::function<void()> on_zone_evacuated;
   };
 
   RecordApplier(EventLoop* loop, Deps deps);
@@ -90,6 +93,9 @@
   // owner.
   void AddEngineResource(const UpstreamState& upstream);
   void OnAdapterVersionRecord(const AdapterVersionRecord& record);
+  void OnEvacuationRecord(const ZoneEvacuationRecord& record,
+                          const StoreItem& item);
+  void OnEvacuationEnded(const ZoneId& zone);
   // The upstreams of a service, or their versions, may have changed.
   void UpdateLiveVersions();
   void ScheduleLiveVersions();
@@ -102,6 +108,7 @@
   bool reading_copy_ = false;  // The first full read of an era is applied.
   Timer expire_timer_;
   Timer live_versions_timer_;
+  Timer evacuation_timer_;
 };
 
 }  // namespace bilberrypitch
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -168,6 +168,9 @@
   bool EndIfTooLateToSend();
   // This instance has lost its path to all upstreams.
   void OnPathLost();
+  // Zones have been evacuated: if the request waits for an upstream there, it
+  // chooses again.
+  void OnZoneEvacuated();
   // The process is about to exit: ends the request with an error.
   void OnShutdown();
   bool finished() const { return finished_; }
@@ -197,6 +200,13 @@
   std::vector<UpstreamState*> UsableUpstreams(Millis now) const;
   // Rejects a take-up that no upstream could serve. Returns whether it did.
   bool RejectIfVersionGone();
+  // Rejects a request that only upstreams of evacuated zones could serve.
+  // Returns whether it did.
+  bool RejectIfEvacuated();
+  bool IsEvacuated(const UpstreamId& upstream) const;
+  // Ends what the request waits for at upstreams of evacuated zones. Returns
+  // whether there was any.
+  bool EndEvacuatedWaits();
   void RecordOrigin();
   // Looks for the origin of a stream, charges the rate and goes on.
   void Proceed();
@@ -294,6 +304,7 @@
   bool permit_returnable_ = false;
   Millis permit_turn_at_;        // Not to be used before.
   bool permit_pending_ = false;  // It was asked for.
+  UpstreamId permit_asked_at_;   // For which it was asked for last.
   uint32_t permit_denials_ = 0;
   // How much more another upstream costs than the chosen one.
   Millis choice_margin_;
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -19,6 +19,7 @@
 #include "serving/retry_budget.h"
 #include "serving/shutdown_schedule.h"
 #include "serving/upstream_registry.h"
+#include "serving/zone_evacuations.h"
 
 namespace bilberrypitch {
 
@@ -36,6 +37,7 @@
   uint64_t adapter_misses = 0;  // Attempts at engines without the adapter.
   uint64_t relayed = 0;         // To other instances.
   uint64_t refused_without_path = 0;  // To upstreams, or to such instances.
+  uint64_t refused_evacuated = 0;     // All upstreams in evacuated zones.
   uint64_t take_ups_refused = 0;      // Of streams whose version is not there.
   uint64_t part_quarantined = 0;      // Ended for a quarantined prompt part.
   // Responses of upstreams that were not passed on, by the fault.
@@ -51,7 +53,7 @@
         freshness(instance_settings.bounds.strict_revocation
                       ? instance_settings.bounds.key_revocation
                       : Millis(0)),
-        upstreams(std::move(hooks)) {}
+        upstreams(std::move(hooks), &evacuations) {}
 
   RetryBudget& RetryBudgetFor(const ServiceId& service) {
     RetryBudgetLimits limits{settings.bounds.retry_ratio,
@@ -64,6 +66,7 @@
   ShutdownSchedule shutdown;
   std::shared_ptr<const ActiveConfig> config;  // Null: none received yet.
   Freshness freshness;
+  ZoneEvacuations evacuations;
   UpstreamRegistry upstreams;
   ResidencyView residency;
   std::map<ModelRef, int64_t> required_versions;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -244,6 +244,11 @@
     deps.on_config_revision = [this](StoreRevision revision) {
       freshness_service_->OnConfigRevision(revision);
     };
+    deps.on_zone_evacuated = [this] {
+      for (const auto& handler : callers_.open_requests()) {
+        handler->OnZoneEvacuated();
+      }
+    };
     return deps;
   }
 
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -28,9 +28,11 @@
   add("prompt_part_quarantined_total", counters.part_quarantined);
   add("relayed_total", counters.relayed);
   add("refused_without_path_total", counters.refused_without_path);
+  add("refused_zones_evacuated_total", counters.refused_evacuated);
   add("take_ups_refused_total", counters.take_ups_refused);
   add("prompt_parts_quarantined",
       state.part_crash_tracker.Quarantined().size());
+  add("zones_evacuated", state.evacuations.size());
   for (size_t i = 1; i < counters.response_faults.size(); ++i) {
     text += fmt::format(
         "bilberrypitch_responses_refused_total{{fault=\"{}\"}} {}\n",
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -23,11 +23,17 @@
 
 // From a change of upstreams to the pass over their versions.
 constexpr Millis kLiveVersionsDelay{1};
+// From the beginning of an evacuation until requests choose again, so that they
+// do so by all records that arrived together.
+constexpr Millis kEvacuationDelay{1};
 
 }  // namespace
 
 RecordApplier::RecordApplier(EventLoop* loop, Deps deps)
-    : deps_(std::move(deps)), expire_timer_(loop), live_versions_timer_(loop) {}
+    : deps_(std::move(deps)),
+      expire_timer_(loop),
+      live_versions_timer_(loop),
+      evacuation_timer_(loop) {}
 
 bool RecordApplier::Apply(const StoreItem& item, Millis return_deadline) {
   if (item.key == KeptConfigKey()) {
@@ -57,6 +63,8 @@
     OnUpstreamRecord(*upstream, now, return_deadline);
   } else if (auto* version = std::get_if<AdapterVersionRecord>(&record)) {
     OnAdapterVersionRecord(*version);
+  } else if (auto* evacuation = std::get_if<ZoneEvacuationRecord>(&record)) {
+    OnEvacuationRecord(*evacuation, item);
   } else if (auto* malformed = std::get_if<MalformedRecord>(&record)) {
     LogWarning("store", "Skipped a malformed record: {}.", malformed->reason);
   } else {
@@ -206,6 +214,24 @@
   deps_.orders->OnRequiredVersion(record.adapter, record.version);
 }
 
+void RecordApplier::OnEvacuationRecord(const ZoneEvacuationRecord& record,
+                                       const StoreItem& item) {
+  if (!deps_.state->evacuations.OnRecord(record, item)) {
+    return;
+  }
+  if (record.active) {
+    LogInfo("zone", "Evacuation begins zone={} era={} revision={}.",
+            record.zone.str(), item.revision.era, item.revision.number);
+    evacuation_timer_.Start(kEvacuationDelay, deps_.on_zone_evacuated);
+  } else {
+    OnEvacuationEnded(record.zone);
+  }
+}
+
+void RecordApplier::OnEvacuationEnded(const ZoneId& zone) {
+  LogInfo("zone", "Evacuation ends zone={}.", zone.str());
+}
+
 void RecordApplier::NotifyOwnershipChanged(const ResourceId& resource) {
   if (UpstreamId engine = EngineOf(resource); !engine.empty()) {
     deps_.orders->OnOwnershipChanged(engine);
@@ -230,6 +256,10 @@
   }
   Millis now = EventLoop::Now();
   deps_.state->upstreams.OnFullRead(upstreams, now, return_deadline);
+  for (const ZoneId& zone :
+       deps_.state->evacuations.OnFullRead(keys, revision)) {
+    OnEvacuationEnded(zone);
+  }
   std::erase_if(upstream_keys_, [&](const auto& entry) {
     return keys.count(entry.second) == 0;
   });
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -93,7 +93,7 @@
 }
 
 void RequestHandler::StartAttempt(UpstreamState* upstream) {
-  if (!MayStreamFrom(*upstream) ||
+  if (!MayStreamFrom(*upstream) || upstream->IsZoneEvacuated() ||
       !upstream->HasRoomIfBrittle(EventLoop::Now())) {
     Dispatch();  // It has changed since it was chosen.
     return;
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -286,7 +286,7 @@
   input.permit = permit_upstream_;
   input.permit_wait_ms = state_->permit_waits[service_].ExpectedMs(now);
   input.load_requested_at = &load_requested_at_;
-  if (RejectIfVersionGone()) {
+  if (RejectIfEvacuated() || RejectIfVersionGone()) {
     return;
   }
   std::vector<UpstreamState*> usable = UsableUpstreams(now);
--- a/libs/gateway/src/request_origin.cc
+++ b/libs/gateway/src/request_origin.cc
@@ -41,7 +41,7 @@
     return;
   }
   origin_ = finding;
-  if (!ChooseService() || RejectIfVersionGone()) {
+  if (!ChooseService() || RejectIfEvacuated() || RejectIfVersionGone()) {
     return;
   }
   AdmitRate();
@@ -125,6 +125,10 @@
   if (finished_ || call_id_ != 0) {
     return;
   }
+  if (IsEvacuated(id)) {
+    Dispatch();
+    return;
+  }
   UpstreamState* upstream = state_->upstreams.Find(id);
   bool usable = upstream != nullptr &&
                 upstream->entry.started_ms == started_ms &&
--- a/libs/gateway/src/request_permits.cc
+++ b/libs/gateway/src/request_permits.cc
@@ -25,6 +25,7 @@
   ReturnPermit();
   ReleasePrefill(false);
   permit_pending_ = true;
+  permit_asked_at_ = upstream.entry.id;
   wait_timer_.Cancel();
   Millis longest_wait = std::min(choice_margin_, TimeLeft() - kMinTimeToServe);
   auto self = shared_from_this();
@@ -37,8 +38,10 @@
 }
 
 void RequestHandler::OnPermit(const UpstreamId& id, const Permit& permit) {
-  permit_pending_ = false;
-  if (finished_ || call_id_ != 0) {
+  // Of an earlier question, whose upstream's zone was evacuated meanwhile.
+  bool is_outdated = !permit_pending_ || id != permit_asked_at_;
+  permit_pending_ = permit_pending_ && is_outdated;
+  if (finished_ || call_id_ != 0 || is_outdated) {
     if (permit.granted && permit.by_first_issuer) {
       deps_->hooks.return_permit(id);
     }
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -24,6 +24,7 @@
 
 StoreSyncIntervals SyncIntervalsFor(const ClusterBounds& bounds) {
   Millis shortest_bound = std::min(bounds.config_apply, bounds.drain) * 2;
+  shortest_bound = std::min(shortest_bound, bounds.evacuation);
   if (bounds.strict_revocation) {
     shortest_bound = std::min(shortest_bound, bounds.key_revocation);
   }
--- a/libs/serving/include/serving/instance_settings.h
+++ b/libs/serving/include/serving/instance_settings.h
@@ -16,7 +16,9 @@
 struct ClusterBounds {
   // A draining upstream gets no new request after this.
   Millis drain{2000};
-  Millis config_apply{2000};      // A new configuration is in force after this.
+  Millis config_apply{2000};  // A new configuration is in force after this.
+  // No request is sent to an evacuated zone after this.
+  Millis evacuation{5000};
   bool strict_revocation = true;  // Enforce `key_revocation`.
   Millis key_revocation{5000};    // A revoked key stops working after this.
   Millis shutdown_grace{8000};    // From SIGTERM to SIGKILL.
--- a/libs/serving/include/serving/store_record.h
+++ b/libs/serving/include/serving/store_record.h
@@ -28,6 +28,12 @@
   int64_t version = 0;
 };
 
+// The operator evacuates a zone for as long as this record is in the store.
+struct ZoneEvacuationRecord {
+  ZoneId zone;  // May be one that no upstream is in.
+  bool active = false;
+};
+
 // A record that the gateway instances themselves write, under their own key
 // prefix.
 struct ClusterRecord {};
@@ -40,7 +46,7 @@
 
 using StoreRecord =
     std::variant<ConfigRecord, UpstreamRecord, AdapterVersionRecord,
-                 ClusterRecord, MalformedRecord>;
+                 ZoneEvacuationRecord, ClusterRecord, MalformedRecord>;
 
 // Decodes a record from the platform's format.
 using StoreRecordDecoder = std::function<StoreRecord(const StoreItem&)>;
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -18,6 +18,7 @@
 #include "serving/request.h"
 #include "serving/store_record.h"
 #include "serving/upstream_entry.h"
+#include "serving/zone_evacuations.h"
 
 namespace bilberrypitch {
 
@@ -25,6 +26,7 @@
 // observed by this instance or reported to it.
 struct UpstreamState {
   UpstreamEntry entry;
+  const ZoneEvacuations* evacuations = nullptr;  // Null: none. Not owned.
   bool removed = false;  // Gets no new requests; kept while some are open.
   Millis removal_due;    // Not zero: removed then unless the entry returns.
 
@@ -84,11 +86,18 @@
   int64_t TotalPendingPrefillTokens(Millis now) const;
   // The owner's report if it is recent, otherwise 0.
   int64_t QueuedPrefillTokens(Millis now) const;
-  // Whether new requests may be sent to it.
-  bool IsUsable(Millis now) const {
+  bool IsZoneEvacuated() const {
+    return evacuations != nullptr && evacuations->IsEvacuated(entry.zone);
+  }
+  // Whether it takes new requests, wherever it is.
+  bool IsServing(Millis now) const {
     return !removed && !entry.draining &&
            (removal_due == Millis(0) || now < removal_due);
   }
+  // Whether new requests may be sent to it.
+  bool IsUsable(Millis now) const {
+    return IsServing(now) && !IsZoneEvacuated();
+  }
 };
 
 // Owns the state of the upstreams. Not thread-safe.
@@ -103,7 +112,11 @@
     std::function<void(const UpstreamId&)> on_local_load_changed;
   };
 
-  explicit UpstreamRegistry(Hooks hooks) : hooks_(std::move(hooks)) {}
+  // `evacuations` is not owned and must outlive the registry; null: no zone is
+  // ever evacuated.
+  explicit UpstreamRegistry(Hooks hooks,
+                            const ZoneEvacuations* evacuations = nullptr)
+      : hooks_(std::move(hooks)), evacuations_(evacuations) {}
 
   // Applies a record of the store. `return_deadline`: until then, a
   // removed entry may return; zero: it does not.
@@ -163,6 +176,7 @@
   void EraseRemoved();
 
   const Hooks hooks_;
+  const ZoneEvacuations* const evacuations_;
   std::map<UpstreamId, std::unique_ptr<UpstreamState>> upstreams_;
 };
 
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -95,6 +95,7 @@
     // Open attempts refer to this state and will decrement its counters, so the
     // counters are kept; everything else starts anew.
     auto state = std::make_unique<UpstreamState>();
+    state->evacuations = evacuations_;
     if (upstream != upstreams_.end()) {
       state->in_flight = upstream->second->in_flight;
       state->suspect_requests = upstream->second->suspect_requests;
