Keep cold upstreams within their bound in every second

Cause: an upstream that starts during traffic crashes when it gets the usual requests.

Change: coldS and coldPerS of a service and coldLeftMs of an entry are decoded. ColdPeriod counts the time from the arrival of the entry and tells news from an entry that counts down; ColdUpstreams makes it a rate limit of the upstream, of which the lower of both applies. After an evacuation upstreams with a coldPerS count as cold until their next entry. Log lines and a gauge. Without coldPerS no upstream is ever cold, and no heartbeat is passed on that was not before.

--- a/libs/gateway/include/gateway/permit_service.h
+++ b/libs/gateway/include/gateway/permit_service.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 
+#include "gateway/cold_permit_source.h"
 #include "serving/ids.h"
 #include "serving/permit_issuer.h"
 
@@ -31,8 +32,9 @@
                 UpstreamRegistry* upstreams, PeerMessenger* peers);
   ~PermitService();
 
-  // Asks the upstream's issuer for a permit whose turn is within `max_wait`.
-  // `done` is called once, possibly before the return.
+  // Asks the upstream's issuer for a permit whose turn is within `max_wait`, by
+  // the rules for cold upstreams if it is cold. `done` is called once, possibly
+  // before the return.
   void Acquire(const UpstreamId& upstream, double rate_per_s, Millis max_wait,
                std::function<void(Permit)> done);
   // A permit that the first issuer has granted is not used.
@@ -47,6 +49,8 @@
   void OnReturn(const schema::PermitReturn& returned);
   void OnNews(const schema::RateLimitNews& news);
   void OnMembersChanged();
+  // See ColdPermitIssuer.
+  void OnView(Millis confirmed_at, Millis member_until);
   // A new member is told the limits that this instance has spread.
   void OnMemberSet(const MachineId& machine);
 
@@ -63,6 +67,11 @@
   Permit Issue(const UpstreamId& upstream, double rate_per_s, bool substitute,
                Millis max_wait);
   Permit IssueOwnShare(const PendingQuestion& question);
+  std::optional<Permit> IssueCold(const UpstreamId& upstream, double rate_per_s,
+                                  Millis max_wait);
+  Permit IssueOwnColdShare(const PendingQuestion& question);
+  void Answer(const MachineId& to, const schema::PermitQuestion& question,
+              const Permit& permit);
   // As the issuer of the upstream: tells all others.
   void Spread(const UpstreamId& upstream, std::optional<double> limit);
   void SendNews(const MachineId& to, const UpstreamId& upstream,
@@ -75,6 +84,7 @@
   PermitIssuer issuer_;
   PermitIssuer substitute_issuer_;
   PermitIssuer own_share_;
+  ColdPermitSource cold_source_;
   std::map<UpstreamId, std::vector<MachineId>> issuers_;  // As last derived.
   uint64_t last_number_;
   std::map<uint64_t, std::unique_ptr<PendingQuestion>> pending_;
--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -17,6 +17,7 @@
 namespace bilberrypitch {
 
 class CallerFrontend;
+class ColdService;
 class CrashService;
 class EventLoop;
 class KeptConfigService;
@@ -44,6 +45,7 @@
     RateLimitService* rate_limits = nullptr;
     CallerFrontend* callers = nullptr;
     KeptConfigService* kept_config = nullptr;
+    ColdService* cold = nullptr;
     StreamService* streams = nullptr;
     StoreRecordDecoder decode_record;
     // A configuration of this store revision was seen.
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -302,7 +302,9 @@
   // The upstream for which the request has a permit; empty: none.
   UpstreamId permit_upstream_;
   bool permit_returnable_ = false;
-  Millis permit_turn_at_;        // Not to be used before.
+  Millis permit_turn_at_;  // Not to be used before.
+  // Nor after; zero: it is no permit for a cold upstream.
+  Millis permit_use_by_;
   bool permit_pending_ = false;  // It was asked for.
   UpstreamId permit_asked_at_;   // For which it was asked for last.
   uint32_t permit_denials_ = 0;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "gateway/adapter_service.h"
 #include "gateway/caller_frontend.h"
+#include "gateway/cold_service.h"
 #include "gateway/crash_service.h"
 #include "gateway/freshness_service.h"
 #include "gateway/kept_config_service.h"
@@ -99,6 +100,7 @@
                [this] { OnPathLost(); }),
         callers_(loop_, &state_),
         kept_config_(loop_, gateway_deps_.store, KeptConfigHooks()),
+        cold_(loop_, &state_),
         records_(loop_, RecordDeps()) {
     freshness_service_ = std::make_unique<FreshnessService>(
         loop_, gateway_deps_.client, &peers_, &store_sync_, &state_.freshness,
@@ -192,6 +194,7 @@
     hooks.on_confirmed = [this](Millis at) {
       kept_config_.Update(store_sync_.follower()->revision());
       state_.freshness.OnConfirmed(at);
+      permits_.OnView(at, membership_.lease_manager()->ValidUntil());
       reader_service_.OnViewUpdated();
     };
     hooks.on_store_failure = [this] { reader_service_.OnStoreFailure(); };
@@ -239,6 +242,7 @@
     deps.rate_limits = &rate_limits_;
     deps.callers = &callers_;
     deps.kept_config = &kept_config_;
+    deps.cold = &cold_;
     deps.streams = &streams_;
     deps.decode_record = gateway_deps_.decode_record;
     deps.on_config_revision = [this](StoreRevision revision) {
@@ -494,6 +498,7 @@
   RequestDeps completions_request_deps_;
   CallerFrontend callers_;
   KeptConfigService kept_config_;
+  ColdService cold_;
   RecordApplier records_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> peer_server_;
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "base/log.h"
 #include "gateway/serving_state.h"
 
@@ -33,6 +35,9 @@
   add("prompt_parts_quarantined",
       state.part_crash_tracker.Quarantined().size());
   add("zones_evacuated", state.evacuations.size());
+  add("upstreams_cold",
+      std::count_if(state.upstreams.all().begin(), state.upstreams.all().end(),
+                    [](const auto& entry) { return entry.second->IsCold(); }));
   for (size_t i = 1; i < counters.response_faults.size(); ++i) {
     text += fmt::format(
         "bilberrypitch_responses_refused_total{{fault=\"{}\"}} {}\n",
--- a/libs/gateway/src/permit_service.cc
+++ b/libs/gateway/src/permit_service.cc
@@ -41,6 +41,8 @@
   UpstreamId upstream;
   double rate_per_s = 0;
   Millis max_wait;
+  bool is_cold = false;  // The upstream was, when the question was asked.
+  Millis asked_at;
   size_t rank = 0;  // Of the issuer that was asked.
   std::function<void(Permit)> done;
   Timer timer;
@@ -53,6 +55,7 @@
       upstreams_(upstreams),
       peers_(peers),
       own_share_(-StartFraction(self), kOwnShareCredit),
+      cold_source_(self, EventLoop::Now()),
       // Random, so that an earlier process of this machine used other numbers.
       last_number_(StableHash(RandomHex(8)) >> 1) {}
 
@@ -81,6 +84,9 @@
   question->upstream = upstream;
   question->rate_per_s = rate_per_s;
   question->max_wait = max_wait;
+  const UpstreamState* state = upstreams_->Find(upstream);
+  question->is_cold = state != nullptr && state->IsCold();
+  question->asked_at = EventLoop::Now();
   question->done = std::move(done);
   pending_[number] = std::move(question);
   Ask(number);
@@ -90,11 +96,23 @@
   PendingQuestion& question = *pending_.at(number);
   const std::vector<MachineId>& issuers = IssuersOf(question.upstream);
   if (question.rank >= issuers.size()) {
-    Finish(number, IssueOwnShare(question));
+    Finish(number, question.is_cold ? IssueOwnColdShare(question)
+                                    : IssueOwnShare(question));
     return;
   }
   bool is_substitute = question.rank > 0;
   const MachineId& machine = issuers[question.rank];
+  if (machine == self_ && question.is_cold) {
+    std::optional<Permit> permit =
+        IssueCold(question.upstream, question.rate_per_s, question.max_wait);
+    if (permit) {
+      Finish(number, *permit);
+    } else {
+      ++question.rank;
+      Ask(number);
+    }
+    return;
+  }
   if (machine == self_) {
     Finish(number, Issue(question.upstream, question.rate_per_s, is_substitute,
                          question.max_wait));
@@ -103,7 +121,8 @@
   schema::PeerItem item;
   schema::PermitQuestion* encoded = item.mutable_permit_question();
   encoded->set_number(number);
-  encoded->set_upstream(question.upstream.str());
+  encoded->set_upstream(question.is_cold ? ColdQuestionName(question.upstream)
+                                         : question.upstream.str());
   encoded->set_rate_per_s(question.rate_per_s);
   encoded->set_max_wait_ms(question.max_wait.count());
   encoded->set_substitute(is_substitute);
@@ -124,6 +143,28 @@
   return permit;
 }
 
+std::optional<Permit> PermitService::IssueCold(const UpstreamId& upstream,
+                                               double rate_per_s,
+                                               Millis max_wait) {
+  return cold_source_.Issue(upstream, IssuersOf(upstream), rate_per_s, max_wait,
+                            EventLoop::Now());
+}
+
+Permit PermitService::IssueOwnColdShare(const PendingQuestion& question) {
+  std::vector<MachineId> members{self_};
+  for (const auto& [machine, member] : peers_->peers()) {
+    members.push_back(machine);
+  }
+  std::sort(members.begin(), members.end());
+  Permit permit = cold_source_.IssueOwnShare(
+      question.upstream, members, question.rate_per_s, question.max_wait,
+      EventLoop::Now());
+  if (!permit.granted) {
+    permit.wait = std::min(permit.wait, kIssuerRetryTime);
+  }
+  return permit;
+}
+
 Permit PermitService::IssueOwnShare(const PendingQuestion& question) {
   auto members = static_cast<double>(peers_->peers().size() + 1);
   Permit permit = own_share_.Issue(question.upstream, question.rate_per_s,
@@ -139,7 +180,18 @@
 void PermitService::Finish(uint64_t number, const Permit& permit) {
   std::unique_ptr<PendingQuestion> question =
       std::move(pending_.extract(number).mapped());
-  question->done(permit);
+  Permit result = permit;
+  if (question->is_cold && permit.granted) {
+    // The turn counts from the question, which an issuer has at once; an answer
+    // that comes late, because this process was suspended, is of no use.
+    Millis age = EventLoop::Now() - question->asked_at;
+    result.by_first_issuer = false;
+    result.lifetime = std::max(Millis(0), kColdPermitLifetime - age);
+    result.granted = result.lifetime > Millis(0);
+    result.wait =
+        result.granted ? result.wait : std::max(result.wait, kAnswerTimeout);
+  }
+  question->done(result);
 }
 
 void PermitService::Return(const UpstreamId& upstream) {
@@ -155,14 +207,27 @@
 
 void PermitService::OnQuestion(const MachineId& from,
                                const schema::PermitQuestion& question) {
-  Permit permit = Issue(UpstreamId(question.upstream()), question.rate_per_s(),
-                        question.substitute(), Millis(question.max_wait_ms()));
+  Millis max_wait(question.max_wait_ms());
+  if (auto cold = ColdUpstreamOf(question.upstream())) {
+    if (auto permit = IssueCold(*cold, question.rate_per_s(), max_wait)) {
+      Answer(from, question, *permit);
+    }
+    return;
+  }
+  Answer(from, question,
+         Issue(UpstreamId(question.upstream()), question.rate_per_s(),
+               question.substitute(), max_wait));
+}
+
+void PermitService::Answer(const MachineId& to,
+                           const schema::PermitQuestion& question,
+                           const Permit& permit) {
   schema::PeerItem item;
   item.mutable_permit_answer()->set_number(question.number());
   item.mutable_permit_answer()->set_granted(permit.granted);
   item.mutable_permit_answer()->set_wait_ms(permit.wait.count());
   item.mutable_permit_answer()->set_substitute(question.substitute());
-  peers_->Send(from, std::move(item));
+  peers_->Send(to, std::move(item));
 }
 
 void PermitService::OnAnswer(const schema::PermitAnswer& answer) {
@@ -238,6 +303,11 @@
 void PermitService::OnMembersChanged() {
   issuers_.clear();
   issuer_.OnMembersChanged(EventLoop::Now());
+  cold_source_.OnMembersChanged(EventLoop::Now());
+}
+
+void PermitService::OnView(Millis confirmed_at, Millis member_until) {
+  cold_source_.OnView(confirmed_at, member_until, EventLoop::Now());
 }
 
 void PermitService::OnMemberSet(const MachineId& machine) {
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "gateway/caller_frontend.h"
 #include "gateway/cluster_records.h"
+#include "gateway/cold_service.h"
 #include "gateway/crash_service.h"
 #include "gateway/kept_config_service.h"
 #include "gateway/membership.h"
@@ -56,8 +57,9 @@
     departed_.OnEntryChanged(upstream->id);
     if (IsHeartbeat(*upstream)) {
       OnHeartbeat(*upstream, now);
+      bool is_news = deps_.cold->OnEntry(upstream->id, reading_copy_);
       // While records return, a follower may have read an older entry.
-      return return_deadline != Millis(0);
+      return is_news || return_deadline != Millis(0);
     }
     upstream_keys_[upstream->id] = item.key;
     OnUpstreamRecord(*upstream, now, return_deadline);
@@ -119,6 +121,7 @@
   deps_.state->config = std::make_shared<const ActiveConfig>(std::move(config));
   const CallerLimits& limits = deps_.state->config->config().limits;
   deps_.callers->SetLimits(limits);
+  deps_.cold->Update();
   ApplyRateLimits();
   deps_.streams->SetTimeToLive(deps_.state->config->MaxStreamTimeout());
   for (const ResourceId& resource :
@@ -163,6 +166,7 @@
   if (upstream != nullptr && record.entry) {
     AddEngineResource(*upstream);
     deps_.state->residency.SetBaseModels(record.id, record.entry->models);
+    deps_.cold->OnEntry(record.id, reading_copy_);
     if (!upstream->entry.draining) {
       // The owner may have stayed the same while the entry was away; what it
       // knew of the engine has ended with the entry.
@@ -230,6 +234,7 @@
 
 void RecordApplier::OnEvacuationEnded(const ZoneId& zone) {
   LogInfo("zone", "Evacuation ends zone={}.", zone.str());
+  deps_.cold->OnEvacuationEnded(zone);
 }
 
 void RecordApplier::NotifyOwnershipChanged(const ResourceId& resource) {
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -93,8 +93,9 @@
 }
 
 void RequestHandler::StartAttempt(UpstreamState* upstream) {
+  bool lacks_permit = upstream->IsCold() && !HasPermit(*upstream);
   if (!MayStreamFrom(*upstream) || upstream->IsZoneEvacuated() ||
-      !upstream->HasRoomIfBrittle(EventLoop::Now())) {
+      lacks_permit || !upstream->HasRoomIfBrittle(EventLoop::Now())) {
     Dispatch();  // It has changed since it was chosen.
     return;
   }
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -313,7 +313,11 @@
     state_->upstreams.MoveSuspectRequest(&suspect_upstream_,
                                          choice->upstream->entry.id);
   }
-  if (!HasPermit(*choice->upstream)) {
+  // The permit for a cold upstream would not live until the adapter is loaded;
+  // another is asked for then.
+  bool is_loading = choice->upstream->IsCold() && !choice->resident &&
+                    load_requested_at_.count(choice->upstream->entry.id) > 0;
+  if (!is_loading && !HasPermit(*choice->upstream)) {
     AskForPermit(*choice->upstream);  // Before an adapter is loaded there.
   } else if (choice->resident) {
     SendWhenPrefillGranted(choice->upstream);
--- a/libs/gateway/src/request_permits.cc
+++ b/libs/gateway/src/request_permits.cc
@@ -18,7 +18,12 @@
 }  // namespace
 
 bool RequestHandler::HasPermit(const UpstreamState& upstream) const {
-  return !upstream.rate_limit_per_s || permit_upstream_ == upstream.entry.id;
+  if (!upstream.rate_limit_per_s) {
+    return true;
+  }
+  bool is_usable = !upstream.IsCold() || (permit_use_by_ != Millis(0) &&
+                                          EventLoop::Now() <= permit_use_by_);
+  return permit_upstream_ == upstream.entry.id && is_usable;
 }
 
 void RequestHandler::AskForPermit(const UpstreamState& upstream) {
@@ -56,6 +61,9 @@
     permit_upstream_ = id;
     permit_returnable_ = permit.by_first_issuer;
     permit_turn_at_ = now + permit.wait;
+    permit_use_by_ = permit.lifetime == Millis(0)
+                         ? Millis(0)
+                         : permit_turn_at_ + permit.lifetime;
     KeepAdapter(id);
     Dispatch();
     return;
--- a/libs/serving/include/serving/config.h
+++ b/libs/serving/include/serving/config.h
@@ -81,6 +81,10 @@
 struct Service {
   ServiceId id;
   std::optional<EngineProfile> engine;  // None: a service without models.
+  // Its upstreams are cold for so long after a start during traffic, and handle
+  // so many requests a second then; 0: they are never cold.
+  Millis cold_time;
+  double cold_per_s = 0;
 };
 
 struct Workspace {
--- a/libs/serving/include/serving/instance_settings.h
+++ b/libs/serving/include/serving/instance_settings.h
@@ -41,6 +41,10 @@
   // model store stay within the configured rate times `load_rate_factor`.
   double load_window_s = 5;
   double load_rate_factor = 1.1;
+  // In no second does a cold upstream get more than the rate that it handles
+  // times `cold_factor`, plus `cold_extra`.
+  double cold_factor = 1.5;
+  double cold_extra = 5;
 };
 
 struct InstanceSettings {
--- a/libs/serving/include/serving/permit_issuer.h
+++ b/libs/serving/include/serving/permit_issuer.h
@@ -21,6 +21,9 @@
   bool granted = false;
   Millis wait;
   bool by_first_issuer = true;  // Otherwise it is not returned if not used.
+  // It may be used for so long after its turn, only for a cold upstream; zero:
+  // at any time, only for an upstream that is not cold.
+  Millis lifetime = Millis(0);
 };
 
 // The two machines that issue permits for the upstream, the first one by
--- a/libs/serving/include/serving/upstream_entry.h
+++ b/libs/serving/include/serving/upstream_entry.h
@@ -35,11 +35,13 @@
   bool draining = false;
   int64_t started_ms = 0;  // Unix time of its start; differs for each start.
   SoftwareVersion software;
+  Millis cold_left;  // For which it is cold, as of when it wrote the entry.
   std::vector<LoadedModel> models;
 };
 
-// Whether two entries differ only in the adapters that they list, or not at
-// all. Adapters are known from the owner of the engine.
+// Whether two entries differ only in the adapters that they list and in the
+// time for which the upstream is cold, or not at all. Adapters are known from
+// the owner of the engine; ColdPeriod tells what is new of the time.
 bool EqualButForAdapters(const UpstreamEntry& first,
                          const UpstreamEntry& second);
 
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "serving/cold_period.h"
 #include "serving/connection_trust.h"
 #include "serving/request.h"
 #include "serving/store_record.h"
@@ -64,9 +65,14 @@
   // Until then, the owner's report that no adapter slot is free is used.
   Millis slots_full_until;
 
-  // Requests a second that it takes from all instances together, as it states;
-  // empty: it states no limit.
+  // Requests a second that it takes from all instances together, as it states
+  // (empty: it states no limit), and those that are sent while it is cold
+  // (empty: it is warm).
+  std::optional<double> stated_limit_per_s;
+  std::optional<double> cold_limit_per_s;
+  // The lower of both; empty: there is none.
   std::optional<double> rate_limit_per_s;
+  ColdPeriod cold_period;
   Millis rate_limit_heard_at;  // When the latest such statement arrived.
   Millis rate_limited_until;   // When a permit is free, as last told.
 
@@ -86,6 +92,7 @@
   int64_t TotalPendingPrefillTokens(Millis now) const;
   // The owner's report if it is recent, otherwise 0.
   int64_t QueuedPrefillTokens(Millis now) const;
+  bool IsCold() const { return cold_limit_per_s.has_value(); }
   bool IsZoneEvacuated() const {
     return evacuations != nullptr && evacuations->IsEvacuated(entry.zone);
   }
@@ -156,6 +163,10 @@
   // none. Returns whether the limit has changed.
   bool OnRateLimit(UpstreamState* upstream, std::optional<double> limit_per_s,
                    Millis sent_at, Millis now);
+  // The upstream is cold and takes so many requests a second, or is warm.
+  // Returns whether it has become the one or the other.
+  static bool SetColdLimit(UpstreamState* upstream,
+                           std::optional<double> limit_per_s);
   // A response to a request that was sent at `sent_at`, or another instance,
   // states this number of rejections, or none. Returns whether it has changed.
   bool OnBrittle(UpstreamState* upstream,
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -32,6 +32,14 @@
   *value = *value == 0 ? observed : *value + kSmoothing * (observed - *value);
 }
 
+// An upstream that states a limit and is also cold gets the lower rate.
+void UpdateRateLimit(UpstreamState* upstream) {
+  const std::optional<double>& stated = upstream->stated_limit_per_s;
+  const std::optional<double>& cold = upstream->cold_limit_per_s;
+  upstream->rate_limit_per_s =
+      stated && cold ? std::min(stated, cold) : (stated ? stated : cold);
+}
+
 // A peer's load report is used for this long.
 constexpr Millis kPeerLoadTtl{2500};
 // The owner's report about queued prompts is used for this long.
@@ -245,11 +253,20 @@
   if (limit_per_s) {
     upstream->rate_limit_heard_at = now;
   }
-  bool changed = upstream->rate_limit_per_s != limit_per_s;
-  upstream->rate_limit_per_s = limit_per_s;
+  bool changed = upstream->stated_limit_per_s != limit_per_s;
+  upstream->stated_limit_per_s = limit_per_s;
+  UpdateRateLimit(upstream);
   return changed;
 }
 
+bool UpstreamRegistry::SetColdLimit(UpstreamState* upstream,
+                                    std::optional<double> limit_per_s) {
+  bool was_cold = upstream->IsCold();
+  upstream->cold_limit_per_s = limit_per_s;
+  UpdateRateLimit(upstream);
+  return was_cold != upstream->IsCold();
+}
+
 void UpstreamRegistry::OnConnectFailure(UpstreamState* upstream, Millis now) {
   Millis backoff = kInitialBackoff *
                    (int64_t{1} << std::min(upstream->connect_failures, 4U));
