--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "gateway/adapter_service.h"
 #include "gateway/caller_frontend.h"
+#include "gateway/cold_service.h"
 #include "gateway/crash_service.h"
 #include "gateway/freshness_service.h"
 #include "gateway/kept_config_service.h"
@@ -97,6 +98,7 @@
         callers_(loop_, &state_),
         routes_(&state_, RouteHooks()),
         kept_config_(loop_, gateway_deps_.store, KeptConfigHooks()),
+        cold_(loop_, &state_),
         records_(loop_, RecordDeps()) {
     freshness_service_ = std::make_unique<FreshnessService>(
         loop_, gateway_deps_.client, &peers_, &store_sync_, &state_.freshness,
@@ -190,6 +192,7 @@
     hooks.on_confirmed = [this](Millis at) {
       kept_config_.Update(store_sync_.follower()->revision());
       state_.freshness.OnConfirmed(at);
+      permits_.OnView(at, membership_.lease_manager()->ValidUntil());
       reader_service_.OnViewUpdated();
     };
     hooks.on_store_failure = [this] { reader_service_.OnStoreFailure(); };
@@ -252,11 +255,17 @@
     deps.rate_limits = &rate_limits_;
     deps.callers = &callers_;
     deps.kept_config = &kept_config_;
+    deps.cold = &cold_;
     deps.streams = &streams_;
     deps.decode_record = gateway_deps_.decode_record;
     deps.on_config_revision = [this](StoreRevision revision) {
       freshness_service_->OnConfigRevision(revision);
     };
+    deps.on_zone_evacuated = [this] {
+      for (const auto& handler : callers_.open_requests()) {
+        handler->OnZoneEvacuated();
+      }
+    };
     return deps;
   }
 
@@ -522,6 +531,7 @@
   CallerFrontend callers_;
   RouteService routes_;
   KeptConfigService kept_config_;
+  ColdService cold_;
   RecordApplier records_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> peer_server_;
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "base/log.h"
 #include "gateway/serving_state.h"
 #include "transport/event_loop.h"
@@ -54,9 +56,14 @@
   add("relayed_total", counters.relayed);
   add("refused_without_path_total", counters.refused_without_path);
   add("refused_all_full_total", counters.refused_all_full);
+  add("refused_zones_evacuated_total", counters.refused_evacuated);
   add("take_ups_refused_total", counters.take_ups_refused);
   add("prompt_parts_quarantined",
       state.part_crash_tracker.Quarantined().size());
+  add("zones_evacuated", state.evacuations.size());
+  add("upstreams_cold",
+      std::count_if(state.upstreams.all().begin(), state.upstreams.all().end(),
+                    [](const auto& entry) { return entry.second->IsCold(); }));
   for (size_t i = 1; i < counters.response_faults.size(); ++i) {
     text += fmt::format(
         "bilberrypitch_responses_refused_total{{fault=\"{}\"}} {}\n",
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "gateway/caller_frontend.h"
 #include "gateway/cluster_records.h"
+#include "gateway/cold_service.h"
 #include "gateway/crash_service.h"
 #include "gateway/kept_config_service.h"
 #include "gateway/membership.h"
@@ -23,11 +24,17 @@
 
 // From a change of upstreams to the pass over their versions.
 constexpr Millis kLiveVersionsDelay{1};
+// From the beginning of an evacuation until requests choose again, so that they
+// do so by all records that arrived together.
+constexpr Millis kEvacuationDelay{1};
 
 }  // namespace
 
 RecordApplier::RecordApplier(EventLoop* loop, Deps deps)
-    : deps_(std::move(deps)), expire_timer_(loop), live_versions_timer_(loop) {}
+    : deps_(std::move(deps)),
+      expire_timer_(loop),
+      live_versions_timer_(loop),
+      evacuation_timer_(loop) {}
 
 bool RecordApplier::Apply(const StoreItem& item, Millis return_deadline) {
   if (item.key == KeptConfigKey()) {
@@ -50,13 +57,16 @@
     departed_.OnEntryChanged(upstream->id);
     if (IsHeartbeat(*upstream)) {
       OnHeartbeat(*upstream, now);
+      bool is_news = deps_.cold->OnEntry(upstream->id, reading_copy_);
       // While records return, a follower may have read an older entry.
-      return return_deadline != Millis(0);
+      return is_news || return_deadline != Millis(0);
     }
     upstream_keys_[upstream->id] = item.key;
     OnUpstreamRecord(*upstream, now, return_deadline);
   } else if (auto* version = std::get_if<AdapterVersionRecord>(&record)) {
     OnAdapterVersionRecord(*version);
+  } else if (auto* evacuation = std::get_if<ZoneEvacuationRecord>(&record)) {
+    OnEvacuationRecord(*evacuation, item);
   } else if (auto* malformed = std::get_if<MalformedRecord>(&record)) {
     LogWarning("store", "Skipped a malformed record: {}.", malformed->reason);
   } else {
@@ -111,6 +121,7 @@
   deps_.state->config = std::make_shared<const ActiveConfig>(std::move(config));
   const CallerLimits& limits = deps_.state->config->config().limits;
   deps_.callers->SetLimits(limits);
+  deps_.cold->Update();
   ApplyRateLimits();
   deps_.streams->SetTimeToLive(deps_.state->config->MaxStreamTimeout());
   for (const ResourceId& resource :
@@ -155,6 +166,7 @@
   if (upstream != nullptr && record.entry) {
     AddEngineResource(*upstream);
     deps_.state->residency.SetBaseModels(record.id, record.entry->models);
+    deps_.cold->OnEntry(record.id, reading_copy_);
     if (!upstream->entry.draining) {
       // The owner may have stayed the same while the entry was away; what it
       // knew of the engine has ended with the entry.
@@ -206,6 +218,25 @@
   deps_.orders->OnRequiredVersion(record.adapter, record.version);
 }
 
+void RecordApplier::OnEvacuationRecord(const ZoneEvacuationRecord& record,
+                                       const StoreItem& item) {
+  if (!deps_.state->evacuations.OnRecord(record, item)) {
+    return;
+  }
+  if (record.active) {
+    LogInfo("zone", "Evacuation begins zone={} era={} revision={}.",
+            record.zone.str(), item.revision.era, item.revision.number);
+    evacuation_timer_.Start(kEvacuationDelay, deps_.on_zone_evacuated);
+  } else {
+    OnEvacuationEnded(record.zone);
+  }
+}
+
+void RecordApplier::OnEvacuationEnded(const ZoneId& zone) {
+  LogInfo("zone", "Evacuation ends zone={}.", zone.str());
+  deps_.cold->OnEvacuationEnded(zone);
+}
+
 void RecordApplier::NotifyOwnershipChanged(const ResourceId& resource) {
   if (UpstreamId engine = EngineOf(resource); !engine.empty()) {
     deps_.orders->OnOwnershipChanged(engine);
@@ -230,6 +261,10 @@
   }
   Millis now = EventLoop::Now();
   deps_.state->upstreams.OnFullRead(upstreams, now, return_deadline);
+  for (const ZoneId& zone :
+       deps_.state->evacuations.OnFullRead(keys, revision)) {
+    OnEvacuationEnded(zone);
+  }
   std::erase_if(upstream_keys_, [&](const auto& entry) {
     return keys.count(entry.second) == 0;
   });
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -94,8 +94,9 @@
 }
 
 void RequestHandler::StartAttempt(UpstreamState* upstream) {
-  if (!MayStreamFrom(*upstream) ||
-      !upstream->HasRoomIfBrittle(EventLoop::Now())) {
+  bool lacks_permit = upstream->IsCold() && !HasPermit(*upstream);
+  if (!MayStreamFrom(*upstream) || upstream->IsZoneEvacuated() ||
+      lacks_permit || !upstream->HasRoomIfBrittle(EventLoop::Now())) {
     Dispatch();  // It has changed since it was chosen.
     return;
   }
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -280,7 +280,7 @@
   input.seed = choice_seed_;
   input.permit = permit_upstream_;
   input.load_requested_at = &load_requested_at_;
-  if (RejectIfVersionGone()) {
+  if (RejectIfEvacuated() || RejectIfVersionGone()) {
     return;
   }
   std::vector<UpstreamState*> usable = UsableUpstreams(now);
@@ -310,7 +310,11 @@
     state_->upstreams.MoveSuspectRequest(&suspect_upstream_,
                                          choice->upstream->entry.id);
   }
-  if (!HasPermit(*choice->upstream)) {
+  // The permit for a cold upstream would not live until the adapter is loaded;
+  // another is asked for then.
+  bool is_loading = choice->upstream->IsCold() && !choice->resident &&
+                    load_requested_at_.count(choice->upstream->entry.id) > 0;
+  if (!is_loading && !HasPermit(*choice->upstream)) {
     AskForPermit(*choice->upstream);  // Before an adapter is loaded there.
   } else if (choice->resident) {
     SendWhenPrefillGranted(choice->upstream);
--- a/libs/gateway/src/request_permits.cc
+++ b/libs/gateway/src/request_permits.cc
@@ -18,13 +18,19 @@
 }  // namespace
 
 bool RequestHandler::HasPermit(const UpstreamState& upstream) const {
-  return !upstream.rate_limit_per_s || permit_upstream_ == upstream.entry.id;
+  if (!upstream.rate_limit_per_s) {
+    return true;
+  }
+  bool is_usable = !upstream.IsCold() || (permit_use_by_ != Millis(0) &&
+                                          EventLoop::Now() <= permit_use_by_);
+  return permit_upstream_ == upstream.entry.id && is_usable;
 }
 
 void RequestHandler::AskForPermit(const UpstreamState& upstream) {
   ReturnPermit();
   ReleasePrefill(false);
   permit_pending_ = true;
+  permit_asked_at_ = upstream.entry.id;
   wait_timer_.Cancel();
   Millis longest_wait = std::min(choice_margin_, TimeLeft() - kMinTimeToServe);
   auto self = shared_from_this();
@@ -37,8 +43,10 @@
 }
 
 void RequestHandler::OnPermit(const UpstreamId& id, const Permit& permit) {
-  permit_pending_ = false;
-  if (finished_ || call_id_ != 0) {
+  // Of an earlier question, whose upstream's zone was evacuated meanwhile.
+  bool is_outdated = !permit_pending_ || id != permit_asked_at_;
+  permit_pending_ = permit_pending_ && is_outdated;
+  if (finished_ || call_id_ != 0 || is_outdated) {
     if (permit.granted && permit.by_first_issuer) {
       deps_->hooks.return_permit(id);
     }
@@ -53,6 +61,9 @@
     permit_upstream_ = id;
     permit_returnable_ = permit.by_first_issuer;
     permit_turn_at_ = now + permit.wait;
+    permit_use_by_ = permit.lifetime == Millis(0)
+                         ? Millis(0)
+                         : permit_turn_at_ + permit.lifetime;
     KeepAdapter(id);
     Dispatch();
     return;
--- a/libs/gateway/src/route_service.cc
+++ b/libs/gateway/src/route_service.cc
@@ -91,11 +91,21 @@
           {"services", std::move(services)}};
 }
 
+// Of an upstream that gets no new requests.
+const char* ReasonNotUsable(const UpstreamState& upstream) {
+  if (upstream.IsZoneEvacuated()) {
+    return "its zone is evacuated";
+  }
+  return upstream.entry.draining ? "draining" : "removed from the store";
+}
+
 json::object DescribeUpstream(const UpstreamState& upstream, Millis now) {
   json::object object;
   object["upstream"] = upstream.entry.id.str();
   object["zone"] = upstream.entry.zone.str();
   object["draining"] = upstream.entry.draining;
+  object["cold"] = upstream.IsCold();
+  object["slowdown"] = upstream.capacity.Slowdown(now);
   object["rate_limit_per_s"] = OrNull(upstream.rate_limit_per_s);
   object["bearable_rejections_per_s"] =
       OrNull(upstream.bearable_rejections_per_s);
@@ -240,7 +250,7 @@
     }
     const char* reason = nullptr;
     if (!upstream->IsUsable(now)) {
-      reason = upstream->entry.draining ? "draining" : "removed from the store";
+      reason = ReasonNotUsable(*upstream);
     } else if (may_resume && !hooks_.may_begin_stream(
                                  decision->service, upstream->entry.software)) {
       reason = "no stream may begin at its software version";
--- a/libs/serving/include/serving/instance_settings.h
+++ b/libs/serving/include/serving/instance_settings.h
@@ -16,7 +16,9 @@
 struct ClusterBounds {
   // A draining upstream gets no new request after this.
   Millis drain{2000};
-  Millis config_apply{2000};      // A new configuration is in force after this.
+  Millis config_apply{2000};  // A new configuration is in force after this.
+  // No request is sent to an evacuated zone after this.
+  Millis evacuation{5000};
   bool strict_revocation = true;  // Enforce `key_revocation`.
   Millis key_revocation{5000};    // A revoked key stops working after this.
   Millis shutdown_grace{8000};    // From SIGTERM to SIGKILL.
@@ -39,6 +41,10 @@
   // model store stay within the configured rate times `load_rate_factor`.
   double load_window_s = 5;
   double load_rate_factor = 1.1;
+  // In no second does a cold upstream get more than the rate that it handles
+  // times `cold_factor`, plus `cold_extra`.
+  double cold_factor = 1.5;
+  double cold_extra = 5;
 };
 
 struct InstanceSettings {
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -15,10 +15,12 @@
 #include <vector>
 
 #include "serving/capacity_estimate.h"
+#include "serving/cold_period.h"
 #include "serving/connection_trust.h"
 #include "serving/request.h"
 #include "serving/store_record.h"
 #include "serving/upstream_entry.h"
+#include "serving/zone_evacuations.h"
 
 namespace bilberrypitch {
 
@@ -26,6 +28,7 @@
 // observed by this instance or reported to it.
 struct UpstreamState {
   UpstreamEntry entry;
+  const ZoneEvacuations* evacuations = nullptr;  // Null: none. Not owned.
   bool removed = false;  // Gets no new requests; kept while some are open.
   Millis removal_due;    // Not zero: removed then unless the entry returns.
 
@@ -64,9 +67,14 @@
   // Until then, the owner's report that no adapter slot is free is used.
   Millis slots_full_until;
 
-  // Requests a second that it takes from all instances together, as it states;
-  // empty: it states no limit.
+  // Requests a second that it takes from all instances together, as it states
+  // (empty: it states no limit), and those that are sent while it is cold
+  // (empty: it is warm).
+  std::optional<double> stated_limit_per_s;
+  std::optional<double> cold_limit_per_s;
+  // The lower of both; empty: there is none.
   std::optional<double> rate_limit_per_s;
+  ColdPeriod cold_period;
   Millis rate_limit_heard_at;  // When the latest such statement arrived.
   Millis rate_limited_until;   // When a permit is free, as last told.
 
@@ -86,11 +94,19 @@
   int64_t TotalPendingPrefillTokens(Millis now) const;
   // The owner's report if it is recent, otherwise 0.
   int64_t QueuedPrefillTokens(Millis now) const;
-  // Whether new requests may be sent to it.
-  bool IsUsable(Millis now) const {
+  bool IsCold() const { return cold_limit_per_s.has_value(); }
+  bool IsZoneEvacuated() const {
+    return evacuations != nullptr && evacuations->IsEvacuated(entry.zone);
+  }
+  // Whether it takes new requests, wherever it is.
+  bool IsServing(Millis now) const {
     return !removed && !entry.draining &&
            (removal_due == Millis(0) || now < removal_due);
   }
+  // Whether new requests may be sent to it.
+  bool IsUsable(Millis now) const {
+    return IsServing(now) && !IsZoneEvacuated();
+  }
 };
 
 // Owns the state of the upstreams. Not thread-safe.
@@ -105,7 +121,11 @@
     std::function<void(const UpstreamId&)> on_local_load_changed;
   };
 
-  explicit UpstreamRegistry(Hooks hooks) : hooks_(std::move(hooks)) {}
+  // `evacuations` is not owned and must outlive the registry; null: no zone is
+  // ever evacuated.
+  explicit UpstreamRegistry(Hooks hooks,
+                            const ZoneEvacuations* evacuations = nullptr)
+      : hooks_(std::move(hooks)), evacuations_(evacuations) {}
 
   // Applies a record of the store. `return_deadline`: until then, a
   // removed entry may return; zero: it does not.
@@ -145,6 +165,10 @@
   // none. Returns whether the limit has changed.
   bool OnRateLimit(UpstreamState* upstream, std::optional<double> limit_per_s,
                    Millis sent_at, Millis now);
+  // The upstream is cold and takes so many requests a second, or is warm.
+  // Returns whether it has become the one or the other.
+  static bool SetColdLimit(UpstreamState* upstream,
+                           std::optional<double> limit_per_s);
   // A response to a request that was sent at `sent_at`, or another instance,
   // states this number of rejections, or none. Returns whether it has changed.
   bool OnBrittle(UpstreamState* upstream,
@@ -166,6 +190,7 @@
   void EraseRemoved();
 
   const Hooks hooks_;
+  const ZoneEvacuations* const evacuations_;
   std::map<UpstreamId, std::unique_ptr<UpstreamState>> upstreams_;
 };
 
