--- a/tools/bilberrypitch_lab/deployment.cc
+++ b/tools/bilberrypitch_lab/deployment.cc
@@ -180,14 +180,15 @@
       "listen.front={}\nlisten.ready={}\nportRange={},{}\n"
       "bootstrap=true\nplatform.addr={}\nplatform.ttlMinMs=500\n"
       "platform.writesPerS=1000\nplatform.readsPerS=1000\n"
-      "limits.memoryMb=260\nlimits.maxFds=4100\nbeatMs=300\n"
+      "limits.memoryMb={}\nlimits.maxFds={}\nbeatMs=300\n"
       "bounds.drainMs=2000\nbounds.applyMs=2000\nbounds.revokeMs=5000\n"
       "bounds.strictRevoke=true\nbounds.graceS=8\nbounds.leaseMs=3000\n"
       "bounds.fencing=true\nbounds.version_ms=5000\nbounds.retryRatio=0.2\n"
       "bounds.retrySlack=50\nbounds.retryWindowS=10\nbounds.quotaOver=0.1\n"
       "bounds.quotaSlack=2\nbounds.quotaWindowS=8\n",
       name, zone, Address(name), Address(name + "/ready"),
-      PortOf(name + "/peer"), PortOf(name + "/peer"), Address(store));
+      PortOf(name + "/peer"), PortOf(name + "/peer"), Address(store),
+      machine_limits_.memory_mb, machine_limits_.max_descriptors);
 }
 
 void Deployment::StartInstance(const std::string& name, const std::string& zone,
--- a/tools/bilberrypitch_lab/deployment.h
+++ b/tools/bilberrypitch_lab/deployment.h
@@ -57,6 +57,12 @@
   bool use_relay = false;  // Instances reach it through "relay-NAME".
 };
 
+// The limits that the platform's boot file states for an instance's machine.
+struct MachineLimits {
+  int memory_mb = 260;
+  int max_descriptors = 4100;
+};
+
 // A request as a caller sends it.
 struct CallerRequest {
   std::string path = "/ask/x";
@@ -83,6 +89,10 @@
   // std::runtime_error when it does not.
   void StartStore();
   void StartUpstream(const std::string& name, const UpstreamOptions& options);
+  // Applies to instances that are started afterwards.
+  void SetMachineLimits(const MachineLimits& limits) {
+    machine_limits_ = limits;
+  }
   // Does not wait; see WaitUntilReady(). With `use_store_relay` the instance
   // reaches the store through "relay-store-NAME".
   void StartInstance(const std::string& name, const std::string& zone,
@@ -134,6 +144,7 @@
   std::string PortOf(const std::string& name) const;
 
   const ProgramPaths paths_;
+  MachineLimits machine_limits_;
   std::map<std::string, uint16_t> ports_;
   std::vector<std::string> instances_;
   std::vector<std::string> upstreams_;
--- a/tools/bilberrypitch_lab/process_group.h
+++ b/tools/bilberrypitch_lab/process_group.h
@@ -37,6 +37,7 @@
   // by a signal or had to be killed.
   int Terminate(const std::string& name);
   bool IsRunning(const std::string& name);
+  pid_t PidOf(const std::string& name) const { return processes_.at(name).pid; }
 
   std::string ReadLog(const std::string& name) const;
   const std::string& directory() const { return directory_; }
--- a/tools/bilberrypitch_lab/test/small_deployment.cc
+++ b/tools/bilberrypitch_lab/test/small_deployment.cc
@@ -19,7 +19,9 @@
   StartUpstream("booking", plain_service);
   config.workspaces = {{"club", {kKey}, options.rate_per_s, options.burst}};
   config.adapter_slots = options.engine_options.adapter_slots;
+  config.body_bytes = options.body_bytes;
   WriteConfig(config);
+  SetMachineLimits(options.machine_limits);
   StartInstance("entry-1", "a", options.relay_store_connections);
   StartInstance("entry-2", "a", options.relay_store_connections);
   StartInstance("entry-3", "b", options.relay_store_connections);
--- a/tools/bilberrypitch_lab/test/small_deployment.h
+++ b/tools/bilberrypitch_lab/test/small_deployment.h
@@ -15,6 +15,8 @@
   bool relay_store_connections = false;  // One relay per instance.
   double rate_per_s = 0;
   double burst = 0;
+  int64_t body_bytes = 1 << 20;  // Limit for bodies of callers.
+  MachineLimits machine_limits;
 };
 
 // A deployment that is ready when the constructor returns. Its workspace is
