End connections that go beyond the memory or descriptors of the machine

Cause: the server's library buffers each body and a record of each chunk; the configured limit for bodies was checked after up to 64 MB had been received; nothing bounded the sum over connections, nor their number.

Change: RequestInspector checks the configured limit and the number of chunks while a body comes in (413). ConnectionGuard applies BodyBudget to all servers of the instance, the one for other instances included: connections are ended with 503 (not run) beyond the budget, with 408 if a request does not go on, without a word if a response is open there. The library gets no bytes of a request that is beyond a limit, also while an earlier response has to be written first; a case of connection_limits_test found that the first try dropped the earlier request with it. The last response is sent without waiting (a full buffer could hold up the loop), and the socket is read for up to a second behind it, since closing with unread bytes resets the connection.

--- a/libs/base/include/base/error.h
+++ b/libs/base/include/base/error.h
@@ -25,6 +25,8 @@
   kStoreUnavailable,
   kStopping,
   kKeyRevoked,
+  kRequestTimeout,
+  kOverloaded,
   kInternal,
 };
 
--- a/libs/base/src/error.cc
+++ b/libs/base/src/error.cc
@@ -26,6 +26,8 @@
     {ErrorKind::kStoreUnavailable, "store_unavailable", 503, 2},
     {ErrorKind::kStopping, "stopping", 503, 1},
     {ErrorKind::kKeyRevoked, "key_withdrawn", 401, 0},
+    {ErrorKind::kRequestTimeout, "request_timeout", 408, 0},
+    {ErrorKind::kOverloaded, "overloaded", 503, 1},
     {ErrorKind::kInternal, "internal", 500, 0},
 }};
 
--- a/libs/gateway/include/gateway/caller_frontend.h
+++ b/libs/gateway/include/gateway/caller_frontend.h
@@ -14,6 +14,7 @@
 
 namespace bilberrypitch {
 
+class ConnectionGuard;
 class HttpServer;
 struct CallerLimits;
 struct Error;
@@ -24,7 +25,9 @@
 // Must be used on the event loop's thread only.
 class CallerFrontend {
  public:
-  CallerFrontend(EventLoop* loop, ServingState* state);
+  // `guard` limits what all connections take together.
+  CallerFrontend(EventLoop* loop, ServingState* state,
+                 std::shared_ptr<ConnectionGuard> guard);
   ~CallerFrontend();
 
   // Binds `address` (IP:port) for callers of one API, whose codec is in `deps`.
@@ -63,6 +66,7 @@
 
   EventLoop* const loop_;
   ServingState* const state_;
+  const std::shared_ptr<ConnectionGuard> guard_;
   // By connection id. A connection can carry several requests.
   std::unordered_multimap<uint64_t, std::shared_ptr<RequestHandler>> handlers_;
   Timer shutdown_timer_;
--- a/libs/gateway/src/caller_frontend.cc
+++ b/libs/gateway/src/caller_frontend.cc
@@ -8,6 +8,7 @@
 #include "gateway/serving_state.h"
 #include "serving/api_codec.h"
 #include "transport/address.h"
+#include "transport/connection_guard.h"
 #include "transport/event_loop.h"
 #include "transport/http_server.h"
 
@@ -26,8 +27,12 @@
 
 }  // namespace
 
-CallerFrontend::CallerFrontend(EventLoop* loop, ServingState* state)
-    : loop_(loop), state_(state), shutdown_timer_(loop) {}
+CallerFrontend::CallerFrontend(EventLoop* loop, ServingState* state,
+                               std::shared_ptr<ConnectionGuard> guard)
+    : loop_(loop),
+      state_(state),
+      guard_(std::move(guard)),
+      shutdown_timer_(loop) {}
 
 CallerFrontend::~CallerFrontend() {
   for (const auto& server : servers_) {
@@ -42,6 +47,7 @@
   options.bind_ip = parsed->ip;
   options.port = parsed->port;
   options.loop = loop_;
+  options.guard = guard_;
   options.first_connection_id = kConnectionIdsPerServer * servers_.size();
   options.max_body_bytes = CallerLimits().body_bytes;
   options.max_header_bytes = CallerLimits().header_bytes;
@@ -58,6 +64,7 @@
 }
 
 void CallerFrontend::SetLimits(const CallerLimits& limits) {
+  guard_->SetMaxBodyBytes(limits.body_bytes);
   for (const auto& server : servers_) {
     server->SetLimits(limits.header_bytes, limits.body_bytes);
   }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -34,6 +34,7 @@
 #include "serving/api_codec.h"
 #include "serving/cluster_store.h"
 #include "transport/address.h"
+#include "transport/connection_guard.h"
 #include "transport/event_loop.h"
 #include "transport/event_loop_http_client.h"
 #include "transport/http_server.h"
@@ -97,7 +98,10 @@
                  StreamHooks()),
         paths_(loop_, self_, &state_.upstreams, &peers_,
                [this] { OnPathLost(); }),
-        callers_(loop_, &state_),
+        guard_(std::make_shared<ConnectionGuard>(
+            loop_,
+            BodyBudgetLimitsFor(settings.memory_mb, settings.max_descriptors))),
+        callers_(loop_, &state_, guard_),
         kept_config_(loop_, gateway_deps_.store, KeptConfigHooks()),
         records_(loop_, RecordDeps()) {
     freshness_service_ = std::make_unique<FreshnessService>(
@@ -359,6 +363,7 @@
     options.bind_ip = parsed->ip;
     options.port = parsed->port;
     options.loop = loop_;
+    options.guard = guard_;
     return options;
   }
 
@@ -487,6 +492,7 @@
   std::unique_ptr<PeerDispatcher> dispatcher_;
   RequestDeps request_deps_;
   RequestDeps completions_request_deps_;
+  const std::shared_ptr<ConnectionGuard> guard_;
   CallerFrontend callers_;
   KeptConfigService kept_config_;
   RecordApplier records_;
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -13,6 +13,7 @@
 
 namespace bilberrypitch {
 
+class ConnectionGuard;
 class EventLoop;
 
 struct HttpServerOptions {
@@ -27,6 +28,9 @@
   // Called when a connection has ended, no matter which side closed it. May be
   // empty.
   std::function<void(uint64_t connection_id)> on_connection_closed;
+  // When set, its limits apply to the connections of this server. Requires
+  // `loop`.
+  std::shared_ptr<ConnectionGuard> guard;
   size_t max_body_bytes = 1 << 20;
   size_t max_header_bytes = 16 << 10;
   Millis response_timeout{3600 * 1000};  // Until a response has ended.
@@ -35,7 +39,8 @@
 };
 
 // Listens from construction until Stop. Requests that exceed `max_body_bytes`
-// or `max_header_bytes` get an error response and don't reach the handler.
+// or `max_header_bytes` get an error response and don't reach the handler; a
+// body that is too large ends its connection while it is received.
 class HttpServer {
  public:
   using Handler = std::function<void(HttpRequest, std::shared_ptr<Responder>)>;
--- a/libs/transport/src/http_server.cc
+++ b/libs/transport/src/http_server.cc
@@ -107,7 +107,8 @@
       : options_(std::move(options)),
         handler_(std::move(handler)),
         max_header_bytes_(options_.max_header_bytes),
-        max_body_bytes_(options_.max_body_bytes) {
+        max_body_bytes_(
+            std::make_shared<std::atomic<size_t>>(options_.max_body_bytes)) {
     auto& context = options_.loop != nullptr ? options_.loop->context()
                                              : own_loop_.context();
     server_ = std::make_unique<Server>(
@@ -126,7 +127,7 @@
 
   void SetLimits(size_t max_header_bytes, size_t max_body_bytes) {
     max_header_bytes_ = max_header_bytes;
-    max_body_bytes_ = max_body_bytes;
+    *max_body_bytes_ = max_body_bytes;
   }
 
   size_t unfinished_responses() const {
@@ -175,9 +176,11 @@
               restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
         })
         .connection_state_listener(std::make_shared<ConnectionListener>(
-            [pipelined = std::weak_ptr(pipelined_)](uint64_t id) {
+            [pipelined = std::weak_ptr(pipelined_), guard = options_.guard,
+             max_body_bytes = max_body_bytes_](uint64_t id) {
+              AnnouncedSocket()->Join(guard, max_body_bytes);
               if (auto it = pipelined.lock()) {
-                it->OnAccepted(id, AnnouncedInspector());
+                it->OnAccepted(id, AnnouncedSocket()->inspector());
               }
             },
             [pipelined = std::weak_ptr(pipelined_),
@@ -207,9 +210,12 @@
   std::shared_ptr<RestinioResponder> MakeResponder(ReceivedRequest received) {
     const uint64_t id = received.handle->connection_id();
     std::weak_ptr<PipelinedRequests> pipelined = pipelined_;
+    InspectedRequest& inspected = received.inspected;
     return std::make_shared<RestinioResponder>(
-        std::move(received.handle), received.inspected.is_http_1_0,
-        WriteTokens{write_token_, std::move(received.inspected.write_token)},
+        std::move(received.handle), inspected.is_http_1_0,
+        WriteTokens{write_token_, std::move(inspected.write_token),
+                    std::move(inspected.held), nullptr},
+        std::move(inspected.account),
         [id, pipelined] {
           auto it = pipelined.lock();
           return it == nullptr || !it->HasWaiting(id);
@@ -245,9 +251,10 @@
       // What follows may be a part of this request to others.
       responder->SendAndClose(ErrorResponse(
           {ErrorKind::kMalformedRequest, std::move(fault), NotRun::kTrue}, ""));
-    } else if (request.body.size() > max_body_bytes_) {
-      Reject(*responder, ErrorKind::kBodyTooLarge,
-             fmt::format("The body exceeds {} bytes.", max_body_bytes_));
+    } else if (request.body.size() > *max_body_bytes_) {
+      Reject(
+          *responder, ErrorKind::kBodyTooLarge,
+          fmt::format("The body exceeds {} bytes.", max_body_bytes_->load()));
     } else if (request.headers.ByteSize() > max_header_bytes_) {
       Reject(
           *responder, ErrorKind::kHeadersTooLarge,
@@ -264,7 +271,8 @@
   const HttpServerOptions options_;
   const Handler handler_;
   std::atomic<size_t> max_header_bytes_;
-  std::atomic<size_t> max_body_bytes_;
+  // Shared with the connections.
+  const std::shared_ptr<std::atomic<size_t>> max_body_bytes_;
   std::atomic<bool> stopped_ = false;
   EventLoop own_loop_;  // Unused when the options provide a loop.
   const std::shared_ptr<PipelinedRequests> pipelined_ =
--- a/libs/transport/src/response_text.cc
+++ b/libs/transport/src/response_text.cc
@@ -19,6 +19,8 @@
       return "Unauthorized";
     case 404:
       return "Not Found";
+    case 408:
+      return "Request Timeout";
     case 413:
       return "Content Too Large";
     case 429:
--- a/libs/transport/src/restinio_responder.cc
+++ b/libs/transport/src/restinio_responder.cc
@@ -62,11 +62,12 @@
 
 RestinioResponder::RestinioResponder(
     restinio::request_handle_t request, bool is_http_1_0, WriteTokens tokens,
-    std::function<bool()> may_close,
+    std::shared_ptr<ConnectionAccount> account, std::function<bool()> may_close,
     std::function<void(bool closes)> on_responded)
     : request_(std::move(request)),
       is_http_1_0_(is_http_1_0),
       write_tokens_(std::move(tokens)),
+      account_(std::move(account)),
       may_close_(std::move(may_close)),
       on_responded_(std::move(on_responded)) {}
 
@@ -138,6 +139,11 @@
     output.append_header(std::string(kLengthField),
                          std::to_string(response.body.size()));
   }
+  CountUnread(0);
+  if (account_ != nullptr) {
+    write_tokens_.unread = account_->HoldUnread(response.body.size());
+  }
+  write_tokens_.held.reset();
   output.Finish(has_body ? std::move(response.body) : std::string(),
                 HoldUntilWritten(std::move(write_tokens_)));
   request_.reset();
@@ -170,6 +176,7 @@
     Collect(data);
   } else if (stream_ && stream_has_body_ && !data.empty()) {
     StartWrite(queue_.Push(std::move(data)));
+    CountUnread(queue_.unwritten_bytes());
   }
 }
 
@@ -210,6 +217,7 @@
     return;
   }
   collected_->body += data;
+  CountUnread(collected_->body.size());
 }
 
 void RestinioResponder::SendCollected() {
@@ -235,6 +243,18 @@
                  });
 }
 
+void RestinioResponder::CountUnread(size_t bytes) {
+  if (account_ == nullptr) {
+    return;
+  }
+  if (bytes > counted_unread_) {
+    account_->AddUnread(bytes - counted_unread_);
+  } else if (bytes < counted_unread_) {
+    account_->RemoveUnread(counted_unread_ - bytes);
+  }
+  counted_unread_ = bytes;
+}
+
 // After a failed write nothing more is written; the server reports that the
 // connection is closed.
 void RestinioResponder::OnWritten(bool ok) {
@@ -243,6 +263,7 @@
     return;
   }
   StartWrite(queue_.OnWritten());
+  CountUnread(queue_.unwritten_bytes());
   if (queue_.unwritten_bytes() == 0 && on_all_written_) {
     auto done = std::exchange(on_all_written_, nullptr);
     lock.unlock();
@@ -252,6 +273,7 @@
 
 void RestinioResponder::CloseStream(const std::string& last_bytes) {
   on_all_written_ = nullptr;
+  CountUnread(0);
   stream_->Finish(last_bytes, HoldUntilWritten(std::move(write_tokens_)));
   stream_.reset();
   on_responded_(true);
--- a/libs/transport/src/restinio_responder.h
+++ b/libs/transport/src/restinio_responder.h
@@ -9,6 +9,7 @@
 #include <restinio/all.hpp>
 #include <string>
 
+#include "connection_account.h"
 #include "framed_output.h"
 #include "request_inspector.h"
 #include "transport/http_message.h"
@@ -21,6 +22,8 @@
 struct WriteTokens {
   WriteToken server;
   WriteToken connection;
+  std::shared_ptr<void> held;    // What the request takes of the budget.
+  std::shared_ptr<void> unread;  // What its response does, sent as a whole.
 };
 
 class RestinioResponder
@@ -30,7 +33,9 @@
   // `may_close`: whether no other request of the connection waits.
   // `on_responded`: the response has ended; `closes`: it closes the connection.
   RestinioResponder(restinio::request_handle_t request, bool is_http_1_0,
-                    WriteTokens tokens, std::function<bool()> may_close,
+                    WriteTokens tokens,
+                    std::shared_ptr<ConnectionAccount> account,
+                    std::function<bool()> may_close,
                     std::function<void(bool closes)> on_responded);
   ~RestinioResponder() override;
 
@@ -60,6 +65,8 @@
   void CloseStream(const std::string& last_bytes);
   void Collect(const std::string& data);
   void SendCollected();
+  // Counts the bytes of the response that are kept here.
+  void CountUnread(size_t bytes);
 
   // RESTinio may report a failed write from within the call that starts it.
   mutable std::recursive_mutex lock_;
@@ -72,6 +79,8 @@
   // as the end of the connection alone would let a broken stream look complete.
   std::optional<HttpResponse> collected_;
   WriteTokens write_tokens_;
+  const std::shared_ptr<ConnectionAccount> account_;  // May be null.
+  size_t counted_unread_ = 0;
   const std::function<bool()> may_close_;
   const std::function<void(bool closes)> on_responded_;
   std::function<void()> on_all_written_;
