Keep room for short requests, and count idle time from the last response

Two cases that the budget decided badly, found by reading it again: large requests that are handled for long use up the budget, and every short request that follows would be ended for it; and a connection counted as idle for as long as its last request was handled, so that it would be ended first when its response had just been read. Connections that hold up to 64 KB may now exceed the budget by a quarter.

--- a/libs/transport/include/transport/body_budget.h
+++ b/libs/transport/include/transport/body_budget.h
@@ -42,7 +42,9 @@
 std::string_view NameOf(EndCause cause);
 
 struct BodyBudgetLimits {
-  size_t bytes = 0;  // Costs over all connections.
+  // Costs over all connections. Connections that hold little may exceed it by a
+  // quarter.
+  size_t bytes = 0;
   size_t connections = 0;
   // Time without a byte of the request that is being received: when more than
   // half of the budget is used, and always.
--- a/libs/transport/src/body_budget.cc
+++ b/libs/transport/src/body_budget.cc
@@ -35,6 +35,11 @@
 constexpr int64_t kConnectionBytes = 8 << 10;
 constexpr int64_t kConnectionMemoryDivisor = 8;
 constexpr int64_t kMinConnections = 16;
+// What a connection holds with an ordinary request. These have room beyond the
+// budget, so that large requests that are handled for long do not keep them
+// out.
+constexpr size_t kSmallBytes = 64 << 10;
+size_t MaxBytesWithSmall(size_t max_bytes) { return max_bytes + max_bytes / 4; }
 // Added to the age of what a connection holds, so that size decides among young
 // ones.
 constexpr int64_t kMinAgeMs = 100;
@@ -202,6 +207,7 @@
   Connection* it = Find(connection);
   if (it != nullptr) {
     it->unread_since = now;
+    it->last_progress = now;
     SetUnread(it, it->unread - std::min(it->unread, bytes));
   }
 }
@@ -260,10 +266,15 @@
 // progress is gone before it is old.
 BodyBudget::Connections::iterator BodyBudget::FindLargest(bool may_be_handling,
                                                           Millis now) {
+  const size_t spared_bytes =
+      bytes_held_ <= MaxBytesWithSmall(max_bytes_) ? kSmallBytes : 0;
   auto best = connections_.end();
   int64_t best_score = 0;
   for (auto it = connections_.begin(); it != connections_.end(); ++it) {
     const Connection& connection = it->second;
+    if (connection.receiving + connection.unread <= spared_bytes) {
+      continue;
+    }
     const bool is_handling = connection.handled_count > 0;
     const int64_t score =
         Score(connection.receiving, connection.receiving_since, now) +
--- a/libs/transport/test/body_budget_test.cc
+++ b/libs/transport/test/body_budget_test.cc
@@ -91,6 +91,26 @@
   REQUIRE(budget.connection_count() == 0);
 }
 
+// Guards against: large requests that are handled for long keep all others out,
+// or short ones have no bound.
+TEST_CASE("short requests have room beside large ones", "[budget]") {
+  BodyBudget budget(kLimits);
+  const Key handled = budget.Open(Millis(0));
+  budget.AddHandled(handled, kLimits.bytes);
+  const Key ordinary = budget.Open(Millis(0));
+  budget.OnReceived(ordinary, BodyCost(1000), Millis(0));
+  REQUIRE(!budget.NextEnding(Millis(0)));
+  std::set<Key> ended;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnReceived(budget.Open(Millis(1)), 60 << 10, Millis(1));
+    while (auto ending = budget.NextEnding(Millis(1))) {
+      ended.insert(ending->connection);
+    }
+    REQUIRE(budget.bytes_held() <= kLimits.bytes + kLimits.bytes / 4);
+  }
+  REQUIRE(!ended.empty());
+}
+
 // Guards against: callers that do not read take the memory.
 TEST_CASE("unread responses keep to the budget", "[budget]") {
   BodyBudget budget(kLimits);
@@ -126,6 +146,23 @@
   REQUIRE(!budget.IsReceiving());
 }
 
+// Guards against: a connection counts as idle for as long as its last request
+// was handled.
+TEST_CASE("a connection is idle from its last response", "[budget]") {
+  BodyBudget budget(kLimits);
+  const Key busy = budget.Open(Millis(0));
+  budget.AddHandled(busy, 1);
+  const Key idle = budget.Open(Millis(10));
+  budget.AddUnread(busy, 1, Millis(1000));
+  budget.RemoveHandled(busy, 1);
+  budget.RemoveUnread(busy, 1, Millis(1001));
+  for (size_t i = budget.connection_count(); i <= kLimits.connections; ++i) {
+    budget.Open(Millis(2000));
+  }
+  REQUIRE(EndAll(&budget, Millis(2000), EndCause::kTooManyConnections) ==
+          std::set<Key>{idle});
+}
+
 // Guards against: connections use up the descriptors, or a request that is
 // handled loses its connection to an idle one.
 TEST_CASE("connections keep to their number", "[budget]") {
