Report what bodies hold and which connections were ended

A gauge of the bytes held and of callers' connections, and counters of ended connections by cause, on the metrics page. gateway_test "[metrics]" passes.

--- a/libs/gateway/include/gateway/metrics_page.h
+++ b/libs/gateway/include/gateway/metrics_page.h
@@ -1,9 +1,12 @@
 // The metrics page: counters and histograms for the operators' monitoring.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 
+#include "transport/body_budget.h"
+
 namespace bilberrypitch {
 
 struct ServingState;
@@ -15,6 +18,10 @@
   uint64_t upstream_connections = 0;
   uint64_t open_requests = 0;
   uint64_t peers = 0;
+  // Of requests and unread responses, as BodyBudget counts them.
+  uint64_t body_bytes_held = 0;
+  uint64_t caller_connections = 0;
+  std::array<uint64_t, kEndCauseCount> connections_ended{};
   int64_t store_view_age_ms = 0;  // Age of the view of the store.
 };
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -466,6 +466,9 @@
     metrics.upstream_connections = gateway_deps_.client->connections_opened();
     metrics.open_requests = callers_.open_requests().size();
     metrics.peers = peers_.peers().size();
+    metrics.body_bytes_held = guard_->budget().bytes_held();
+    metrics.caller_connections = guard_->budget().connection_count();
+    metrics.connections_ended = guard_->ended();
     metrics.store_view_age_ms = state_.freshness.Age(EventLoop::Now()).count();
     return metrics;
   }
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -41,6 +41,13 @@
   add("upstream_connections_total", metrics.upstream_connections);
   add("requests_open", metrics.open_requests);
   add("peers", metrics.peers);
+  add("body_bytes_held", metrics.body_bytes_held);
+  add("caller_connections", metrics.caller_connections);
+  for (size_t i = 0; i < metrics.connections_ended.size(); ++i) {
+    text += fmt::format(
+        "bilberrypitch_connections_ended_total{{cause=\"{}\"}} {}\n",
+        NameOf(static_cast<EndCause>(i)), metrics.connections_ended[i]);
+  }
   add("knowledge_age_ms", metrics.store_view_age_ms);
   add("config_version", state.config != nullptr ? state.config->version() : 0);
   add("log_lines_dropped_total", DroppedLogLines());
--- a/libs/gateway/test/metrics_test.cc
+++ b/libs/gateway/test/metrics_test.cc
@@ -39,11 +39,16 @@
   state.first_event_latency.Add(Millis(300));
   InstanceMetrics metrics;
   metrics.orders = 3;
+  metrics.body_bytes_held = 12;
+  metrics.connections_ended[static_cast<size_t>(EndCause::kMemory)] = 5;
   std::string text = FormatMetrics(state, metrics);
   for (const char* line :
        {"bilberrypitch_requests_received_total 7\n",
         "bilberrypitch_responses_refused_total{fault=\"other_request\"} 2\n",
         "bilberrypitch_responses_refused_total{fault=\"unsigned\"} 0\n",
+        "bilberrypitch_body_bytes_held 12\n",
+        "bilberrypitch_connections_ended_total{cause=\"memory\"} 5\n",
+        "bilberrypitch_connections_ended_total{cause=\"stalled\"} 0\n",
         "bilberrypitch_orders_total 3\n", "bilberrypitch_config_version 0\n",
         "bilberrypitch_first_event_seconds_bucket{le=\"0.4\"} 1\n",
         "bilberrypitch_longest_pause_seconds_count 0\n"}) {
