Return freed bodies to the machine at once

Freed bodies stayed resident: the C library raises its threshold for mapped blocks to the size of freed ones and then keeps them in its heap. The threshold is now fixed at 128 KB.

--- a/apps/bilberrypitch/platform_serve.cc
+++ b/apps/bilberrypitch/platform_serve.cc
@@ -2,6 +2,7 @@
 #include "platform_serve.h"
 
 #include <fmt/format.h>
+#include <malloc.h>
 #include <signal.h>
 
 #include <cstdio>
@@ -55,6 +56,14 @@
                                      : platform::kDefaultBootFilePath;
 }
 
+// Has freed bodies returned to the machine at once. The C library otherwise
+// raises this threshold to the size of freed blocks, up to 32 MB, and keeps
+// them in its heap, where what is freed stays resident.
+void ReturnFreedBodies() {
+  constexpr int kMappedBytes = 128 << 10;
+  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+}
+
 }  // namespace
 
 bool CheckBootFile(const std::string& path) {
@@ -74,6 +83,7 @@
   ParseLogLevel(file_settings.log_level(), &level);
   SetLogLevel(level);
   signal(SIGPIPE, SIG_IGN);
+  ReturnFreedBodies();
   try {
     EventLoop loop;
     EventLoopHttpClient request_client(&loop);
