--- a/libs/transport/test/connection_limits_test.cc
+++ b/libs/transport/test/connection_limits_test.cc
@@ -224,6 +224,17 @@
   REQUIRE(WaitFor([&] { return server.BytesHeld() == 0; }));
 }
 
+// Guards against: the copies of a body do not count while its request is
+// handled, or count for good.
+TEST_CASE("a request counts until its response is written", "[limits]") {
+  LimitedServer server;
+  Caller caller(server);
+  caller.Post("/keep", Length(kMaxBody) + std::string(kMaxBody, 'x'));
+  REQUIRE(WaitFor([&] { return server.BytesHeld() >= 3 * kMaxBody; }));
+  server.Release();
+  REQUIRE(WaitFor([&] { return server.BytesHeld() == 0; }));
+}
+
 // Guards against: a caller that stops keeps its place for good.
 TEST_CASE("a body that stalls is ended", "[limits]") {
   LimitedServer server;
--- a/libs/transport/test/request_inspector_test.cc
+++ b/libs/transport/test/request_inspector_test.cc
@@ -1,7 +1,9 @@
 // Tests of what is read beside the server's library.
 #include "request_inspector.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
 
 #include "strict_http.h"
@@ -95,6 +97,61 @@
   }
 }
 
+// Guards against: the library buffers a body that is over the limit, or gets
+// none of the requests before it.
+TEST_CASE("what is over a limit is not passed on", "[inspector]") {
+  const std::string first = Get("HTTP/1.1");
+  const std::string body(500, 'x');
+  for (const std::string& fields :
+       {"Content-Length: 2000\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    RequestInspector inspector(kLimits);
+    REQUIRE(inspector.Feed(first + Post(fields, "7d0\r\n")).passed_bytes ==
+            first.size());
+    REQUIRE(inspector.Feed(body).passed_bytes == 0);
+    { const InspectedRequest handled = inspector.TakeRequest(); }
+    const InspectorReply reply = inspector.Feed(body);
+    REQUIRE(reply.is_last);
+    REQUIRE(reply.cause == EndCause::kBodyTooLarge);
+  }
+  RequestInspector inspector(kLimits);
+  REQUIRE(inspector.Feed(first + first).passed_bytes == 2 * first.size());
+}
+
+// Guards against: the configured limit is passed over for that of all servers.
+TEST_CASE("the configured limit holds at once", "[inspector]") {
+  auto max_bytes = std::make_shared<std::atomic<size_t>>(500);
+  RequestInspector inspector(kLimits);
+  inspector.SetMaxBodyBytes(max_bytes);
+  REQUIRE(!inspector.Feed(Post("Content-Length: 400\r\n", "")).is_last);
+  *max_bytes = 100;
+  const InspectorReply reply = inspector.Feed(std::string(200, 'x'));
+  REQUIRE(reply.is_last);
+  REQUIRE(ReadStrictResponse(reply.bytes, {}, true).status() == 413);
+}
+
+// Guards against: the end of a connection is written into an open response, or
+// where no request asked for one.
+TEST_CASE("a connection that is ended gets a response of its own",
+          "[inspector]") {
+  RequestInspector inspector(kLimits);
+  REQUIRE(inspector.ResponseFor(EndCause::kMemory).empty());
+  inspector.Feed(Get("HTTP/1.1"));
+  {
+    const InspectedRequest handled = inspector.TakeRequest();
+    inspector.Feed(Post("Content-Length: 4\r\n", "b"));
+    REQUIRE(inspector.ResponseFor(EndCause::kMemory).empty());
+  }
+  for (auto [cause, status] : {std::pair(EndCause::kMemory, 503),
+                               std::pair(EndCause::kTooManyConnections, 503),
+                               std::pair(EndCause::kStalled, 408)}) {
+    const StrictMessage response =
+        ReadStrictResponse(inspector.ResponseFor(cause), {}, true);
+    REQUIRE(response.sound());
+    REQUIRE(response.status() == status);
+  }
+  REQUIRE(inspector.ResponseFor(EndCause::kUnreadResponse).empty());
+}
+
 // Guards against: a caller waits for a word that never comes before it sends
 // its body.
 TEST_CASE("a caller that waits to send its body is told to", "[inspector]") {
