--- a/tools/bilberrypitch_lab/test/body_test.cc
+++ b/tools/bilberrypitch_lab/test/body_test.cc
@@ -267,6 +267,21 @@
   deployment.Check(crowd, kInstance);
 }
 
+// Guards against: a body of short values takes many times its size when it is
+// parsed.
+TEST_CASE("JSON bodies of short values keep to the machine's memory",
+          "[body]") {
+  BodyDeployment deployment;
+  std::string json = "{\"model\":\"base/x\",\"messages\":[";
+  while (json.size() < kBodyBytes - kPieceBytes) {
+    json += "0,";
+  }
+  json += "0]}";
+  const Sending sending{fmt::format(kLengthField, json.size()), json, 1, ""};
+  deployment.Check(std::vector<Sending>(8, sending),
+                   std::string(kInstance) + "/completions");
+}
+
 // Guards against: connections that stay open use up the descriptors.
 TEST_CASE("callers that stay connected leave descriptors", "[body]") {
   BodyDeployment deployment;
