Agree on Asio's allocation of handlers in all sources

lingering_close.cc included Asio before any header of the standard library, so that Asio freed with operator delete there what other sources had allocated with aligned_alloc. Found by a build with AddressSanitizer (alloc-dealloc-mismatch); transport_test without [surplus] passes there now, three runs.

--- a/libs/transport/src/lingering_close.h
+++ b/libs/transport/src/lingering_close.h
@@ -3,6 +3,9 @@
 // connection, and the caller may lose the response.
 #pragma once
 
+// A header of the standard library has to come first: Asio chooses by its
+// macros how handlers are allocated, and all sources have to agree.
+#include <memory>
 #include <restinio/all.hpp>
 
 namespace bilberrypitch {
