--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -36,6 +36,7 @@
 #include "serving/api_codec.h"
 #include "serving/cluster_store.h"
 #include "transport/address.h"
+#include "transport/connection_guard.h"
 #include "transport/event_loop.h"
 #include "transport/event_loop_http_client.h"
 #include "transport/http_server.h"
@@ -95,7 +96,10 @@
                  StreamHooks()),
         paths_(loop_, self_, &state_.upstreams, &peers_,
                [this] { OnPathLost(); }),
-        callers_(loop_, &state_),
+        guard_(std::make_shared<ConnectionGuard>(
+            loop_,
+            BodyBudgetLimitsFor(settings.memory_mb, settings.max_descriptors))),
+        callers_(loop_, &state_, guard_),
         routes_(&state_, RouteHooks()),
         kept_config_(loop_, gateway_deps_.store, KeptConfigHooks()),
         cold_(loop_, &state_),
@@ -398,6 +402,7 @@
     options.bind_ip = parsed->ip;
     options.port = parsed->port;
     options.loop = loop_;
+    options.guard = guard_;
     return options;
   }
 
@@ -502,6 +507,9 @@
     metrics.upstream_connections = gateway_deps_.client->connections_opened();
     metrics.open_requests = callers_.open_requests().size();
     metrics.peers = peers_.peers().size();
+    metrics.body_bytes_held = guard_->budget().bytes_held();
+    metrics.caller_connections = guard_->budget().connection_count();
+    metrics.connections_ended = guard_->ended();
     metrics.store_view_age_ms = state_.freshness.Age(EventLoop::Now()).count();
     return metrics;
   }
@@ -528,6 +536,7 @@
   std::unique_ptr<PeerDispatcher> dispatcher_;
   RequestDeps request_deps_;
   RequestDeps completions_request_deps_;
+  const std::shared_ptr<ConnectionGuard> guard_;
   CallerFrontend callers_;
   RouteService routes_;
   KeptConfigService kept_config_;
