End the watch of a pooled connection when its transfer pauses

Callers saw streams on kept connections break off, and upstreams lost the trust in their kept connections. Cause: a pooled connection is watched for bytes that belong to no request. libcurl only tells of its next use when it waits for the socket; a response that arrives before that leaves the watch in place. When the transfer is then paused, since its caller reads slowly, the watch took the rest of the response for unsolicited bytes and shut the connection down.

--- a/libs/transport/src/curl_socket_poller.cc
+++ b/libs/transport/src/curl_socket_poller.cc
@@ -1,6 +1,7 @@
 // Waits for libcurl's sockets with Asio.
 #include "curl_socket_poller.h"
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,6 +27,14 @@
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+uint16_t LocalPortOf(int fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  bool known =
+      getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+  return known ? ntohs(address.sin_port) : 0;
+}
+
 }  // namespace
 
 class CurlSocket {
@@ -145,6 +154,14 @@
   WaitForRead(socket);
 }
 
+void CurlSocketPoller::EndIdleWatch(uint16_t local_port) {
+  for (const auto& [fd, socket] : sockets_) {
+    if (socket->idle && LocalPortOf(fd) == local_port) {
+      socket->idle = false;
+    }
+  }
+}
+
 void CurlSocketPoller::WaitForRead(const CurlSocketPtr& socket) {
   if (socket->read_wait_pending) {
     return;
--- a/libs/transport/src/curl_socket_poller.h
+++ b/libs/transport/src/curl_socket_poller.h
@@ -54,6 +54,8 @@
   // Waits for bytes on a connection that no transfer uses, until one uses it
   // again. Bytes that arrive meanwhile belong to no request.
   void WatchIdle(const CurlSocketPtr& socket, const std::string& address);
+  // A transfer uses the connection with this local port again.
+  void EndIdleWatch(uint16_t local_port);
   // Looks for bytes that wait to be read. A connection with such bytes is shut
   // down, so that libcurl finds it dead and does not use it again.
   static TrailingBytes ShutDownIfReadable(const CurlSocketPtr& socket);
--- a/libs/transport/src/http_transfer.cc
+++ b/libs/transport/src/http_transfer.cc
@@ -96,6 +96,7 @@
       return 0;
     }
     if (transfer->paused_) {
+      transfer->EndIdleWatch();
       curl_easy_pause(transfer->easy_, CURLPAUSE_RECV);
     }
     return bytes;
@@ -108,6 +109,15 @@
   return bytes;
 }
 
+// A response that arrives before libcurl waits for it leaves the watch of the
+// pooled connection in place. While the transfer is paused, that watch would
+// take the rest of the response for unsolicited bytes.
+void HttpTransfer::EndIdleWatch() const {
+  long port = 0;
+  curl_easy_getinfo(easy_, CURLINFO_LOCAL_PORT, &port);
+  poller_->EndIdleWatch(static_cast<uint16_t>(port));
+}
+
 void HttpTransfer::RecordProgress() {
   last_progress_ = EventLoop::Now();
   response_started_ = true;
--- a/libs/transport/src/http_transfer.h
+++ b/libs/transport/src/http_transfer.h
@@ -76,6 +76,7 @@
   static size_t OnBody(char* data, size_t size, size_t count, void* user_data);
   // Returns false to cancel.
   bool OnHeadComplete();
+  void EndIdleWatch() const;
   void RecordProgress();
   // The time at which the next timeout expires.
   Millis NextDeadline() const;
