Take the ports of gateway tests from outside the ephemeral range

One case of [contradictory] failed once with 'bind: Address already in use' beside other test programs: the port was found free and bound later, and an outgoing connection could take it in between.

--- a/libs/gateway/test/gateway_fixture.h
+++ b/libs/gateway/test/gateway_fixture.h
@@ -25,17 +25,31 @@
 
 namespace bilberrypitch {
 
+// Returns a port outside the range from which the system takes those of
+// outgoing connections, so that none of these takes it before the test binds
+// it. Programs that run at the same time begin at different ports.
 inline uint16_t FreePort() {
-  int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
-          0);
-  socklen_t length = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-  close(fd);
-  return ntohs(address.sin_port);
+  constexpr int kFirst = 10000;
+  constexpr int kCount = 20000;
+  constexpr int kStep = 613;
+  static int next = getpid() * kStep % kCount;
+  for (int tries = 0; tries < kCount; ++tries) {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto port = static_cast<uint16_t>(kFirst + next);
+    address.sin_port = htons(port);
+    next = (next + 1) % kCount;
+    bool is_free =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (is_free) {
+      return port;
+    }
+  }
+  FAIL("no port is free");
+  return 0;
 }
 
 inline std::string LocalAddress(uint16_t port) {
