--- a/libs/gateway/include/gateway/cold_permit_source.h
+++ b/libs/gateway/include/gateway/cold_permit_source.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "serving/cold_permits.h"
@@ -36,10 +35,4 @@
   bool knows_members_ = false;  // It had a confirmed view once.
 };
 
-// How a question names a cold upstream. No id contains a space, so an issuer
-// tells the two kinds of questions apart whatever it knows of the upstream.
-std::string ColdQuestionName(const UpstreamId& upstream);
-// Returns nothing for other questions.
-std::optional<UpstreamId> ColdUpstreamOf(const std::string& name);
-
 }  // namespace bilberrypitch
--- a/libs/gateway/src/cold_permit_source.cc
+++ b/libs/gateway/src/cold_permit_source.cc
@@ -4,23 +4,6 @@
 #include <algorithm>
 
 namespace bilberrypitch {
-namespace {
-
-constexpr char kColdSuffix[] = " cold";
-
-}  // namespace
-
-std::string ColdQuestionName(const UpstreamId& upstream) {
-  return upstream.str() + kColdSuffix;
-}
-
-std::optional<UpstreamId> ColdUpstreamOf(const std::string& name) {
-  if (!name.ends_with(kColdSuffix)) {
-    return std::nullopt;
-  }
-  return UpstreamId(name.substr(0, name.size() - std::size(kColdSuffix) + 1));
-}
-
 void ColdPermitSource::OnView(Millis confirmed_at, Millis member_until,
                               Millis now) {
   knows_members_ = true;
--- a/libs/gateway/src/permit_service.cc
+++ b/libs/gateway/src/permit_service.cc
@@ -121,8 +121,8 @@
   schema::PeerItem item;
   schema::PermitQuestion* encoded = item.mutable_permit_question();
   encoded->set_number(number);
-  encoded->set_upstream(question.is_cold ? ColdQuestionName(question.upstream)
-                                         : question.upstream.str());
+  encoded->set_upstream(question.upstream.str());
+  encoded->set_cold(question.is_cold);
   encoded->set_rate_per_s(question.rate_per_s);
   encoded->set_max_wait_ms(question.max_wait.count());
   encoded->set_substitute(is_substitute);
@@ -208,15 +208,16 @@
 void PermitService::OnQuestion(const MachineId& from,
                                const schema::PermitQuestion& question) {
   Millis max_wait(question.max_wait_ms());
-  if (auto cold = ColdUpstreamOf(question.upstream())) {
-    if (auto permit = IssueCold(*cold, question.rate_per_s(), max_wait)) {
+  UpstreamId upstream(question.upstream());
+  if (question.cold()) {
+    if (auto permit = IssueCold(upstream, question.rate_per_s(), max_wait)) {
       Answer(from, question, *permit);
     }
     return;
   }
-  Answer(from, question,
-         Issue(UpstreamId(question.upstream()), question.rate_per_s(),
-               question.substitute(), max_wait));
+  Answer(
+      from, question,
+      Issue(upstream, question.rate_per_s(), question.substitute(), max_wait));
 }
 
 void PermitService::Answer(const MachineId& to,
