Read completion bodies without a JSON tree

The codec parsed the whole body into values of 24 bytes, so that 8 bodies of 4 MB of short values took an instance to 143 MB with a bound of 120. It now checks the document with Boost.JSON's basic_parser and keeps the three fields it reads.

--- a/libs/completions/src/completions_codec.cc
+++ b/libs/completions/src/completions_codec.cc
@@ -7,10 +7,12 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
 #include <charconv>
+#include <utility>
 
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/json.h"
+#include "completion_body.h"
 #include "transport/http_call.h"
 #include "transport/http_server.h"
 
@@ -37,21 +39,19 @@
       Error{ErrorKind::kMalformedRequest, std::move(detail), NotRun::kTrue});
 }
 
-leaf::result<json::object> ParseBody(const std::string& text) {
-  boost::system::error_code ec;
-  json::value parsed = json::parse(text, ec);
-  if (ec || !parsed.is_object()) {
+leaf::result<CompletionBody> ParseBody(const std::string& text) {
+  std::optional<CompletionBody> body = ReadCompletionBody(text);
+  if (!body) {
     return MalformedRequestError("The body is not a JSON object.");
   }
-  return std::move(parsed.as_object());
+  return std::move(*body);
 }
 
-leaf::result<ModelRef> DecodeModel(const json::object& body) {
-  const json::value* value = body.if_contains("model");
-  if (value == nullptr || !value->is_string() || value->as_string().empty()) {
+leaf::result<ModelRef> DecodeModel(const CompletionBody& body) {
+  if (!body.model.is_string() || body.model.as_string().empty()) {
     return MalformedRequestError("`model` must be a string.");
   }
-  std::string name(value->as_string());
+  std::string name(body.model.as_string());
   size_t slash = name.find('/');
   ModelRef ref;
   ref.model = ModelId(name.substr(0, slash));
@@ -61,10 +61,11 @@
   return ref;
 }
 
-leaf::result<int64_t> DecodeMaxOutputTokens(const json::object& body) {
-  for (const char* name : {"max_completion_tokens", "max_tokens"}) {
-    const json::value* value = body.if_contains(name);
-    if (value == nullptr || value->is_null()) {
+leaf::result<int64_t> DecodeMaxOutputTokens(const CompletionBody& body) {
+  for (const auto& [name, value] :
+       {std::pair("max_completion_tokens", &body.max_completion_tokens),
+        std::pair("max_tokens", &body.max_tokens)}) {
+    if (value->is_null()) {
       continue;
     }
     boost::system::error_code ec;
