End only those attempts in a capacity estimate that it was told of

A stream that began in the same millisecond as a plain request took its place and reported its whole duration as a latency. Found by reading.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -345,6 +345,7 @@
   int64_t upstream_started_ms_ = 0;
   SoftwareVersion upstream_software_;
   Millis sent_at_;
+  bool latency_counts_ = false;  // In the upstream's capacity estimate.
   bool first_event_seen_ = false;
   bool response_is_stream_ = false;
   BodyFraming framing_ = BodyFraming::kUntilClose;
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -151,7 +151,8 @@
   }
   ++attempts_;
   state_->upstreams.OnAttemptStarted(upstream, PromptTokens());
-  if (IsPlainService() && !IsStream()) {
+  latency_counts_ = IsPlainService() && !IsStream();
+  if (latency_counts_) {
     upstream->capacity.OnAttemptBegun(now);
   }
   if (request_.model.is_adapter()) {
@@ -368,8 +369,10 @@
     state_->upstreams.OnAttemptResult(
         upstream, end == AttemptEnd::kFailed,
         end == AttemptEnd::kNotRun ? std::nullopt : std::optional(duration));
-    upstream->capacity.OnAttemptEnded(sent_at_, end == AttemptEnd::kCompleted,
-                                      EventLoop::Now());
+    if (latency_counts_) {
+      upstream->capacity.OnAttemptEnded(sent_at_, end == AttemptEnd::kCompleted,
+                                        EventLoop::Now());
+    }
     if (end == AttemptEnd::kCompleted) {
       deps_->hooks.capacity_sampled(upstream_);
     }
