Let the route command draw as requests do, and tell of evacuated zones

It gave no seed to the choice, so it named the cheapest upstream where requests are spread. A question that the instance can't answer ends with 1, not 2.

--- a/apps/bilberrypitch/route_command.cc
+++ b/apps/bilberrypitch/route_command.cc
@@ -24,6 +24,7 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitInvalidInput = 2;
 constexpr int kOkStatus = 200;
+constexpr int kFirstServerErrorStatus = 500;
 constexpr Millis kTimeout{3000};
 
 constexpr std::pair<const char*, const char*> kParameters[] = {
@@ -124,7 +125,8 @@
   }
   if (outcome.status != kOkStatus) {
     fmt::print(stderr, "bilberrypitch: {}\n", FieldsText(answer.as_object()));
-    return kExitInvalidInput;
+    bool is_invalid = outcome.status < kFirstServerErrorStatus;
+    return is_invalid ? kExitInvalidInput : kExitFailure;
   }
   Print(answer.as_object());
   return kExitSuccess;
--- a/libs/gateway/src/route_service.cc
+++ b/libs/gateway/src/route_service.cc
@@ -270,19 +270,38 @@
   decision->input = MakeChoiceInput(
       *state_, *decision->config, decision->service, question.model,
       question.prompt_tokens, decision->input.now);
+  decision->input.seed =
+      StableHash(question.id.str(), state_->settings.machine.str()) | 1;
   decision->choice = ChooseUpstream(FindCandidates(decision), state_->residency,
                                     decision->input, &decision->costs);
   if (!decision->choice) {
-    decision->step = "wait_for_upstream";
-    decision->reason = "no upstream can take it";
+    bool is_evacuated =
+        std::any_of(decision->excluded.begin(), decision->excluded.end(),
+                    [&](const auto& it) {
+                      return it.first->IsZoneEvacuated() &&
+                             it.first->IsServing(decision->input.now);
+                    });
+    decision->step = is_evacuated ? "reject" : "wait_for_upstream";
+    decision->reason = is_evacuated ? "all its upstreams are in evacuated zones"
+                                    : "no upstream can take it";
     return;
   }
   auto candidates = std::count_if(
       decision->costs.begin(), decision->costs.end(),
       [](const UpstreamCost& cost) { return cost.holds_base_model; });
+  bool is_cheapest =
+      std::none_of(decision->costs.begin(), decision->costs.end(),
+                   [&](const UpstreamCost& cost) {
+                     return cost.holds_base_model &&
+                            cost.cost_ms < decision->choice->cost_ms;
+                   });
   decision->reason =
-      candidates == 1 ? "the only candidate"
-                      : fmt::format("lowest cost of {} candidates", candidates);
+      candidates == 1
+          ? "the only candidate"
+          : fmt::format(
+                "{} of {} candidates",
+                is_cheapest ? "lowest cost" : "drawn at random by the costs",
+                candidates);
   bool waits_for_prefill =
       decision->input.prompt_tokens > 0 &&
       decision->config->MaxEventGapOf(decision->service) > Millis(0);
