--- a/libs/transport/include/transport/connection_guard.h
+++ b/libs/transport/include/transport/connection_guard.h
@@ -19,7 +19,7 @@
 
 class EventLoop;
 
-class ConnectionGuard : public std::enable_shared_from_this<ConnectionGuard> {
+class ConnectionGuard {
  public:
   using ConnectionKey = BodyBudget::ConnectionKey;
   // Ends a connection. It may be called from within any call of this object.
--- a/libs/transport/src/curl_socket_poller.cc
+++ b/libs/transport/src/curl_socket_poller.cc
@@ -154,9 +154,11 @@
   WaitForRead(socket);
 }
 
-void CurlSocketPoller::EndIdleWatch(uint16_t local_port) {
+void CurlSocketPoller::EndIdleWatch(const std::string& address,
+                                    uint16_t local_port) {
   for (const auto& [fd, socket] : sockets_) {
-    if (socket->idle && LocalPortOf(fd) == local_port) {
+    if (socket->idle && socket->address == address &&
+        LocalPortOf(fd) == local_port) {
       socket->idle = false;
     }
   }
--- a/libs/transport/src/curl_socket_poller.h
+++ b/libs/transport/src/curl_socket_poller.h
@@ -54,8 +54,9 @@
   // Waits for bytes on a connection that no transfer uses, until one uses it
   // again. Bytes that arrive meanwhile belong to no request.
   void WatchIdle(const CurlSocketPtr& socket, const std::string& address);
-  // A transfer uses the connection with this local port again.
-  void EndIdleWatch(uint16_t local_port);
+  // A transfer uses the connection from this local port to `address` again.
+  // libcurl does not tell its descriptor before the transfer is complete.
+  void EndIdleWatch(const std::string& address, uint16_t local_port);
   // Looks for bytes that wait to be read. A connection with such bytes is shut
   // down, so that libcurl finds it dead and does not use it again.
   static TrailingBytes ShutDownIfReadable(const CurlSocketPtr& socket);
--- a/libs/transport/src/http_transfer.cc
+++ b/libs/transport/src/http_transfer.cc
@@ -115,7 +115,7 @@
 void HttpTransfer::EndIdleWatch() const {
   long port = 0;
   curl_easy_getinfo(easy_, CURLINFO_LOCAL_PORT, &port);
-  poller_->EndIdleWatch(static_cast<uint16_t>(port));
+  poller_->EndIdleWatch(call_.address, static_cast<uint16_t>(port));
 }
 
 void HttpTransfer::RecordProgress() {
--- a/libs/transport/src/restinio_responder.cc
+++ b/libs/transport/src/restinio_responder.cc
@@ -141,7 +141,8 @@
   }
   CountUnread(0);
   if (account_ != nullptr) {
-    write_tokens_.unread = account_->HoldUnread(response.body.size());
+    write_tokens_.unread =
+        account_->HoldUnread(has_body ? response.body.size() : 0);
   }
   write_tokens_.held.reset();
   output.Finish(has_body ? std::move(response.body) : std::string(),
