--- a/libs/gateway/include/gateway/load_broadcaster.h
+++ b/libs/gateway/include/gateway/load_broadcaster.h
@@ -40,7 +40,7 @@
   void SendSlowdowns();
   void SendToZone(const schema::PeerItem& item);
   // Logs that the upstream has become slow or has recovered.
-  void LogIfClassified(const UpstreamState& upstream);
+  void LogIfReclassified(const UpstreamState& upstream);
 
   const ZoneId zone_;
   UpstreamRegistry* const upstreams_;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -344,7 +344,7 @@
     };
   }
 
-  RequestServices RequestServicesOf() {
+  RequestServices MakeRequestServices() {
     RequestServices services;
     services.adapters = &adapters_;
     services.callers = &callers_;
@@ -370,7 +370,7 @@
     request_deps_.client = gateway_deps_.client;
     request_deps_.codec = gateway_deps_.codec;
     request_deps_.state = &state_;
-    request_deps_.hooks = MakeRequestHooks(RequestServicesOf());
+    request_deps_.hooks = MakeRequestHooks(MakeRequestServices());
     completions_request_deps_ = request_deps_;
     completions_request_deps_.codec = gateway_deps_.completions_codec;
     completions_request_deps_.api = CallerApi::kCompletions;
--- a/libs/gateway/src/load_broadcaster.cc
+++ b/libs/gateway/src/load_broadcaster.cc
@@ -81,7 +81,7 @@
   if (upstream == nullptr) {
     return;
   }
-  LogIfClassified(*upstream);
+  LogIfReclassified(*upstream);
   if (!upstream->capacity.IsNewsDue(EventLoop::Now())) {
     return;
   }
@@ -129,11 +129,11 @@
   UpstreamState* upstream = upstreams_->Find(UpstreamId(news.upstream()));
   if (upstream != nullptr) {
     upstream->capacity.OnNews(news.percent() / kPercent, EventLoop::Now());
-    LogIfClassified(*upstream);
+    LogIfReclassified(*upstream);
   }
 }
 
-void LoadBroadcaster::LogIfClassified(const UpstreamState& upstream) {
+void LoadBroadcaster::LogIfReclassified(const UpstreamState& upstream) {
   const UpstreamId& id = upstream.entry.id;
   bool is_slow = upstream.capacity.is_slow();
   if (is_slow == slow_.contains(id)) {
--- a/libs/serving/include/serving/cold_permits.h
+++ b/libs/serving/include/serving/cold_permits.h
@@ -1,16 +1,15 @@
 // Permits for cold upstreams.
 //
 // The two issuers of an upstream and the instances that reach neither are three
-// sources, as for a stated rate limit. A cold upstream crashes within a second,
-// so what they give out has to stay below its bound in every second:
+// sources, as for a stated rate limit. The bound of a cold upstream holds in
+// every second, so what they give out together stays below it:
 //
 // - Turns of one issuer are at least the inverse of its rate apart. Nothing is
 //   saved up, and an unused permit is not given out again.
 // - A permit has to be used shortly after its turn.
 // - An instance issues only by a recent view of the members, and only if its
-// own
-//   record is certain to be among them. It begins when all whose view is older
-//   have stopped.
+//   own record is certain to be among them. It begins when all whose view is
+//   older have stopped.
 //
 // No I/O. Not thread-safe.
 #pragma once
--- a/libs/serving/include/serving/upstream_chooser.h
+++ b/libs/serving/include/serving/upstream_chooser.h
@@ -1,5 +1,6 @@
 // Chooses the upstream for a request: the one with the lowest expected time to
-// the first event.
+// the first event, or, for a plain service whose upstreams differ in speed, one
+// at random with weights by these times.
 //
 // The cost model is made for far more adapters than adapter slots, a few of
 // them in much higher demand than the rest. Each adapter has its own order of
@@ -42,7 +43,8 @@
   UpstreamState* upstream = nullptr;  // Not owned.
   bool resident = true;               // The adapter is assumed to be loaded.
   double cost_ms = 0;                 // Expected time to the first event.
-  // How much more the next best upstream costs; large if there is none.
+  // How much more the next best upstream costs; large if there is none, zero if
+  // the choice was drawn at random.
   double margin_ms = 0;
 };
 
@@ -64,8 +66,7 @@
 // Returns nothing if no upstream can take the request. An engine without the
 // base model is never chosen; an upstream that failed this request is chosen
 // only if no other is left. `costs`: receives one entry for each of `usable`,
-// in their order; null: not needed. The choice is the first one with the lowest
-// cost.
+// in their order; null: not needed.
 std::optional<UpstreamChoice> ChooseUpstream(
     const std::vector<UpstreamState*>& usable, const ResidencyView& residency,
     const ChoiceInput& input, std::vector<UpstreamCost>* costs = nullptr);
--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -52,8 +52,8 @@
 // more.
 constexpr double kFullFactor = 4;
 // A request goes to a plain upstream with a weight of its cost to the power of
-// minus this: steep enough that an upstream that is three times slower keeps
-// less than a third of an equal share.
+// minus this. Shares by the inverse of the cost alone leave a slow upstream
+// more than it takes well.
 constexpr double kSpreadExponent = 3;
 // Above these multiples of the least usual latency, latencies differ clearly. A
 // usual one is the mean of at least eight requests; the other may be of a
@@ -321,10 +321,9 @@
     best->margin_ms = next_best_ms - best->cost_ms;
   }
   if (is_spread && best) {
-    double best_ms = best->cost_ms;
     UpstreamChoice chosen = SpreadChoice(plain_choices, input);
     if (chosen.upstream != best->upstream) {
-      chosen.margin_ms = std::max(0.0, best_ms - chosen.cost_ms);
+      chosen.margin_ms = 0;
       best = chosen;
     }
   }
