--- a/libs/serving/src/upstream_chooser.cc
+++ b/libs/serving/src/upstream_chooser.cc
@@ -95,10 +95,13 @@
 
 // 1 if the request is to find out whether a slow upstream has recovered.
 double SlowdownFor(const UpstreamState& upstream, const ChoiceInput& input) {
-  bool probes = input.seed != 0 &&
-                upstream.capacity.ProbeDue(
-                    DrawFor(input.seed, upstream.entry.id.str()), input.now);
-  return probes ? 1 : upstream.capacity.Slowdown(input.now);
+  double slowdown = upstream.capacity.Slowdown(input.now);
+  // Most upstreams are not slow; nothing is drawn for them.
+  if (slowdown <= 1 || input.seed == 0) {
+    return slowdown;
+  }
+  double draw = DrawFor(input.seed, upstream.entry.id.str());
+  return upstream.capacity.ProbeDue(draw, input.now) ? 1 : slowdown;
 }
 
 // Zero for an engine that is not slow.
