Review case 7: the server rejects after its turn

A rejection that came before the third request arrived would leave room for the case to hold. The server now takes 50 ms for it, as for any other answer.

--- a/review/standin-2/case_7.cc
+++ b/review/standin-2/case_7.cc
@@ -11,6 +11,7 @@
 constexpr int kStreamTimeoutMs = 5000;
 constexpr int64_t kSettleMs = 8000;
 constexpr int64_t kWorkMs = 500;
+constexpr int64_t kTurnMs = 50;
 constexpr int kMostLost = 3;
 constexpr char kOrdinaryTokens[] = "1800,22";
 constexpr char kHugeTokens[] = "6000000000000000000,22";
@@ -27,7 +28,7 @@
               {"/gono990/", "stream", kModelService, kStreamTimeoutMs, 400}}));
   PlainServer plain(record, "i-plain", kWorkMs);
   deployment.Register("i-plain", kPlainService, plain.port(), "");
-  ModelServer model(record, "i-model");
+  ModelServer model(record, "i-model", kTurnMs);
   deployment.Register("i-model", kModelService, model.port(),
                       R"({"name":"base","version":1,"adapters":[]})");
   Machine machine;
--- a/review/standin-2/servers.cc
+++ b/review/standin-2/servers.cc
@@ -100,6 +100,7 @@
           R"({"phase":"mixed","models":[{"name":"base","version":1,)"
           R"("adapters":[]}],"busy":false,"seq":0,"queued":0,"active":0})"));
     } else if (TokensOf(request) > kMemoryTokens) {
+      SleepMs(wait_ms_);
       record_->Add("server " + id_ + " rejects request " + request_id +
                    ", which is larger than its memory: 503, Not-Run");
       connection.Send(Rejection("503 Service Unavailable", request_id));
--- a/review/standin-2/servers.h
+++ b/review/standin-2/servers.h
@@ -37,7 +37,7 @@
 // were full. Others get a short stream.
 class ModelServer {
  public:
-  // `wait_ms`: how long a request waits for its turn.
+  // `wait_ms`: how long a request waits for its turn or its rejection.
   ModelServer(Record* record, std::string id, int64_t wait_ms = 0);
 
   uint16_t port() const { return port_; }
