Review case 8: a machine takes no new connection any more

The limit on connections leaves the process fewer descriptors than it may use. Once accept() fails the acceptor has stopped for good, and the readiness says 200. The cases about memory become 9 and 10, so that the graver one is first.

Nothing is fixed here.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 cmake --build target --target bilberrypitch_lab -j6
 out=target/review-2
 mkdir -p "$out"
-for n in 6 7 8 9; do
+for n in 6 7 8 9 10; do
   "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -o "$out/case_$n" \
     review/standin-2/{support,servers,bookings,memory_limit}.cc "review/standin-2/case_$n.cc"
 done
--- a/review/standin-2/case_9.cc
+++ b/review/standin-2/case_9.cc
@@ -1,5 +1,5 @@
-// Many clients at once send requests inside the limits of the configuration,
-// each with a prompt of many short parts.
+// A model server answers with bytes without end; the machine's memory is full
+// before the calls end.
 #include "bookings.h"
 #include "memory_limit.h"
 #include "servers.h"
@@ -9,27 +9,15 @@
 namespace {
 
 constexpr int kClients = 8;
-// Fewer than the connections that a machine with 4,100 descriptors accepts.
-constexpr int kRequests = 1900;
-constexpr int kParts = 3900;  // 15,600 bytes of the 16,384 in `headerBytes`.
-constexpr int kDeadlineMs = 5000;
-constexpr int kServers = 9;  // 211 requests each, of 64 slots and 192 waiting.
-constexpr int64_t kTurnMs = 3000;  // How long a request waits there.
+// As many as the model server takes at once, less some.
+constexpr int kRequests = 60;
+constexpr int kStreamTimeoutMs = 5000;
+// Clients leave a stream without an event after four times its objective.
+constexpr int64_t kClientLeavesMs = 4000;
 constexpr int64_t kSettleMs = 8000;
 constexpr int64_t kWorkMs = 500;
-
-// A prompt of `parts` parts, or of the usual two.
-std::string PromptFields(int parts) {
-  std::string prefix = "5c1e07a2:1,91bd3f06:0";
-  if (parts > 0) {
-    prefix = "1:0";
-    for (int i = 1; i < parts; ++i) {
-      prefix += ",1:0";
-    }
-  }
-  return "Model: " + std::string(kModel) +
-         "\r\nTokens: 1,22\r\nPrompt-Prefix: " + prefix + "\r\n";
-}
+// All requests together stay below the 125 MB a second of the machine's link.
+constexpr int64_t kBytesPerS = 2000 * 1000;
 
 int Run(Record* record) {
   Deployment deployment;
@@ -38,19 +26,14 @@
   }
   deployment.Write(
       "op/config",
-      ConfigJson(1,
-                 {{"/puxa403/", "non_idempotent", kPlainService, 2500, 0},
-                  {"/gono990/", "stream", kModelService, kDeadlineMs, 400}}));
+      ConfigJson(
+          1, {{"/puxa403/", "non_idempotent", kPlainService, 2500, 0},
+              {"/gono990/", "stream", kModelService, kStreamTimeoutMs, 400}}));
   PlainServer plain(record, "i-plain", kWorkMs);
   deployment.Register("i-plain", kPlainService, plain.port(), "");
-  std::vector<std::unique_ptr<ModelServer>> models;
-  models.reserve(kServers);
-  for (int i = 0; i < kServers; ++i) {
-    const std::string id = "i-model-" + std::to_string(i);
-    models.push_back(std::make_unique<ModelServer>(record, id, kTurnMs));
-    deployment.Register(id, kModelService, models.back()->port(),
-                        R"({"name":"base","version":1,"adapters":[]})");
-  }
+  ModelServer model(record, "i-model");
+  deployment.Register("i-model", kModelService, model.port(),
+                      R"({"name":"base","version":1,"adapters":[]})");
   Machine machine;
   if (!deployment.StartMachine("front-a-1", "a", &machine)) {
     return kCannotRun;
@@ -61,18 +44,22 @@
   if (bookings.answered() < kClients) {
     return kCannotRun;
   }
-  const std::string fields = PromptFields(WithTrouble() ? kParts : 0);
+  if (WithTrouble()) {
+    model.BeginTrouble(kBytesPerS);
+  }
   std::vector<Connection> connections;
   connections.reserve(kRequests);
   for (int i = 0; i < kRequests; ++i) {
     connections.push_back(Connection::To(machine.front));
-    connections.back().Send(RequestText("/gono990/2f", "t" + std::to_string(i),
-                                        kDeadlineMs, fields, "{}"));
+    connections.back().Send(RequestText(
+        "/gono990/2f", "t" + std::to_string(i), kStreamTimeoutMs,
+        "Model: " + std::string(kModel) +
+            "\r\nTokens: 180,22\r\nPrompt-Prefix: 5c1e07a2:56,91bd3f" +
+            std::to_string(i) + ":124\r\n",
+        "{}"));
   }
-  record->Add("clients have sent " + std::to_string(kRequests) +
-              " requests, each with " + std::to_string(fields.size()) +
-              " bytes of fields about its prompt");
-  return EnforceMemoryLimit(record, &machine, &bookings, kDeadlineMs);
+  record->Add("clients have sent " + std::to_string(kRequests) + " requests");
+  return EnforceMemoryLimit(record, &machine, &bookings, kClientLeavesMs);
 }
 
 }  // namespace
--- a/review/standin-2/support.cc
+++ b/review/standin-2/support.cc
@@ -28,6 +28,8 @@
 constexpr char kLab[] = "target/tools/bilberrypitch_lab/bilberrypitch_lab";
 constexpr int64_t kStartTimeoutMs = 15000;
 constexpr int64_t kCallTimeoutMs = 3000;
+// Of the machine's 4,100 descriptors, 200 are reserved for files.
+constexpr rlim_t kSocketsAndPipes = 3900;
 constexpr int kBeatMs = 1200;
 constexpr int kMissedBeats = 3;
 
@@ -291,7 +293,7 @@
 
 Process::Process(const std::string& name, const std::vector<std::string>& args,
                  const std::vector<std::string>& environment,
-                 const std::string& directory) {
+                 const std::string& directory, rlim_t most_descriptors) {
   const std::string log = directory + "/" + name + ".log";
   std::vector<char*> arguments;
   arguments.reserve(args.size() + 1);
@@ -308,6 +310,10 @@
   pid_ = fork();
   if (pid_ == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);  // Ends with the case, however it ends.
+    if (most_descriptors > 0) {
+      const rlimit limit{most_descriptors, most_descriptors};
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
     const int fd = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
@@ -413,7 +419,8 @@
          "platform.readsPerS=2000\nplatform.ttlMinMs=1000\n";
   machine->process = std::make_unique<Process>(
       name, std::vector<std::string>{kProduct, "serve"},
-      std::vector<std::string>{"BILBERRYPITCH_BOOT=" + path}, directory_);
+      std::vector<std::string>{"BILBERRYPITCH_BOOT=" + path}, directory_,
+      kSocketsAndPipes);
   const int64_t end = NowMs() + kStartTimeoutMs;
   while (NowMs() < end) {
     auto answer = Call(machine->ready, "GET", "/readyz", "");
--- a/review/standin-2/support.h
+++ b/review/standin-2/support.h
@@ -2,6 +2,7 @@
 // record of what was sent, answered and run.
 #pragma once
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #include <chrono>
@@ -88,16 +89,17 @@
 uint16_t Serve(std::function<void(Connection)> handle);
 uint16_t FreePort();
 
-// A process that the case started.
+// A process that the case started. `most_descriptors`: 0 for no limit.
 class Process {
  public:
   Process(const std::string& name, const std::vector<std::string>& args,
           const std::vector<std::string>& environment,
-          const std::string& directory);
+          const std::string& directory, rlim_t most_descriptors = 0);
   ~Process();  // Ends it.
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  pid_t pid() const { return pid_; }
   // The exit status as waitpid() states it, once the process has ended.
   std::optional<int> ExitStatus();
   void Signal(int signal);
