--- a/review/standin-2/stuttering_server.cc
+++ b/review/standin-2/stuttering_server.cc
@@ -51,8 +51,10 @@
     connection.Send(head);
     if (!last_id.empty() && IsSpoiltNow()) {
       // The rest of the second copy of the answer before.
-      record_->Add("server " + id_ + " sends the end of its answer to " +
-                   last_id + " again, within its answer to " + request_id);
+      std::string line = "server " + id_;
+      line += " sends the end of its answer to " + last_id;
+      line += " again, within its answer to " + request_id;
+      record_->Add(line);
       SleepMs(kPauseMs);
       connection.Send(Chunk(BodyFor(last_id)));
       SleepMs(kPauseMs);
