Use no upstream whose response says that it leaves

Callers' requests went on to an upstream after a response with Server-Leaving: 1: the field was read nowhere, and what the store's entry says was the only source of an upstream's state, a flag that a later entry of the same start took back.

Whether a start takes requests is now one state, UpstreamMembership: serving, leaving, gone, never back. It is fed by the entry, by the head of any response of the upstream (success, rejection, failure, a body or stream that breaks off, to requests, orders and reports) and by a message of an instance that has seen one. A response to a call from before the present start was seen doesn't count; a start that leaves stays known for ten minutes beyond its entry. An attempt looks at the state when it is sent, requests that wait for such an upstream choose again at once, its owner orders it no more, and where all upstreams of a service leave, callers are told at once with Retry-After.

--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -50,9 +50,9 @@
     StoreRecordDecoder decode_record;
     // A configuration of this store revision was seen.
     std::function<void(StoreRevision revision)> on_config_revision;
-    // Zones have been evacuated: requests that wait for their upstreams have
-    // to choose again.
-    std::function<void()> on_zone_evacuated;
+    // Upstreams leave, are gone or are in a zone that was evacuated: requests
+    // that wait for them have to choose again.
+    std::function<void()> on_upstreams_unavailable;
   };
 
   RecordApplier(EventLoop* loop, Deps deps);
@@ -71,7 +71,7 @@
 
   // An upstream is new or restarted.
   void OnUpstreamStarted(const UpstreamState& upstream);
-  // An upstream is draining or removed.
+  // An upstream leaves or is gone.
   void OnUpstreamUnavailable(const UpstreamId& id);
   // The owner of a resource, or whether this instance may act as its owner, has
   // changed.
@@ -101,6 +101,8 @@
   // The upstreams of a service, or their versions, may have changed.
   void UpdateLiveVersions();
   void ScheduleLiveVersions();
+  // Lets requests that wait for upstreams choose again, soon.
+  void ScheduleChoices();
   // Removes upstreams whose entries have not returned in time.
   void ExpireMissingUpstreams();
 
@@ -110,7 +112,7 @@
   bool reading_copy_ = false;  // The first full read of an era is applied.
   Timer expire_timer_;
   Timer live_versions_timer_;
-  Timer evacuation_timer_;
+  Timer choices_timer_;
 };
 
 }  // namespace bilberrypitch
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -81,6 +81,9 @@
   std::function<void(const UpstreamId&, double rate_per_s, Millis max_wait,
                      std::function<void(Permit)> done)>
       acquire_permit;
+  // A response of the upstream to a call that was sent at `sent_at` states that
+  // it leaves.
+  std::function<void(const UpstreamId&, Millis sent_at)> upstream_leaves;
   // A permit that the first issuer has granted is not used.
   std::function<void(const UpstreamId&)> return_permit;
   // A response of the upstream states another rate limit, or none any more.
@@ -172,7 +175,7 @@
   void OnPathLost();
   // Zones have been evacuated: if the request waits for an upstream there, it
   // chooses again.
-  void OnZoneEvacuated();
+  void OnUpstreamsUnavailable();
   // The process is about to exit: ends the request with an error.
   void OnShutdown();
   bool finished() const { return finished_; }
@@ -216,10 +219,13 @@
   // Rejects a request that only upstreams of evacuated zones could serve.
   // Returns whether it did.
   bool RejectIfEvacuated();
-  bool IsEvacuated(const UpstreamId& upstream) const;
-  // Ends what the request waits for at upstreams of evacuated zones. Returns
-  // whether there was any.
-  bool EndEvacuatedWaits();
+  // Rejects a request whose service has only upstreams that leave. Returns
+  // whether it did.
+  bool RejectIfAllLeave();
+  bool TakesNoRequests(const UpstreamId& upstream) const;
+  // Ends what the request waits for at upstreams that take no new requests.
+  // Returns whether there was any.
+  bool EndUnavailableWaits();
   void RecordOrigin();
   // Looks for the origin of a stream, charges the rate and goes on.
   void Proceed();
@@ -265,6 +271,8 @@
   // Whether the service has no models. The latencies of its requests can be
   // compared with each other.
   bool IsPlainService() const;
+  // Applies that the upstream leaves, if the response says so.
+  void OnLeaving(int status);
   // Applies the rejections that the upstream bears by its response, if it says.
   void OnBrittle(UpstreamState* upstream);
   // Applies the rate limit that the response states, or that it states none.
--- a/libs/gateway/include/gateway/request_hooks.h
+++ b/libs/gateway/include/gateway/request_hooks.h
@@ -38,6 +38,7 @@
   // false if it is no engine that can be asked.
   std::function<bool(const CrashId&, std::function<void(bool)> done)>
       check_start;
+  std::function<void(const UpstreamId&, Millis sent_at)> upstream_leaves;
 };
 
 RequestHooks MakeRequestHooks(const RequestServices& services);
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -39,6 +39,7 @@
   uint64_t refused_without_path = 0;  // To upstreams, or to such instances.
   uint64_t refused_all_full = 0;      // All upstreams rejected it as full.
   uint64_t refused_evacuated = 0;     // All upstreams in evacuated zones.
+  uint64_t refused_all_leave = 0;     // All upstreams leave.
   uint64_t refused_too_large = 0;     // No engine could hold the prompt.
   uint64_t take_ups_refused = 0;      // Of streams whose version is not there.
   uint64_t part_quarantined = 0;      // Ended for a quarantined prompt part.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -110,6 +110,10 @@
         PeerQueryAge(settings.bounds));
     dispatcher_ = std::make_unique<PeerDispatcher>(DispatcherDeps());
     InitRequestDeps();
+    gateway_deps_.engines->SetOnLeaving(
+        [this](const UpstreamId& id, Millis sent_at) {
+          OnLeavingResponse(id, sent_at);
+        });
     gateway_deps_.client->SetResponseBudget(
         ResponseBudgetFor(settings.memory_mb));
     gateway_deps_.client->SetOnUnsolicitedBytes(
@@ -125,6 +129,7 @@
 
   ~Impl() {
     gateway_deps_.client->SetOnUnsolicitedBytes(nullptr);
+    gateway_deps_.engines->SetOnLeaving(nullptr);
     reader_service_.Stop();
     ready_server_->Stop();
     peer_server_->Stop();
@@ -270,9 +275,9 @@
     deps.on_config_revision = [this](StoreRevision revision) {
       freshness_service_->OnConfigRevision(revision);
     };
-    deps.on_zone_evacuated = [this] {
+    deps.on_upstreams_unavailable = [this] {
       for (const auto& handler : callers_.open_requests()) {
-        handler->OnZoneEvacuated();
+        handler->OnUpstreamsUnavailable();
       }
     };
     return deps;
@@ -343,6 +348,20 @@
     return true;
   }
 
+  // The others needn't find out by requests of their own.
+  void OnLeavingResponse(const UpstreamId& id, Millis sent_at) {
+    if (!state_.upstreams.OnLeavingResponse(id, sent_at, EventLoop::Now())) {
+      return;
+    }
+    int64_t started_ms = state_.upstreams.Find(id)->entry.started_ms;
+    LogInfo("upstream", "Says that it leaves id={} started_ms={}.", id.str(),
+            started_ms);
+    schema::PeerItem item;
+    item.mutable_leaving_news()->set_upstream(id.str());
+    item.mutable_leaving_news()->set_started_ms(started_ms);
+    peers_.Broadcast(item);
+  }
+
   PartCrashService::AliveCheck EngineCheck() {
     return [this](const CrashId& id, std::function<void(bool)> done) {
       CheckStart(id, std::move(done));
@@ -362,6 +381,9 @@
     services.prefills = &prefills_;
     services.rate_limits = &rate_limits_;
     services.streams = &streams_;
+    services.upstream_leaves = [this](const UpstreamId& id, Millis sent_at) {
+      OnLeavingResponse(id, sent_at);
+    };
     services.check_start = [this](const CrashId& id,
                                   std::function<void(bool)> done) {
       return CheckStart(id, std::move(done));
--- a/libs/gateway/src/order_service.cc
+++ b/libs/gateway/src/order_service.cc
@@ -43,7 +43,9 @@
 
 void OrderService::OnOwnershipChanged(const UpstreamId& engine) {
   bool owned_by_self = ownership_->OwnedBySelf(EngineResource(engine));
-  if (!owned_by_self) {
+  UpstreamState* state = upstreams_->Find(engine);
+  bool is_serving = state != nullptr && state->IsServing(EventLoop::Now());
+  if (!owned_by_self || !is_serving) {
     owned_engines_.erase(engine);
     return;
   }
--- a/libs/gateway/src/peer_dispatcher.cc
+++ b/libs/gateway/src/peer_dispatcher.cc
@@ -111,6 +111,11 @@
     case schema::PeerItem::kBrittleNews:
       OnBrittleNews(item.brittle_news());
       break;
+    case schema::PeerItem::kLeavingNews:
+      deps_.upstreams->OnLeavingNews(UpstreamId(item.leaving_news().upstream()),
+                                     item.leaving_news().started_ms(),
+                                     EventLoop::Now());
+      break;
     case schema::PeerItem::kPathNews:
       deps_.paths->OnNews(from, item.path_news().lost());
       break;
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -24,9 +24,9 @@
 
 // From a change of upstreams to the pass over their versions.
 constexpr Millis kLiveVersionsDelay{1};
-// From the beginning of an evacuation until requests choose again, so that they
-// do so by all records that arrived together.
-constexpr Millis kEvacuationDelay{1};
+// From the record that makes upstreams unavailable until requests that wait for
+// them choose again.
+constexpr Millis kChoicesDelay{1};
 
 }  // namespace
 
@@ -34,7 +34,7 @@
     : deps_(std::move(deps)),
       expire_timer_(loop),
       live_versions_timer_(loop),
-      evacuation_timer_(loop) {}
+      choices_timer_(loop) {}
 
 bool RecordApplier::Apply(const StoreItem& item, Millis return_deadline) {
   if (item.key == KeptConfigKey()) {
@@ -79,15 +79,16 @@
 
 bool RecordApplier::IsDoubted(const UpstreamEntry& entry, Millis now) {
   const UpstreamState* upstream = deps_.state->upstreams.Find(entry.id);
-  bool is_living = upstream != nullptr && !upstream->removed;
+  bool is_living = upstream != nullptr && !upstream->membership.is_gone();
   return departed_.OnEntryOfCopy(entry, now,
                                  is_living ? &upstream->entry : nullptr);
 }
 
 bool RecordApplier::IsHeartbeat(const UpstreamRecord& record) {
   const UpstreamState* upstream = deps_.state->upstreams.Find(record.id);
-  return record.entry && upstream != nullptr && !upstream->removed &&
-         upstream->removal_due == Millis(0) &&
+  return record.entry && upstream != nullptr &&
+         !upstream->membership.is_gone() &&
+         !upstream->membership.is_missing() &&
          EqualButForAdapters(upstream->entry, *record.entry);
 }
 
@@ -153,7 +154,8 @@
 }
 
 void RecordApplier::AddEngineResource(const UpstreamState& upstream) {
-  if (!upstream.removed && EngineProfileOf(upstream.entry.id) != nullptr) {
+  if (!upstream.membership.is_gone() &&
+      EngineProfileOf(upstream.entry.id) != nullptr) {
     deps_.membership->AddResource(EngineResource(upstream.entry.id),
                                   upstream.entry.zone);
   }
@@ -167,7 +169,7 @@
     AddEngineResource(*upstream);
     deps_.state->residency.SetBaseModels(record.id, record.entry->models);
     deps_.cold->OnEntry(record.id, reading_copy_);
-    if (!upstream->entry.draining) {
+    if (upstream->IsServing(now)) {
       // The owner may have stayed the same while the entry was away; what it
       // knew of the engine has ended with the entry.
       NotifyOwnershipChanged(EngineResource(record.id));
@@ -191,13 +193,16 @@
 
 void RecordApplier::OnUpstreamUnavailable(const UpstreamId& id) {
   UpstreamState* upstream = deps_.state->upstreams.Find(id);
+  bool is_leaving =
+      upstream != nullptr &&
+      upstream->membership.state() == UpstreamMembership::State::kLeaving;
   if (upstream != nullptr) {
-    departed_.OnDeparted(upstream->entry, EventLoop::Now());
+    UpstreamEntry departed = upstream->entry;
+    departed.draining = departed.draining || is_leaving;
+    departed_.OnDeparted(departed, EventLoop::Now());
   }
-  bool draining =
-      upstream != nullptr && upstream->entry.draining && !upstream->removed;
-  LogInfo("upstream", "Leaves id={} draining={}.", id.str(), draining);
-  if (!draining) {
+  LogInfo("upstream", "Leaves id={} draining={}.", id.str(), is_leaving);
+  if (!is_leaving) {
     deps_.crashes->OnUpstreamDown(id);
     deps_.part_crashes->OnUpstreamDown(id);
     deps_.membership->RemoveResource(EngineResource(id));
@@ -205,6 +210,14 @@
   deps_.orders->OnEngineUnavailable(id);
   deps_.prefills->OnEngineReset(id);
   deps_.state->residency.OnEngineReset(id);
+  ScheduleChoices();
+}
+
+// Once for all records that arrived together.
+void RecordApplier::ScheduleChoices() {
+  if (!choices_timer_.pending()) {
+    choices_timer_.Start(kChoicesDelay, deps_.on_upstreams_unavailable);
+  }
 }
 
 void RecordApplier::OnAdapterVersionRecord(const AdapterVersionRecord& record) {
@@ -226,7 +239,7 @@
   if (record.active) {
     LogInfo("zone", "Evacuation begins zone={} era={} revision={}.",
             record.zone.str(), item.revision.era, item.revision.number);
-    evacuation_timer_.Start(kEvacuationDelay, deps_.on_zone_evacuated);
+    ScheduleChoices();
   } else {
     OnEvacuationEnded(record.zone);
   }
@@ -279,7 +292,7 @@
   std::map<ServiceId, std::set<SoftwareVersion>> live_versions;
   for (const auto& [id, upstream] : deps_.state->upstreams.all()) {
     auto& versions = live_versions[upstream->entry.service];
-    if (!upstream->removed) {
+    if (!upstream->membership.is_gone()) {
       versions.insert(upstream->entry.software);
     }
   }
--- a/libs/gateway/src/request_attempt.cc
+++ b/libs/gateway/src/request_attempt.cc
@@ -95,7 +95,7 @@
 
 void RequestHandler::StartAttempt(UpstreamState* upstream) {
   bool lacks_permit = upstream->IsCold() && !HasPermit(*upstream);
-  if (!MayStreamFrom(*upstream) || upstream->IsZoneEvacuated() ||
+  if (!MayStreamFrom(*upstream) || !upstream->IsUsable(EventLoop::Now()) ||
       lacks_permit || !upstream->HasRoomIfBrittle(EventLoop::Now())) {
     Dispatch();  // It has changed since it was chosen.
     return;
@@ -189,6 +189,7 @@
   if (!response_matches_) {
     return false;
   }
+  OnLeaving(start.status);
   UpstreamState* upstream = state_->upstreams.Find(upstream_);
   if (upstream != nullptr) {
     if (response_info_.load) {
@@ -211,6 +212,14 @@
   return start.status >= 300 || response_info_.has_signature;
 }
 
+// A misdirected request was rejected by another upstream, which now has the
+// address.
+void RequestHandler::OnLeaving(int status) {
+  if (response_info_.states_leaving && status != kMisdirectedRequestStatus) {
+    deps_->hooks.upstream_leaves(upstream_, sent_at_);
+  }
+}
+
 void RequestHandler::OnBrittle(UpstreamState* upstream) {
   const std::optional<double>& limit = response_info_.bearable_rejections_per_s;
   if (state_->upstreams.OnBrittle(upstream, limit, sent_at_,
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -283,7 +283,7 @@
   input.seed = choice_seed_;
   input.permit = permit_upstream_;
   input.load_requested_at = &load_requested_at_;
-  if (RejectIfEvacuated() || RejectIfVersionGone()) {
+  if (RejectIfEvacuated() || RejectIfAllLeave() || RejectIfVersionGone()) {
     return;
   }
   std::vector<UpstreamState*> usable = UsableUpstreams(now);
--- a/libs/gateway/src/request_hooks.cc
+++ b/libs/gateway/src/request_hooks.cc
@@ -110,6 +110,7 @@
     news->set_rejections_per_s(per_s.value_or(0));
     services.peers->Broadcast(item);
   };
+  hooks.upstream_leaves = services.upstream_leaves;
   hooks.capacity_sampled = [services](const UpstreamId& id) {
     services.loads->OnCapacitySample(id);
   };
--- a/libs/gateway/src/request_origin.cc
+++ b/libs/gateway/src/request_origin.cc
@@ -41,7 +41,8 @@
     return;
   }
   origin_ = finding;
-  if (!ChooseService() || RejectIfEvacuated() || RejectIfVersionGone()) {
+  if (!ChooseService() || RejectIfEvacuated() || RejectIfAllLeave() ||
+      RejectIfVersionGone()) {
     return;
   }
   AdmitRate();
@@ -125,7 +126,7 @@
   if (finished_ || call_id_ != 0) {
     return;
   }
-  if (IsEvacuated(id)) {
+  if (TakesNoRequests(id)) {
     Dispatch();
     return;
   }
--- a/libs/gateway/src/route_service.cc
+++ b/libs/gateway/src/route_service.cc
@@ -98,14 +98,17 @@
   if (upstream.IsZoneEvacuated()) {
     return "its zone is evacuated";
   }
-  return upstream.entry.draining ? "draining" : "removed from the store";
+  bool is_leaving =
+      upstream.membership.state() == UpstreamMembership::State::kLeaving;
+  return is_leaving ? "draining" : "removed from the store";
 }
 
 json::object DescribeUpstream(const UpstreamState& upstream, Millis now) {
   json::object object;
   object["upstream"] = upstream.entry.id.str();
   object["zone"] = upstream.entry.zone.str();
-  object["draining"] = upstream.entry.draining;
+  object["draining"] =
+      upstream.membership.state() == UpstreamMembership::State::kLeaving;
   object["cold"] = upstream.IsCold();
   object["slowdown"] = upstream.capacity.Slowdown(now);
   object["rate_limit_per_s"] = OrNull(upstream.rate_limit_per_s);
--- a/libs/serving/include/serving/engine_api.h
+++ b/libs/serving/include/serving/engine_api.h
@@ -43,7 +43,13 @@
 
 class EngineApi {
  public:
+  // A response of the engine to a call that was sent at `sent_at` states that
+  // it leaves.
+  using LeavingHook = std::function<void(const UpstreamId&, Millis sent_at)>;
+
   virtual ~EngineApi() = default;
+  // Null: nobody is told.
+  virtual void SetOnLeaving(LeavingHook hook) = 0;
   virtual void SendOrder(EngineOrder order,
                          std::function<void(OrderOutcome)> done) = 0;
   // Calls `done` with `ok` false if no report could be fetched.
--- a/libs/serving/include/serving/request.h
+++ b/libs/serving/include/serving/request.h
@@ -69,6 +69,7 @@
   bool has_signature = false;
   bool has_encoded_body = false;  // In an encoding that nobody asked for.
   bool closes_connection = false;
+  bool states_leaving = false;  // The upstream takes no new requests.
   std::optional<UpstreamLoadReport> load;
   // Requests a second that the upstream takes from all instances together.
   std::optional<double> rate_limit_per_s;
--- a/libs/serving/include/serving/upstream_registry.h
+++ b/libs/serving/include/serving/upstream_registry.h
@@ -20,6 +20,7 @@
 #include "serving/request.h"
 #include "serving/store_record.h"
 #include "serving/upstream_entry.h"
+#include "serving/upstream_membership.h"
 #include "serving/zone_evacuations.h"
 
 namespace bilberrypitch {
@@ -29,8 +30,9 @@
 struct UpstreamState {
   UpstreamEntry entry;
   const ZoneEvacuations* evacuations = nullptr;  // Null: none. Not owned.
-  bool removed = false;  // Gets no new requests; kept while some are open.
-  Millis removal_due;    // Not zero: removed then unless the entry returns.
+  // Once it is gone, it is kept while requests are open.
+  UpstreamMembership membership;
+  Millis known_since;  // When this instance first saw this start of it.
 
   // Load that another instance causes, as it last reported.
   struct PeerLoad {
@@ -101,10 +103,7 @@
     return evacuations != nullptr && evacuations->IsEvacuated(entry.zone);
   }
   // Whether it takes new requests, wherever it is.
-  bool IsServing(Millis now) const {
-    return !removed && !entry.draining &&
-           (removal_due == Millis(0) || now < removal_due);
-  }
+  bool IsServing(Millis now) const { return membership.IsServing(now); }
   // Whether new requests may be sent to it.
   bool IsUsable(Millis now) const {
     return IsServing(now) && !IsZoneEvacuated();
@@ -117,7 +116,7 @@
   struct Hooks {
     // An upstream is new or restarted: what it holds is unknown.
     std::function<void(const UpstreamState&)> on_started;
-    // It is draining or removed: no new requests may be sent to it.
+    // It leaves or is gone: no new requests may be sent to it.
     std::function<void(const UpstreamId&)> on_unavailable;
     // The load that this instance causes on it has changed.
     std::function<void(const UpstreamId&)> on_local_load_changed;
@@ -139,6 +138,14 @@
   // Removes the missing upstreams that have not returned in time. Returns when
   // to call again; zero: not before the next record.
   Millis ExpireMissing(Millis now);
+  // Until when the missing upstreams may return has been found out.
+  void SetReturnDeadline(Millis return_deadline);
+
+  // A response of the upstream to a call that was sent at `sent_at` states that
+  // it leaves. Returns whether that is new.
+  bool OnLeavingResponse(const UpstreamId& id, Millis sent_at, Millis now);
+  // Another instance has seen that this start of the upstream leaves.
+  void OnLeavingNews(const UpstreamId& id, int64_t started_ms, Millis now);
 
   // Returns null if the upstream is not known. The pointer is valid until the
   // upstream is removed and its last attempt has ended.
@@ -185,15 +192,25 @@
                        std::optional<Millis> elapsed);
 
  private:
-  // Handles a missing entry: marks the upstream as removed, or schedules that.
+  // A start of an upstream that is known to leave.
+  struct LeavingStart {
+    int64_t started_ms = 0;
+    Millis at;
+  };
+
+  bool SetLeaving(UpstreamState* upstream, Millis now);
+  // Whether this start of the upstream was known to leave before its entry
+  // was removed and came back.
+  bool IsKnownToLeave(const UpstreamEntry& entry) const;
   void Remove(UpstreamState* upstream, Millis now, Millis return_deadline);
-  void MarkRemoved(UpstreamState* upstream);
-  // Erases removed upstreams without open attempts.
-  void EraseRemoved();
+  void OnGone(const UpstreamState& upstream);
+  // Erases upstreams that are gone and have no open attempts.
+  void EraseGone();
 
   const Hooks hooks_;
   const ZoneEvacuations* const evacuations_;
   std::map<UpstreamId, std::unique_ptr<UpstreamState>> upstreams_;
+  std::map<UpstreamId, LeavingStart> leaving_starts_;
 };
 
 }  // namespace bilberrypitch
--- a/libs/serving/src/cold_upstreams.cc
+++ b/libs/serving/src/cold_upstreams.cc
@@ -31,7 +31,7 @@
 bool ColdUpstreams::OnEntry(const UpstreamId& id, bool is_of_copy,
                             const ActiveConfig* config, Millis now) {
   UpstreamState* upstream = upstreams_->Find(id);
-  if (upstream == nullptr || upstream->removed) {
+  if (upstream == nullptr || upstream->membership.is_gone()) {
     return false;
   }
   bool is_news =
@@ -67,7 +67,7 @@
                              const ActiveConfig* config, Millis now) {
   const Service* service = ColdServiceOf(*upstream, config);
   std::optional<double> limit;
-  if (service != nullptr && !upstream->removed &&
+  if (service != nullptr && !upstream->membership.is_gone() &&
       upstream->cold_period.IsCold(now)) {
     limit = ColdPermitRate(service->cold_per_s, over_, slack_);
   }
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -42,6 +42,10 @@
       stated && cold ? std::min(stated, cold) : (stated ? stated : cold);
 }
 
+// A start that leaves is remembered beyond the removal of its entry, which an
+// older copy of the store may bring back.
+constexpr Millis kLeavingStartTtl{600 * 1000};
+
 // A peer's load report is used for this long.
 constexpr Millis kPeerLoadTtl{2500};
 // The owner's report about queued prompts is used for this long.
@@ -104,7 +108,8 @@
     return;
   }
   const UpstreamEntry& entry = *record.entry;
-  bool started = upstream == upstreams_.end() || upstream->second->removed ||
+  bool started = upstream == upstreams_.end() ||
+                 upstream->second->membership.is_gone() ||
                  upstream->second->entry.started_ms != entry.started_ms ||
                  upstream->second->entry.address != entry.address;
   if (started) {
@@ -112,6 +117,7 @@
     // counters are kept; everything else starts anew.
     auto state = std::make_unique<UpstreamState>();
     state->evacuations = evacuations_;
+    state->known_since = now;
     if (upstream != upstreams_.end()) {
       state->in_flight = upstream->second->in_flight;
       state->suspect_requests = upstream->second->suspect_requests;
@@ -122,15 +128,50 @@
     }
   }
   UpstreamState* state = upstream->second.get();
-  bool starts_draining = entry.draining && (started || !state->entry.draining);
   state->entry = entry;
-  state->removed = false;
-  state->removal_due = Millis(0);
+  state->membership.OnEntryPresent();
   if (started && hooks_.on_started) {
     hooks_.on_started(*state);
   }
-  if (starts_draining && hooks_.on_unavailable) {
-    hooks_.on_unavailable(record.id);
+  if (entry.draining || IsKnownToLeave(entry)) {
+    SetLeaving(state, now);
+  }
+}
+
+bool UpstreamRegistry::SetLeaving(UpstreamState* upstream, Millis now) {
+  if (!upstream->membership.OnLeaving()) {
+    return false;
+  }
+  std::erase_if(leaving_starts_, [now](const auto& item) {
+    return now - item.second.at > kLeavingStartTtl;
+  });
+  leaving_starts_[upstream->entry.id] = {upstream->entry.started_ms, now};
+  if (hooks_.on_unavailable) {
+    hooks_.on_unavailable(upstream->entry.id);
+  }
+  return true;
+}
+
+// Starts that state no time can't be told apart.
+bool UpstreamRegistry::IsKnownToLeave(const UpstreamEntry& entry) const {
+  auto it = leaving_starts_.find(entry.id);
+  return it != leaving_starts_.end() && entry.started_ms != 0 &&
+         it->second.started_ms == entry.started_ms;
+}
+
+bool UpstreamRegistry::OnLeavingResponse(const UpstreamId& id, Millis sent_at,
+                                         Millis now) {
+  UpstreamState* upstream = Find(id);
+  // A call from before may have been answered by an earlier start.
+  bool is_of_start = upstream != nullptr && sent_at >= upstream->known_since;
+  return is_of_start && SetLeaving(upstream, now);
+}
+
+void UpstreamRegistry::OnLeavingNews(const UpstreamId& id, int64_t started_ms,
+                                     Millis now) {
+  UpstreamState* upstream = Find(id);
+  if (upstream != nullptr && upstream->entry.started_ms == started_ms) {
+    SetLeaving(upstream, now);
   }
 }
 
@@ -142,47 +183,46 @@
       Remove(state.get(), now, return_deadline);
     }
   }
-  EraseRemoved();
+  EraseGone();
 }
 
 void UpstreamRegistry::Remove(UpstreamState* upstream, Millis now,
                               Millis return_deadline) {
-  if (upstream->removed) {
-    return;
-  }
-  if (return_deadline <= now || upstream->entry.draining) {
-    MarkRemoved(upstream);
-  } else if (upstream->removal_due == Millis(0)) {
-    upstream->removal_due = return_deadline;
+  if (upstream->membership.OnEntryMissing(return_deadline, now)) {
+    OnGone(*upstream);
   }
 }
 
-void UpstreamRegistry::MarkRemoved(UpstreamState* upstream) {
-  upstream->removed = true;
+void UpstreamRegistry::OnGone(const UpstreamState& upstream) {
   if (hooks_.on_unavailable) {
-    hooks_.on_unavailable(upstream->entry.id);
+    hooks_.on_unavailable(upstream.entry.id);
+  }
+}
+
+void UpstreamRegistry::SetReturnDeadline(Millis return_deadline) {
+  for (auto& [id, state] : upstreams_) {
+    state->membership.SetReturnDeadline(return_deadline);
   }
 }
 
 Millis UpstreamRegistry::ExpireMissing(Millis now) {
   Millis next;
   for (auto& [id, state] : upstreams_) {
-    if (state->removed || state->removal_due == Millis(0)) {
-      continue;
-    }
-    if (now >= state->removal_due) {
-      MarkRemoved(state.get());
-    } else if (next == Millis(0) || state->removal_due < next) {
-      next = state->removal_due;
+    const UpstreamMembership& membership = state->membership;
+    if (state->membership.Expire(now)) {
+      OnGone(*state);
+    } else if (membership.is_missing() && !membership.is_gone() &&
+               (next == Millis(0) || membership.missing_until() < next)) {
+      next = membership.missing_until();
     }
   }
-  EraseRemoved();
+  EraseGone();
   return next;
 }
 
-void UpstreamRegistry::EraseRemoved() {
+void UpstreamRegistry::EraseGone() {
   std::erase_if(upstreams_, [](const auto& entry) {
-    return entry.second->removed && entry.second->in_flight == 0;
+    return entry.second->membership.is_gone() && entry.second->in_flight == 0;
   });
 }
 
