Reset the connection of a call that is given up

Class: work that was given up goes on elsewhere.

libcurl closes the connection of a transfer that is removed unfinished; it is reset now (SO_LINGER with zero), which loses what was not delivered. That holds for all calls of the client: to upstreams, orders, the store and other instances.

The new case of transport_test failed before (end of file in place of a reset, 2 of 2).

--- a/libs/transport/src/curl_socket_poller.cc
+++ b/libs/transport/src/curl_socket_poller.cc
@@ -95,6 +95,10 @@
     it->second->descriptor.release();
     self->sockets_.erase(it);
   }
+  if (self->resets_on_close_) {
+    const linger at_once{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  }
   return close(fd);
 }
 
--- a/libs/transport/src/curl_socket_poller.h
+++ b/libs/transport/src/curl_socket_poller.h
@@ -61,6 +61,10 @@
   // down, so that libcurl finds it dead and does not use it again.
   static TrailingBytes ShutDownIfReadable(const CurlSocketPtr& socket);
   size_t open_sockets() const { return sockets_.size(); }
+  // Whether connections that libcurl closes from now on are reset. What was
+  // written and not delivered is lost then, where an orderly close lets the
+  // system deliver it later.
+  void SetResetsOnClose(bool resets) { resets_on_close_ = resets; }
 
  private:
   static int OnSocket(CURL* easy, curl_socket_t fd, int poll_events,
@@ -82,6 +86,7 @@
   const Hooks hooks_;
   Timer timer_;
   std::unordered_map<int, CurlSocketPtr> sockets_;  // By descriptor; all open.
+  bool resets_on_close_ = false;
 };
 
 }  // namespace bilberrypitch
--- a/libs/transport/src/event_loop_http_client.cc
+++ b/libs/transport/src/event_loop_http_client.cc
@@ -3,7 +3,7 @@
 //
 // A transfer that ends early is removed from the multi handle unfinished, which
 // makes libcurl close its connection, so a late response can't reach another
-// call.
+// call. The connection is reset, so that its request can't arrive late either.
 #include "transport/event_loop_http_client.h"
 
 #include <curl/curl.h>
@@ -238,7 +238,11 @@
     }
     uint64_t new_connections = transfer->new_connections();
     connections_opened_ += new_connections;
+    // Nobody waits for a call that was given up; its request must not arrive
+    // once the path is back.
+    poller_->SetResetsOnClose(result != CallResult::kComplete);
     curl_multi_remove_handle(multi_, transfer->easy());
+    poller_->SetResetsOnClose(false);
     transfer->CloseHandle();
     // Destroys the transfer at the end of this function.
     auto extracted = transfers_.extract(transfer->id());
--- a/libs/transport/test/event_loop_http_client_test.cc
+++ b/libs/transport/test/event_loop_http_client_test.cc
@@ -5,7 +5,9 @@
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <limits>
+#include <optional>
 #include <thread>
+#include <vector>
 
 #include "transport/event_loop.h"
 #include "transport/timer.h"
@@ -69,6 +71,33 @@
 
 }  // namespace
 
+// Reads nothing of a request until it is told to.
+class UnreadingServer {
+ public:
+  UnreadingServer()
+      : acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
+        address_("127.0.0.1:" +
+                 std::to_string(acceptor_.local_endpoint().port())) {}
+
+  const std::string& address() const { return address_; }
+  void Accept() { socket_.emplace(acceptor_.accept()); }
+  // Reads to the end and returns how the connection has ended.
+  asio::error_code ReadToEnd() {
+    std::vector<char> buf(1 << 20);
+    asio::error_code ec;
+    while (!ec) {
+      socket_->read_some(asio::buffer(buf), ec);
+    }
+    return ec;
+  }
+
+ private:
+  asio::io_context context_;
+  asio::ip::tcp::acceptor acceptor_;
+  const std::string address_;
+  std::optional<asio::ip::tcp::socket> socket_;
+};
+
 // After the reset, libcurl tries to open a new connection and fails. The
 // outcome must not be kConnectFailed, because the server has read the request.
 TEST_CASE("a send_once call is not reported as unsent after a connection reset",
@@ -141,6 +170,34 @@
 
 }  // namespace
 
+// Guards against: a request that was given up reaches the server later, when
+// what held its bytes back is over.
+TEST_CASE("the connection of a call that is given up is reset",
+          "[loop_client]") {
+  const bool is_cancelled = GENERATE(false, true);
+  CAPTURE(is_cancelled);
+  // More than the buffers of a connection hold.
+  constexpr size_t kBodyBytes = 64 << 20;
+  UnreadingServer server;
+  EventLoop loop;
+  EventLoopHttpClient client(&loop);
+  HttpCall call;
+  call.method = "POST";
+  call.address = server.address();
+  call.target = "/run";
+  call.body.assign(kBodyBytes, 'x');
+  call.timeouts.total = Millis(is_cancelled ? 5000 : 300);
+  call.on_done = [&](const CallOutcome&) { loop.Stop(); };
+  CallId id = client.Start(std::move(call));
+  Timer timer(&loop);
+  if (is_cancelled) {
+    timer.Start(Millis(300), [&] { client.Cancel(id); });
+  }
+  loop.Run();
+  server.Accept();
+  REQUIRE(server.ReadToEnd() == asio::error::connection_reset);
+}
+
 // Pattern: an upstream in trouble sends bytes without end until the caller
 // closes.
 TEST_CASE("a response without an end is given up", "[loop_client]") {
