Tell an outage of the store from a cut of this instance

Class: one's own cut is taken for a fault of the other side, and a bound counts from the reading in place of the event.

Those that were not cut off know. An instance that regains the store asks up to eight others for the longest time lately in which the store did not confirm their view; one for which that is shorter than this instance's failures lasted saw no outage, and what is missing is gone at once. All that saw one: it is waited for as before. Until somebody has answered, for 0.7 s. A follower waits for as long as its reader says, not for a span of its own. A store that came back from a copy is an outage, whatever others say.

--- a/libs/gateway/include/gateway/freshness_service.h
+++ b/libs/gateway/include/gateway/freshness_service.h
@@ -7,6 +7,7 @@
 // that.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "serving/ids.h"
@@ -40,6 +41,10 @@
   // A configuration record of this store revision was seen.
   void OnConfigRevision(StoreRevision revision);
 
+  // Asks other instances whether they have seen an outage of the store. Returns
+  // false if there are none.
+  bool AskForOutage();
+
   // The sender need not be a member: its record may have expired.
   void OnQuery(const schema::FreshnessQuestion& query);
   void OnQueryResponse(const MachineId& from,
@@ -50,7 +55,7 @@
 
  private:
   void CheckAge();
-  void QueryPeers(Millis now);
+  void QueryPeers(size_t count, Millis now);
   void FetchState(const MachineId& from);
   void ApplyState(const schema::KnownState& state, Millis requested_at);
 
--- a/libs/gateway/include/gateway/record_applier.h
+++ b/libs/gateway/include/gateway/record_applier.h
@@ -69,6 +69,9 @@
   void OnFullRead(const std::vector<StoreItem>& items, StoreRevision revision,
                   Millis return_deadline);
 
+  // Until when missing upstreams may return; zero: they do not.
+  void OnReturnDeadline(Millis return_deadline);
+
   // An upstream is new or restarted.
   void OnUpstreamStarted(const UpstreamState& upstream);
   // An upstream leaves or is gone.
--- a/libs/gateway/include/gateway/store_sync.h
+++ b/libs/gateway/include/gateway/store_sync.h
@@ -50,6 +50,11 @@
     std::function<void(Millis at)> on_confirmed;
     // The store did not respond to this instance.
     std::function<void()> on_store_failure;
+    // It responds again. Returns whether other instances were asked if they
+    // have seen an outage.
+    std::function<bool()> on_regained;
+    // Until when missing records may return has been found out.
+    std::function<void(Millis return_deadline)> on_return_deadline;
     // Returns the address for peers of a machine; empty if it is not known.
     std::function<std::string(const MachineId& machine)> address_of;
   };
@@ -66,6 +71,8 @@
   // A response of the store or of a peer states this era; none: it states
   // nothing. Returns whether the response may be used.
   bool OnEra(std::optional<int64_t> era);
+  // Another instance's longest time without a confirmation by the store.
+  void OnPeerGap(Millis longest_gap);
   // Passes a record of this instance on to its followers, unless the view has
   // one of this key.
   void Publish(const StoreItem& item);
@@ -91,8 +98,9 @@
   void ApplyItems(const std::vector<StoreItem>& items, Millis return_deadline);
   void ApplyAllItems(const std::vector<StoreItem>& items,
                      StoreRevision revision, Millis return_deadline);
-  // Logs that the store responds again, after `was_unavailable`.
-  void LogRecovery(bool was_unavailable) const;
+  // The store has responded, after `was_unavailable`. `by_reader`: a reader
+  // has passed the response on.
+  void OnResponse(bool was_unavailable, bool by_reader);
 
   ClusterStore* const store_;
   const Hooks hooks_;
--- a/libs/gateway/src/freshness_service.cc
+++ b/libs/gateway/src/freshness_service.cc
@@ -18,6 +18,8 @@
 
 constexpr Millis kQueryPeriod{350};
 constexpr size_t kPeersPerQuery = 3;
+// Some may have been cut off as well.
+constexpr size_t kPeersPerOutage = 8;
 constexpr Millis kFetchPeriod{900};
 constexpr Millis kFetchTimeout{600};
 constexpr char kStatePath[] = "/state";
@@ -46,7 +48,7 @@
   Millis now = EventLoop::Now();
   Millis age = freshness_->Age(now);
   if (!freshness_->ever_confirmed() || age > query_from_age_) {
-    QueryPeers(now);
+    QueryPeers(kPeersPerQuery, now);
     timer_.Start(kQueryPeriod, [this] { CheckAge(); });
     return;
   }
@@ -54,7 +56,12 @@
                [this] { CheckAge(); });
 }
 
-void FreshnessService::QueryPeers(Millis now) {
+bool FreshnessService::AskForOutage() {
+  QueryPeers(kPeersPerOutage, EventLoop::Now());
+  return !peers_->peers().empty();
+}
+
+void FreshnessService::QueryPeers(size_t count, Millis now) {
   ++query_nonce_;
   query_sent_at_ = now;
   schema::PeerItem item;
@@ -63,10 +70,10 @@
   // Consecutive queries go to different peers, in turn.
   size_t peer_count = peers_->peers().size();
   size_t first =
-      peer_count == 0 ? 0 : (query_nonce_ * kPeersPerQuery) % peer_count;
+      peer_count == 0 ? 0 : (query_nonce_ * count) % peer_count;
   size_t index = 0;
   for (const auto& [machine, member] : peers_->peers()) {
-    if ((index++ + peer_count - first) % peer_count < kPeersPerQuery) {
+    if ((index++ + peer_count - first) % peer_count < count) {
       peers_->Send(machine, item);
     }
   }
@@ -82,6 +89,8 @@
   response->set_age_ms(freshness_->Age(EventLoop::Now()).count());
   response->set_config_revision(EncodeRevision(config_revision_));
   response->set_store_revision(EncodeRevision(sync_->follower()->revision()));
+  response->set_longest_gap_ms(
+      sync_->follower()->outage().LongestGap(EventLoop::Now()).count());
   peers_->SendToAddress(query.address(), std::move(item));
 }
 
@@ -96,6 +105,7 @@
   if (store_revision.era < sync_->follower()->era()) {
     return;  // The peer's view is of a lost past.
   }
+  sync_->OnPeerGap(Millis(std::max<int64_t>(0, response.longest_gap_ms())));
   if (config_revision_ != StoreRevision() &&
       config_revision == config_revision_) {
     freshness_->OnConfirmed(query_sent_at_ - Millis(response.age_ms()));
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -209,6 +209,10 @@
       reader_service_.OnViewUpdated();
     };
     hooks.on_store_failure = [this] { reader_service_.OnStoreFailure(); };
+    hooks.on_regained = [this] { return freshness_service_->AskForOutage(); };
+    hooks.on_return_deadline = [this](Millis return_deadline) {
+      records_.OnReturnDeadline(return_deadline);
+    };
     hooks.address_of = [this](const MachineId& machine) {
       auto it = peers_.peers().find(machine);
       return it == peers_.peers().end() ? "" : it->second.address;
--- a/libs/gateway/src/known_items.cc
+++ b/libs/gateway/src/known_items.cc
@@ -51,7 +51,7 @@
   encoded.set_confirmed_after_arrival_ms(
       changes.confirmed_after_arrival.count());
   encoded.set_complete(changes.complete);
-  encoded.set_recovering(changes.recovering);
+  encoded.set_return_ms(changes.returns_for.count());
   return encoded.SerializeAsString();
 }
 
@@ -68,7 +68,7 @@
   changes.confirmed_after_arrival =
       Millis(encoded.confirmed_after_arrival_ms());
   changes.complete = encoded.complete();
-  changes.recovering = encoded.recovering();
+  changes.returns_for = Millis(encoded.return_ms());
   return changes;
 }
 
--- a/libs/gateway/src/store_sync.cc
+++ b/libs/gateway/src/store_sync.cc
@@ -146,7 +146,7 @@
   Millis now = EventLoop::Now();
   bool was_unavailable = follower_.unavailable();
   Millis delay = follower_.OnFullRead(read_revision_, read_sent_at_, now);
-  LogRecovery(was_unavailable);
+  OnResponse(was_unavailable, false);
   ApplyAllItems(read_items_, read_revision_, follower_.ReturnDeadline(now));
   read_items_.clear();
   hooks_.on_confirmed(read_sent_at_);
@@ -168,7 +168,7 @@
   if (usable && result.era != follower_.revision().era) {
     // Whatever the response says, it is not about the view's past.
     Millis delay = follower_.OnHistoryCompacted(now);
-    LogRecovery(was_unavailable);
+    OnResponse(was_unavailable, false);
     MakeNextCallAfter(delay);
     return;
   }
@@ -179,7 +179,7 @@
         "is needed.",
         follower_.revision().era, follower_.revision().number);
     Millis delay = follower_.OnHistoryCompacted(now);
-    LogRecovery(was_unavailable);
+    OnResponse(was_unavailable, false);
     MakeNextCallAfter(delay);
     return;
   }
@@ -189,7 +189,7 @@
   }
   Millis delay = follower_.OnStoreChanges(result.revision,
                                           !result.events.empty(), sent_at, now);
-  LogRecovery(was_unavailable);
+  OnResponse(was_unavailable, false);
   ApplyItems(result.events, follower_.ReturnDeadline(now));
   view_.AdvanceTo(result.revision);
   hooks_.on_confirmed(sent_at);
@@ -220,8 +220,9 @@
   const StoreChanges& changes = *result.changes;
   bool was_unavailable = follower_.unavailable();
   Millis delay = follower_.OnReaderChanges(reader, changes, sent_at, now);
-  LogRecovery(was_unavailable);
-  Millis return_deadline = follower_.ReturnDeadlineOf(changes, now);
+  OnResponse(was_unavailable, true);
+  Millis return_deadline = StoreFollower::ReturnDeadlineOf(changes, now);
+  hooks_.on_return_deadline(return_deadline);
   if (changes.complete) {
     ApplyAllItems(changes.items, changes.revision, return_deadline);
   } else {
@@ -281,11 +282,28 @@
   MakeNextCallAfter(delay);
 }
 
-void StoreSync::LogRecovery(bool was_unavailable) const {
-  if (was_unavailable && !follower_.unavailable()) {
-    LogInfo("store", "Regained after {} ms, era={} revision={}.",
-            (EventLoop::Now() - follower_.unavailable_since()).count(),
-            follower_.revision().era, follower_.revision().number);
+void StoreSync::OnResponse(bool was_unavailable, bool by_reader) {
+  if (!was_unavailable || follower_.unavailable()) {
+    return;
+  }
+  LogInfo("store", "Regained after {} ms, era={} revision={}.",
+          (EventLoop::Now() - follower_.unavailable_since()).count(),
+          follower_.revision().era, follower_.revision().number);
+  if (!by_reader && hooks_.on_regained()) {
+    follower_.OnPeersAsked();
+  }
+}
+
+void StoreSync::OnPeerGap(Millis longest_gap) {
+  Millis now = EventLoop::Now();
+  StoreOutage::Verdict before = follower_.outage().verdict();
+  follower_.OnPeerGap(longest_gap);
+  StoreOutage::Verdict verdict = follower_.outage().verdict();
+  if (verdict != before && follower_.IsRecovering(now)) {
+    LogInfo(
+        "store", "Another instance saw {}.",
+        verdict == StoreOutage::Verdict::kCutOff ? "no outage" : "an outage");
+    hooks_.on_return_deadline(follower_.ReturnDeadline(now));
   }
 }
 
--- a/libs/serving/include/serving/store_call.h
+++ b/libs/serving/include/serving/store_call.h
@@ -46,8 +46,9 @@
   Millis confirmed_after_arrival;
   // `items` are all records; keys that are not among them do not exist.
   bool complete = false;
-  // The store was unavailable until shortly before, so records may be missing.
-  bool recovering = false;
+  // For how long a record that is missing may still return, because the store
+  // was unavailable until shortly before; zero: it does not.
+  Millis returns_for;
 };
 
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/store_follower.h
+++ b/libs/serving/include/serving/store_follower.h
@@ -35,6 +35,7 @@
 
 #include "serving/ownership.h"
 #include "serving/store_call.h"
+#include "serving/store_outage.h"
 #include "serving/store_revision.h"
 
 namespace bilberrypitch {
@@ -100,8 +101,14 @@
   // Until when a record that is missing now may return, because its lease may
   // have expired only while the store was unavailable; zero: it does not.
   Millis ReturnDeadline(Millis now) const;
-  // The same for a record that is missing in a reader's response.
-  Millis ReturnDeadlineOf(const StoreChanges& changes, Millis now) const;
+  // The same for a record that is missing in a reader's response. The reader
+  // knows better than an instance that had lost its readers and the store.
+  static Millis ReturnDeadlineOf(const StoreChanges& changes, Millis now);
+  // Other instances were asked whether they saw an outage.
+  void OnPeersAsked() { outage_.Judge(StoreOutage::Verdict::kAsked); }
+  // The LongestGap of another instance.
+  void OnPeerGap(Millis longest_gap) { outage_.OnPeerGap(longest_gap); }
+  const StoreOutage& outage() const { return outage_; }
   // Whether this instance may pass its view on.
   bool CanServe(Millis now) const;
   // Until when CanServe remains true without another response of the store.
@@ -154,6 +161,7 @@
   Millis unavailable_since_;
   Millis recovered_at_;
   int consecutive_failures_ = 0;
+  StoreOutage outage_;
 };
 
 }  // namespace bilberrypitch
--- a/libs/serving/src/follower_queries.cc
+++ b/libs/serving/src/follower_queries.cc
@@ -37,7 +37,8 @@
   changes.revision = view_->revision();
   changes.confirmed_after_arrival =
       follower_->confirmed_at() - query.arrived_at;
-  changes.recovering = follower_->IsRecovering(now);
+  changes.returns_for =
+      std::max(Millis(0), follower_->ReturnDeadline(now) - now);
   response.changes = std::move(changes);
   return response;
 }
--- a/libs/serving/src/store_follower.cc
+++ b/libs/serving/src/store_follower.cc
@@ -31,10 +31,9 @@
 // How long a record may take to return that is missing when the store has just
 // recovered.
 constexpr Millis kReturnTime{2000};
-// The same when only a reader tells of the recovery. Shorter, since the store
-// may have been available to all others, so that the record is gone for good
-// and the bound on draining runs.
-constexpr Millis kReaderReturnTime{1200};
+// The same until another instance has told whether there was an outage. Longer
+// than a reader holds a query, so that its followers hear of it in time.
+constexpr Millis kVerdictTime{700};
 constexpr int kMaxToleratedFailures = 1;
 
 }  // namespace
@@ -156,12 +155,16 @@
 }
 
 void StoreFollower::ConfirmAt(Millis at) {
-  confirmed_at_ = std::max(confirmed_at_, at);
+  if (at > confirmed_at_) {
+    confirmed_at_ = at;
+    outage_.OnConfirmed(at);
+  }
 }
 
 void StoreFollower::OnStoreResponse(Millis now) {
   skip_readers_ = false;
   consecutive_failures_ = 0;
+  outage_.OnSuccess();
   if (unavailable_) {
     unavailable_ = false;
     recovered_at_ = now;
@@ -175,6 +178,7 @@
     if (has_synced_) {
       // Records that the copy lacks may be written again.
       recovered_at_ = now;
+      outage_.Judge(StoreOutage::Verdict::kRestored);
     }
   }
   return era == era_;
@@ -220,8 +224,10 @@
   store_confirmed_at_ = Millis(0);
   skip_readers_ = false;
   ++consecutive_failures_;
+  outage_.OnFailure(now);
   if (!unavailable_ && consecutive_failures_ > kMaxToleratedFailures) {
     unavailable_ = true;
+    outage_.OnLost();
     unavailable_since_ = now;
   }
   if (unavailable_ && !WatchesStore(now)) {
@@ -239,6 +245,9 @@
   OnEra(changes.revision.era, now);
   avoid_until_.erase(reader);
   OnStoreResponse(now);
+  outage_.Judge(changes.returns_for > Millis(0)
+                    ? StoreOutage::Verdict::kOutage
+                    : StoreOutage::Verdict::kCutOff);
   has_synced_ = true;
   needs_full_read_ = false;
   revision_ = std::max(revision_, changes.revision);
@@ -276,16 +285,27 @@
   if (!IsRecovering(now)) {
     return Millis(0);
   }
-  Millis deadline = now + kReturnTime;
-  return unavailable_ ? deadline
-                      : std::min(deadline, recovered_at_ + kRecoveryTime);
+  if (unavailable_) {
+    return now + kReturnTime;
+  }
+  Millis last = recovered_at_ + kRecoveryTime;
+  switch (outage_.verdict()) {
+    case StoreOutage::Verdict::kCutOff:
+      return Millis(0);
+    case StoreOutage::Verdict::kAsked:
+      return recovered_at_ + kVerdictTime;
+    case StoreOutage::Verdict::kNobodyAsked:
+    case StoreOutage::Verdict::kOutage:
+    case StoreOutage::Verdict::kRestored:
+      break;
+  }
+  return std::min(now + kReturnTime, last);
 }
 
 Millis StoreFollower::ReturnDeadlineOf(const StoreChanges& changes,
-                                       Millis now) const {
-  Millis deadline = ReturnDeadline(now);
-  return changes.recovering ? std::max(deadline, now + kReaderReturnTime)
-                            : deadline;
+                                       Millis now) {
+  return changes.returns_for > Millis(0) ? now + changes.returns_for
+                                         : Millis(0);
 }
 
 bool StoreFollower::CanServe(Millis now) const {
