Bring large configurations into force within their bound

A call to a reader or to the store ended after a fixed time, however much it had still to fetch: 0.5 s beyond the hold of a query, 0.9 s for a read. A configuration of thousands of routes on a link of 10 Mbit/s takes longer. Followers gave it up, fetched the same from the store, from the first byte, and beyond some size no call can end well: a change that was acknowledged is not in force in time, and requests on routes that it added are refused. Class: a time limit for a transfer of any size.

Values of 8 KB and more are packed between instances and in the record of the kept configuration, once for all followers; who doesn't ask for packed values gets them as they are.

zlib is a new package of the build.

--- a/build.sh
+++ b/build.sh
@@ -11,7 +11,7 @@
 PACKAGES=(librestinio-dev libasio-dev libhttp-parser-dev libprotobuf-dev
   libcurl4-openssl-dev libfmt-dev catch2
   libboost1.81-dev libboost-program-options1.81-dev librapidcheck-dev
-  libxxhash-dev libssl-dev g++ cmake ninja-build ccache clang-format
+  libxxhash-dev libssl-dev zlib1g-dev g++ cmake ninja-build ccache clang-format
   clang-tidy curl)
 
 install_missing() {
--- a/libs/gateway/include/gateway/freshness_service.h
+++ b/libs/gateway/include/gateway/freshness_service.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "gateway/value_packing.h"
 #include "serving/ids.h"
 #include "serving/store_revision.h"
 #include "transport/http_message.h"
@@ -67,7 +68,8 @@
   StoreRevision config_revision_;  // Default: none is known.
   // Highest store revision of an applied peer state.
   StoreRevision peer_revision_;
-  uint64_t query_nonce_ = 0;  // Of the last query.
+  PackedValueCache packed_values_;  // Of responses to peers.
+  uint64_t query_nonce_ = 0;        // Of the last query.
   Millis query_sent_at_;
   Millis next_fetch_at_;
   Timer timer_;
--- a/libs/gateway/include/gateway/known_items.h
+++ b/libs/gateway/include/gateway/known_items.h
@@ -9,6 +9,7 @@
 
 namespace bilberrypitch {
 
+class PackedValueCache;
 namespace schema {
 class KnownItem;
 }  // namespace schema
@@ -18,10 +19,13 @@
 int64_t EncodeRevision(StoreRevision revision);
 StoreRevision DecodeRevision(int64_t encoded);
 
-void EncodeItem(const StoreItem& item, schema::KnownItem* encoded);
-StoreItem DecodeItem(const schema::KnownItem& encoded);
+// `cache`: packs large values; null: they are not packed.
+void EncodeItem(const StoreItem& item, PackedValueCache* cache,
+                schema::KnownItem* encoded);
+// Returns nothing if its value is packed and can't be unpacked.
+std::optional<StoreItem> DecodeItem(const schema::KnownItem& encoded);
 
-std::string EncodeChanges(const StoreChanges& changes);
+std::string EncodeChanges(const StoreChanges& changes, PackedValueCache* cache);
 // Returns no value if `bytes` are not a valid message.
 std::optional<StoreChanges> DecodeChanges(const std::string& bytes);
 
--- a/libs/gateway/include/gateway/reader_service.h
+++ b/libs/gateway/include/gateway/reader_service.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "gateway/value_packing.h"
 #include "serving/follower_queries.h"
 #include "transport/http_message.h"
 #include "transport/timer.h"
@@ -35,13 +36,19 @@
   void Stop();
 
  private:
+  struct HeldResponder {
+    std::shared_ptr<Responder> responder;
+    bool takes_packed = false;  // The follower unpacks values.
+  };
+
   void Send(const std::vector<FollowerQueries::Response>& responses);
   void SendDueResponses();
 
   StoreFollower* const follower_;
   FollowerQueries queries_;
   // Of the held queries, by their id.
-  std::map<uint64_t, std::shared_ptr<Responder>> responders_;
+  std::map<uint64_t, HeldResponder> responders_;
+  PackedValueCache packed_values_;
   uint64_t last_query_id_ = 0;
   bool stopped_ = false;
   Timer timer_;
--- a/libs/gateway/src/cluster_records.cc
+++ b/libs/gateway/src/cluster_records.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "gateway/known_items.h"
+#include "gateway/value_packing.h"
 #include "schema/cluster.pb.h"
 
 namespace bilberrypitch {
@@ -49,7 +50,8 @@
 
 std::string EncodeKeptConfig(const StoreItem& config_item) {
   schema::KnownItem encoded;
-  EncodeItem(config_item, &encoded);
+  PackedValueCache cache;
+  EncodeItem(config_item, &cache, &encoded);
   return encoded.SerializeAsString();
 }
 
--- a/libs/gateway/src/freshness_service.cc
+++ b/libs/gateway/src/freshness_service.cc
@@ -2,6 +2,8 @@
 #include "gateway/freshness_service.h"
 
 #include <algorithm>
+#include <optional>
+#include <string>
 
 #include "base/log.h"
 #include "gateway/cluster_records.h"
@@ -22,7 +24,10 @@
 constexpr size_t kPeersPerOutage = 8;
 constexpr Millis kFetchPeriod{900};
 constexpr Millis kFetchTimeout{600};
+// For a response that keeps coming.
+constexpr Millis kMaxFetchTime{5000};
 constexpr char kStatePath[] = "/state";
+constexpr char kPackedStateTarget[] = "/state?packed=1";
 constexpr int kOkStatus = 200;
 constexpr int kServiceUnavailableStatus = 503;
 
@@ -69,8 +74,7 @@
   item.mutable_question()->set_address(peers_->address());
   // Consecutive queries go to different peers, in turn.
   size_t peer_count = peers_->peers().size();
-  size_t first =
-      peer_count == 0 ? 0 : (query_nonce_ * count) % peer_count;
+  size_t first = peer_count == 0 ? 0 : (query_nonce_ * count) % peer_count;
   size_t index = 0;
   for (const auto& [machine, member] : peers_->peers()) {
     if ((index++ + peer_count - first) % peer_count < count) {
@@ -127,10 +131,11 @@
   }
   HttpCall call;
   call.address = it->second.address;
-  call.target = kStatePath;
+  call.target = kPackedStateTarget;
   call.timeouts.connect = kFetchTimeout;
   call.timeouts.first_byte = kFetchTimeout;
-  call.timeouts.total = kFetchTimeout * 2;
+  call.timeouts.idle = kFetchTimeout;
+  call.timeouts.total = kMaxFetchTime;
   call.on_done = [this,
                   requested_at = EventLoop::Now()](const CallOutcome& outcome) {
     schema::KnownState state;
@@ -159,7 +164,9 @@
   LogInfo("peer", "Took the state up to era={} revision={} from a peer.",
           store_revision.era, store_revision.number);
   for (const schema::KnownItem& known : state.items()) {
-    sync_->ApplyForeignItem(DecodeItem(known));
+    if (std::optional<StoreItem> item = DecodeItem(known)) {
+      sync_->ApplyForeignItem(*item);
+    }
   }
   peer_revision_ = std::max(peer_revision_, store_revision);
   if (DecodeRevision(state.config_revision()) == config_revision_) {
@@ -174,9 +181,12 @@
     return response;
   }
   schema::KnownState state;
+  PackedValueCache* cache = request.query.find("packed=1") != std::string::npos
+                                ? &packed_values_
+                                : nullptr;
   for (const StoreItem& item : sync_->view().AllItems()) {
     if (!IsClusterKey(item.key) || item.key == KeptConfigKey()) {
-      EncodeItem(item, state.add_items());
+      EncodeItem(item, cache, state.add_items());
     }
   }
   state.set_store_revision(
--- a/libs/gateway/src/known_items.cc
+++ b/libs/gateway/src/known_items.cc
@@ -2,7 +2,9 @@
 #include "gateway/known_items.h"
 
 #include <algorithm>
+#include <utility>
 
+#include "gateway/value_packing.h"
 #include "schema/cluster.pb.h"
 
 namespace bilberrypitch {
@@ -24,28 +26,41 @@
   return {encoded >> kWireNumberBits, encoded & kMaxWireNumber};
 }
 
-void EncodeItem(const StoreItem& item, schema::KnownItem* encoded) {
+void EncodeItem(const StoreItem& item, PackedValueCache* cache,
+                schema::KnownItem* encoded) {
   encoded->set_key(item.key);
-  encoded->set_value(item.value);
+  const std::string* packed = cache != nullptr ? cache->Find(item) : nullptr;
+  encoded->set_value(packed != nullptr ? *packed : item.value);
+  if (packed != nullptr) {
+    encoded->set_unpacked_size(item.value.size());
+  }
   encoded->set_revision(EncodeRevision(item.revision));
   encoded->set_lease(item.lease);
   encoded->set_deleted(item.deleted);
 }
 
-StoreItem DecodeItem(const schema::KnownItem& encoded) {
+std::optional<StoreItem> DecodeItem(const schema::KnownItem& encoded) {
   StoreItem item;
   item.key = encoded.key();
-  item.value = encoded.value();
+  if (encoded.unpacked_size() == 0) {
+    item.value = encoded.value();
+  } else if (auto value =
+                 UnpackValue(encoded.value(), encoded.unpacked_size())) {
+    item.value = std::move(*value);
+  } else {
+    return std::nullopt;
+  }
   item.revision = DecodeRevision(encoded.revision());
   item.lease = encoded.lease();
   item.deleted = encoded.deleted();
   return item;
 }
 
-std::string EncodeChanges(const StoreChanges& changes) {
+std::string EncodeChanges(const StoreChanges& changes,
+                          PackedValueCache* cache) {
   schema::KnownChanges encoded;
   for (const StoreItem& item : changes.items) {
-    EncodeItem(item, encoded.add_items());
+    EncodeItem(item, cache, encoded.add_items());
   }
   encoded.set_revision(EncodeRevision(changes.revision));
   encoded.set_confirmed_after_arrival_ms(
@@ -62,7 +77,11 @@
   }
   StoreChanges changes;
   for (const schema::KnownItem& item : encoded.items()) {
-    changes.items.push_back(DecodeItem(item));
+    std::optional<StoreItem> decoded = DecodeItem(item);
+    if (!decoded) {
+      return std::nullopt;
+    }
+    changes.items.push_back(std::move(*decoded));
   }
   changes.revision = DecodeRevision(encoded.revision());
   changes.confirmed_after_arrival =
--- a/libs/gateway/src/reader_service.cc
+++ b/libs/gateway/src/reader_service.cc
@@ -68,7 +68,8 @@
   Millis now = EventLoop::Now();
   follower_->OnQueried(now);
   uint64_t id = ++last_query_id_;
-  responders_[id] = std::move(responder);
+  bool takes_packed = GetNumber(request.query, "packed").value_or(0) != 0;
+  responders_[id] = {std::move(responder), takes_packed};
   queries_.Add(id, StoreRevision(era, *after),
                Millis(std::min(*hold_ms, kMaxHoldMs)), now);
   SendDueResponses();
@@ -78,13 +79,15 @@
     const std::vector<FollowerQueries::Response>& responses) {
   for (const FollowerQueries::Response& item : responses) {
     auto node = responders_.extract(item.query_id);
+    const HeldResponder& held = node.mapped();
     if (!item.changes) {
-      Reject(node.mapped().get(), kServiceUnavailableStatus);
+      Reject(held.responder.get(), kServiceUnavailableStatus);
       continue;
     }
     HttpResponse response;
-    response.body = EncodeChanges(*item.changes);
-    node.mapped()->Send(std::move(response));
+    response.body = EncodeChanges(
+        *item.changes, held.takes_packed ? &packed_values_ : nullptr);
+    held.responder->Send(std::move(response));
   }
 }
 
