Refuse no request by a configuration that may be old

An instance answered 401 and 404 by its configuration however old its view was: one that fetches a large version, was cut off, or started while the store was back from a copy, refused what a version in force elsewhere allows.

Freshness decides in one place: a refusal for want of a route or key needs a view that was confirmed within the bound in which a version has to be in force. Then each version that was acknowledged longer ago is in that view. Otherwise the caller gets 503 with Retry-After, which is true. The log line of a refusal has the version; refused_undecided_total counts.

--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -299,6 +299,9 @@
   void Abort(ErrorKind kind_if_sent, ErrorKind kind_if_not_sent,
              std::string detail);
   void Reject(ErrorKind kind, std::string detail, Millis retry_after);
+  // Rejects a request that the configuration does not allow. While a newer one
+  // may allow it, the caller is told to come back.
+  void RejectByConfig(ErrorKind kind, std::string detail);
   void Fail(const Error& error);
   void Respond(HttpResponse response);
   void RecordLatencies(std::string_view outcome);
--- a/libs/gateway/include/gateway/serving_state.h
+++ b/libs/gateway/include/gateway/serving_state.h
@@ -40,9 +40,11 @@
   uint64_t refused_all_full = 0;      // All upstreams rejected it as full.
   uint64_t refused_evacuated = 0;     // All upstreams in evacuated zones.
   uint64_t refused_all_leave = 0;     // All upstreams leave.
-  uint64_t refused_too_large = 0;     // No engine could hold the prompt.
-  uint64_t take_ups_refused = 0;      // Of streams whose version is not there.
-  uint64_t part_quarantined = 0;      // Ended for a quarantined prompt part.
+  // Whether the route or key exists was not known.
+  uint64_t refused_undecided = 0;
+  uint64_t refused_too_large = 0;  // No engine could hold the prompt.
+  uint64_t take_ups_refused = 0;   // Of streams whose version is not there.
+  uint64_t part_quarantined = 0;   // Ended for a quarantined prompt part.
   // Responses of upstreams that were not passed on, by the fault.
   std::array<uint64_t, kResponseFaultCount> response_faults{};
 };
@@ -55,7 +57,8 @@
         shutdown(instance_settings.bounds.shutdown_grace),
         freshness(instance_settings.bounds.strict_revocation
                       ? instance_settings.bounds.key_revocation
-                      : Millis(0)),
+                      : Millis(0),
+                  instance_settings.bounds.config_apply),
         upstreams(std::move(hooks), &evacuations) {}
 
   RetryBudget& RetryBudgetFor(const ServiceId& service) {
--- a/libs/gateway/src/metrics_page.cc
+++ b/libs/gateway/src/metrics_page.cc
@@ -59,6 +59,7 @@
   add("refused_too_large_total", counters.refused_too_large);
   add("refused_zones_evacuated_total", counters.refused_evacuated);
   add("refused_all_leave_total", counters.refused_all_leave);
+  add("refused_undecided_total", counters.refused_undecided);
   add("take_ups_refused_total", counters.take_ups_refused);
   add("prompt_parts_quarantined",
       state.part_crash_tracker.Quarantined().size());
--- a/libs/gateway/src/request_handler.cc
+++ b/libs/gateway/src/request_handler.cc
@@ -95,7 +95,7 @@
   }
   route_ = SharePart(config_, config_->FindRoute(request_.host, request_.path));
   if (route_ == nullptr) {
-    Reject(ErrorKind::kNotFound, "No route matches.", Millis(0));
+    RejectByConfig(ErrorKind::kNotFound, "No route matches.");
     return false;
   }
   if (!AdmitCaller()) {
@@ -176,7 +176,7 @@
   }
   workspace_ = SharePart(config_, config_->FindWorkspace(request_.api_key));
   if (workspace_ == nullptr) {
-    Reject(ErrorKind::kUnauthenticated, "The key is not known.", Millis(0));
+    RejectByConfig(ErrorKind::kUnauthenticated, "The key is not known.");
     return false;
   }
   return true;
@@ -255,7 +255,7 @@
   config_ = state_->config;
   route_ = SharePart(config_, config_->FindRoute(request_.host, request_.path));
   if (route_ == nullptr) {
-    Reject(ErrorKind::kNotFound, "No route matches.", Millis(0));
+    RejectByConfig(ErrorKind::kNotFound, "No route matches.");
     return false;
   }
   workspace_ = nullptr;
@@ -424,13 +424,25 @@
                             Millis retry_after) {
   ++state_->counters.refused;
   Error error{kind, std::move(detail), NotRun::kTrue};
-  LogInfo("request", "Refused id={} kind={} age_ms={} detail={}",
+  LogInfo("request", "Refused id={} kind={} config={} age_ms={} detail={}",
           request_.id.str(), ErrorInfoFor(kind).name,
+          state_->config != nullptr ? state_->config->version() : 0,
           state_->freshness.Age(EventLoop::Now()).count(), error.detail);
   Respond(deps_->codec->EncodeError(error, request_.id, retry_after));
   Finish("refused", ErrorInfoFor(kind).http_status);
 }
 
+void RequestHandler::RejectByConfig(ErrorKind kind, std::string detail) {
+  if (state_->freshness.MayRefuse(EventLoop::Now())) {
+    Reject(kind, std::move(detail), Millis(0));
+    return;
+  }
+  ++state_->counters.refused_undecided;
+  Reject(ErrorKind::kStoreUnavailable,
+         detail + " A newer configuration may be in force.",
+         kRejectionRetryAfter);
+}
+
 void RequestHandler::Fail(const Error& error) {
   if (error.not_run == NotRun::kTrue) {
     Reject(error.kind, error.detail, kRejectionRetryAfter);
--- a/libs/gateway/test/large_config_test.cc
+++ b/libs/gateway/test/large_config_test.cc
@@ -1,4 +1,5 @@
-// Tests of configurations of thousands of routes.
+// Tests of configurations of thousands of routes, and of refusals by a
+// configuration that may not be the newest one.
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
@@ -122,4 +123,45 @@
   REQUIRE(result->changes->items.at(0).value == item.value);
 }
 
+// Guards against: an instance whose view is older than a change may take to be
+// in force says that a route does not exist, which may have been added since.
+TEST_CASE("a request isn't refused by a configuration that may be old",
+          "[large_config]") {
+  Fixture fixture;
+  fixture.WaitUntilReady();
+  REQUIRE(fixture.SendRequest("/added/x").status == kNotFoundStatus);
+  fixture.store.SetUnavailable(true);
+  const ClusterBounds bounds;
+  fixture.WaitFor(bounds.config_apply + Millis(100));
+  CallOutcome outcome = fixture.SendRequest("/added/x");
+  REQUIRE(outcome.status == kUnavailableStatus);
+  REQUIRE_FALSE(outcome.headers.Get("Retry-After").empty());
+  fixture.store.SetUnavailable(false);
+  fixture.WaitForStatus(kOkStatus);
+  REQUIRE(fixture.SendRequest("/added/x").status == kNotFoundStatus);
+}
+
+// Guards against: an instance that starts when the store has just come back
+// from a copy refuses by the configuration of the copy.
+TEST_CASE("a request isn't refused by the configuration of a copy",
+          "[large_config]") {
+  Fixture fixture;
+  fixture.store.Put("op/config", LargeConfig(2, 0));
+  fixture.WaitUntilReady();
+  fixture.store.TakeCopy();
+  fixture.store.Put("op/config", LargeConfig(3, 10));
+  fixture.WaitFor(Millis(500));
+  REQUIRE(fixture.SendRequest("/added3/x").status == kOkStatus);
+  fixture.KillFirst();
+  fixture.store.RestoreCopy();
+  CountingStore access(&fixture.loop, &fixture.store);
+  std::unique_ptr<Gateway> second = fixture.StartSecond(&access);
+  fixture.WaitUntilReady();
+  REQUIRE(fixture.SendRequest("/read/x").status == kOkStatus);
+  REQUIRE(fixture.SendRequest("/added3/x").status == kUnavailableStatus);
+  fixture.store.Put("op/config", LargeConfig(3, 10));
+  fixture.WaitFor(Millis(500));
+  REQUIRE(fixture.SendRequest("/added3/x").status == kOkStatus);
+}
+
 }  // namespace bilberrypitch
--- a/libs/serving/include/serving/freshness.h
+++ b/libs/serving/include/serving/freshness.h
@@ -1,4 +1,12 @@
-// Tracks until when the local configuration is known to be the current one.
+// Tracks until when the local configuration is known to be the current one, and
+// decides what may be done by it.
+//
+// A request may be refused because the configuration has no such route or key
+// only if it was confirmed within the bound in which a new version has to be in
+// force: otherwise a version that has the route may be in force elsewhere. The
+// caller is then told to come back. While the store may lack what it has
+// acknowledged, because it came back from an older copy, a confirmation is
+// none.
 //
 // A request with an API key may be served only if the configuration was
 // confirmed to be current within the key revocation bound; otherwise a revoked
@@ -16,19 +24,31 @@
  public:
   // `bound` is the longest time from the revocation of a key until it stops
   // working; zero: no bound.
-  explicit Freshness(Millis bound) : bound_(bound) {}
+  // `refusal_bound`: the longest time until a new version is in force; zero: no
+  // bound.
+  explicit Freshness(Millis bound, Millis refusal_bound = Millis(0))
+      : bound_(bound), refusal_bound_(refusal_bound) {}
 
   // The local configuration was the current one at `at`.
   void OnConfirmed(Millis at);
   // Returns whether a request may be sent to an upstream based on the local
   // configuration.
   bool MayServe(Millis now) const;
+  // The store has just come back from a copy, or may have, before this process
+  // started.
+  void OnRestored(Millis now);
+  // Returns whether a request may be refused because the local configuration
+  // lacks its route or key.
+  bool MayRefuse(Millis now) const;
   // Time since the last confirmation.
   Millis Age(Millis now) const { return now - confirmed_at_; }
   bool ever_confirmed() const { return confirmed_; }
 
  private:
   const Millis bound_;
+  const Millis refusal_bound_;
+  bool restored_ = false;
+  Millis restored_at_;
   bool confirmed_ = false;
   Millis confirmed_at_;
 };
--- a/libs/serving/src/freshness.cc
+++ b/libs/serving/src/freshness.cc
@@ -7,6 +7,8 @@
 // Time allowed from the check before an attempt until the upstream starts to
 // run the request.
 constexpr Millis kSendMargin{400};
+// The operator has written again by then what the copy lacks.
+constexpr Millis kRewriteTime{5000};
 
 }  // namespace
 
@@ -24,4 +26,16 @@
   return bound_ == Millis(0) || Age(now) < bound_ - kSendMargin;
 }
 
+void Freshness::OnRestored(Millis now) {
+  restored_ = true;
+  restored_at_ = now;
+}
+
+bool Freshness::MayRefuse(Millis now) const {
+  if (!confirmed_ || (restored_ && now - restored_at_ < kRewriteTime)) {
+    return false;
+  }
+  return refusal_bound_ == Millis(0) || Age(now) <= refusal_bound_;
+}
+
 }  // namespace bilberrypitch
