--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -193,9 +193,6 @@
     };
     hooks.on_full_read_started = [this](bool is_new_era) {
       records_.OnFullReadStarted(is_new_era);
-      if (is_new_era) {
-        state_.freshness.OnRestored(EventLoop::Now());
-      }
       streams_.OnEra(store_sync_.follower()->era());
       membership_.OnFullReadStarted();
     };
