Doubt only the configuration of a copy that a process started with

The pause of refusals after a store came back from a copy held at instances that had lived through it, too: three cases of [restored] got 503 where 401 is wanted. Only a process that starts then can't know of a newer version, and not if the record of the instances names one, or once another version is in force.

--- a/libs/gateway/include/gateway/kept_config_service.h
+++ b/libs/gateway/include/gateway/kept_config_service.h
@@ -37,6 +37,8 @@
   // The configuration of this operator's record is in force.
   void OnInForce(const StoreItem& config_item, int64_t version);
   void OnStoreVersion(int64_t version) { keeper_.OnStoreVersion(version); }
+  // Whether the store lacks the configuration in force.
+  bool IsAhead() const { return keeper_.IsAhead(); }
   // The record of the instances was written, with this version.
   void OnKept(int64_t version, StoreRevision revision) {
     keeper_.OnKept(version, revision);
--- a/libs/gateway/include/gateway/request_handler.h
+++ b/libs/gateway/include/gateway/request_handler.h
@@ -181,6 +181,10 @@
   bool finished() const { return finished_; }
 
  private:
+  static constexpr int kMisdirectedRequestStatus = 421;
+  // For callers whose request was rejected without a better estimate.
+  static constexpr Millis kRejectionRetryAfter{400};
+
   // What an attempt that has ended tells of its upstream.
   enum class AttemptEnd {
     kCompleted,
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -33,6 +33,7 @@
 #include "gateway/store_sync.h"
 #include "gateway/stream_service.h"
 #include "schema/cluster.pb.h"
+#include "serving/active_config.h"
 #include "serving/api_codec.h"
 #include "serving/cluster_store.h"
 #include "transport/address.h"
@@ -193,6 +194,7 @@
     };
     hooks.on_full_read_started = [this](bool is_new_era) {
       records_.OnFullReadStarted(is_new_era);
+      starts_from_copy_ = is_new_era && state_.config == nullptr;
       streams_.OnEra(store_sync_.follower()->era());
       membership_.OnFullReadStarted();
     };
@@ -200,6 +202,7 @@
                                           StoreRevision revision,
                                           Millis return_deadline) {
       records_.OnFullRead(items, revision, return_deadline);
+      OnFullReadCompleted();
     };
     hooks.on_confirmed = [this](Millis at) {
       kept_config_.Update(store_sync_.follower()->revision());
@@ -220,6 +223,17 @@
     return hooks;
   }
 
+  void OnFullReadCompleted() {
+    bool may_lack_config = starts_from_copy_ && state_.config != nullptr &&
+                           !kept_config_.IsAhead();
+    if (may_lack_config) {
+      LogWarning("config", "Starts with version={} of a copy of the store.",
+                 state_.config->version());
+      state_.freshness.OnStartedFromCopy(state_.config->version(),
+                                         EventLoop::Now());
+    }
+  }
+
   AdapterService::Hooks AdapterHooks() {
     AdapterService::Hooks hooks;
     hooks.on_status = [this](const UpstreamId& engine, const ModelRef& target,
@@ -552,6 +566,9 @@
   EventLoop* const loop_;
   const ClusterMember self_;
   ServingState state_;
+  // The full read in progress is the first of this process, and the store is
+  // back from a copy.
+  bool starts_from_copy_ = false;
   Millis store_view_at_;  // The view has all records of the store up to then.
   StoreSync store_sync_;
   ReaderService reader_service_;
--- a/libs/gateway/src/record_applier.cc
+++ b/libs/gateway/src/record_applier.cc
@@ -290,11 +290,9 @@
 
 void RecordApplier::OnReturnDeadline(Millis return_deadline) {
   const UpstreamRegistry& upstreams = deps_.state->upstreams;
-  bool some_missing = std::any_of(upstreams.all().begin(),
-                                  upstreams.all().end(), [](const auto& it) {
-                                    return it.second->membership.is_missing() &&
-                                           !it.second->membership.is_gone();
-                                  });
+  bool some_missing = std::any_of(
+      upstreams.all().begin(), upstreams.all().end(),
+      [](const auto& it) { return it.second->membership.is_missing(); });
   if (some_missing) {
     Millis now = EventLoop::Now();
     deps_.state->upstreams.SetReturnDeadline(std::max(return_deadline, now));
--- a/libs/gateway/test/leaving_upstream_test.cc
+++ b/libs/gateway/test/leaving_upstream_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "counting_store.h"
+#include "engine_config.h"
 #include "fencing_engine.h"
 #include "gateway_fixture.h"
 #include "scripted_upstream.h"
@@ -236,14 +237,7 @@
         response.headers.Add("Server-Leaving", "1");
         responder->Send(std::move(response));
       });
-  fixture.store.Put("op/config", R"({"version":2,"routes":[
-    {"name":"ask","host":"h","prefix":"/ask/","kind":"idempotent",
-     "timeoutMs":8000,"goalMs":300,"attempts":2,"service":"llm"}],
-    "services":[{"name":"llm","engine":{"capacity":8,"kvTokens":1000,
-      "weightsMb":100,"adapterSlots":4,"loadsPerS":10,"models":[
-        {"name":"m","weightsMb":80,"loadS":0.1,"adapters":10,
-         "adapterMb":1}]}}],
-    "tenants":[{"name":"w","apiKeys":["k1"]}]})");
+  fixture.store.Put("op/config", kEngineConfig);
   fixture.store.Put("servers/e-1", engine.Entry(fixture.first.address()));
   fixture.store.Remove("servers/i-1");
   fixture.WaitUntilReady();
--- a/libs/gateway/test/restored_store_test.cc
+++ b/libs/gateway/test/restored_store_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "counting_store.h"
+#include "engine_config.h"
 #include "fencing_engine.h"
 #include "gateway/cluster_records.h"
 #include "gateway/part_crash_service.h"
@@ -43,17 +44,6 @@
                      version, has_added_route ? added_route : "", keys);
 }
 
-std::string EngineConfigText() {
-  return R"({"version":2,"routes":[
-    {"name":"ask","host":"h","prefix":"/ask/","kind":"idempotent",
-     "timeoutMs":8000,"goalMs":300,"attempts":2,"service":"llm"}],
-    "services":[{"name":"llm","engine":{"capacity":8,"kvTokens":1000,
-      "weightsMb":100,"adapterSlots":4,"loadsPerS":10,"models":[
-        {"name":"m","weightsMb":80,"loadS":0.1,"adapters":10,
-         "adapterMb":1}]}}],
-    "tenants":[{"name":"w","apiKeys":["k1"]}]})";
-}
-
 void WriteManyTimes(Fixture* fixture) {
   for (int i = 0; i < kManyWrites; ++i) {
     fixture->store.Put("other/key", "value");
@@ -311,7 +301,7 @@
         engine.Handle(request, responder);
       });
   std::string entry = engine.Entry(fixture.first.address());
-  fixture.store.Put("op/config", EngineConfigText());
+  fixture.store.Put("op/config", kEngineConfig);
   if (!copy_has_owner) {
     fixture.store.TakeCopy();
   }
@@ -348,7 +338,7 @@
         engine.Handle(request, responder);
       });
   std::string entry = engine.Entry(fixture.first.address());
-  fixture.store.Put("op/config", EngineConfigText());
+  fixture.store.Put("op/config", kEngineConfig);
   fixture.store.Put("servers/e-1", entry);
   fixture.store.TakeCopy();
   WriteManyTimes(&fixture);
--- a/libs/gateway/test/returning_engine_test.cc
+++ b/libs/gateway/test/returning_engine_test.cc
@@ -4,20 +4,12 @@
 #include <string>
 
 #include "base/json.h"
+#include "engine_config.h"
 #include "gateway_fixture.h"
 
 namespace bilberrypitch {
 namespace {
 
-constexpr char kEngineConfig[] = R"({"version":2,"routes":[
-  {"name":"ask","host":"h","prefix":"/ask/","kind":"idempotent",
-   "timeoutMs":8000,"goalMs":300,"attempts":2,"service":"llm"}],
-  "services":[{"name":"llm","engine":{"capacity":8,"kvTokens":1000,
-    "weightsMb":100,"adapterSlots":4,"loadsPerS":10,"models":[
-      {"name":"m","weightsMb":80,"loadS":0.1,"adapters":10,
-       "adapterMb":1}]}}],
-  "tenants":[{"name":"w","apiKeys":["k1"]}]})";
-
 // An engine that loads each adapter at once.
 class LoadingEngine {
  public:
--- a/libs/gateway/test/zone_evacuation_test.cc
+++ b/libs/gateway/test/zone_evacuation_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "engine_config.h"
 #include "fencing_engine.h"
 #include "gateway_fixture.h"
 
@@ -16,15 +17,6 @@
 // From the start of an instance until it may send orders to an engine.
 constexpr Millis kUntilOwned{5500};
 
-constexpr char kEngineConfig[] = R"({"version":2,"routes":[
-  {"name":"ask","host":"h","prefix":"/ask/","kind":"stream","gapAimMs":50,
-   "timeoutMs":8000,"goalMs":300,"attempts":2,"service":"llm"}],
-  "services":[{"name":"llm","engine":{"capacity":8,"kvTokens":10000,
-    "weightsMb":100,"adapterSlots":4,"loadsPerS":10,"models":[
-      {"name":"m","weightsMb":80,"loadS":0.1,"adapters":10,
-       "adapterMb":1}]}}],
-  "tenants":[{"name":"w","apiKeys":["k1"]}]})";
-
 // "i-1" is in zone z, "i-2" in zone y.
 struct TwoZones : Fixture {
   explicit TwoZones(const std::string& second_zone = "y") {
@@ -230,7 +222,7 @@
       engine.Handle(request, to);
     }
   });
-  fixture.store.Put("op/config", kEngineConfig);
+  fixture.store.Put("op/config", kStreamEngineConfig);
   fixture.store.Put("servers/e-1", engine.Entry(fixture.first.address()));
   fixture.WaitUntilReady();
   fixture.WaitFor(kUntilOwned);
--- a/libs/serving/include/serving/freshness.h
+++ b/libs/serving/include/serving/freshness.h
@@ -4,9 +4,10 @@
 // A request may be refused because the configuration has no such route or key
 // only if it was confirmed within the bound in which a new version has to be in
 // force: otherwise a version that has the route may be in force elsewhere. The
-// caller is then told to come back. While the store may lack what it has
-// acknowledged, because it came back from an older copy, a confirmation is
-// none.
+// caller is then told to come back. A process that starts while the store is
+// back from an older copy can't know whether the store lacks a version that was
+// in force; until the operator has written again, it does not refuse by the
+// copy's.
 //
 // A request with an API key may be served only if the configuration was
 // confirmed to be current within the key revocation bound; otherwise a revoked
@@ -16,6 +17,8 @@
 // configuration too old.
 #pragma once
 
+#include <cstdint>
+
 #include "base/strong.h"
 
 namespace bilberrypitch {
@@ -34,12 +37,12 @@
   // Returns whether a request may be sent to an upstream based on the local
   // configuration.
   bool MayServe(Millis now) const;
-  // The store has just come back from a copy, or may have, before this process
-  // started.
-  void OnRestored(Millis now);
-  // Returns whether a request may be refused because the local configuration
-  // lacks its route or key.
-  bool MayRefuse(Millis now) const;
+  // This process has started with this version, of a store that came back from
+  // a copy, and nobody is known to have a newer one.
+  void OnStartedFromCopy(int64_t version, Millis now);
+  // Returns whether a request may be refused because the local configuration,
+  // of this version, lacks its route or key.
+  bool MayRefuse(int64_t version, Millis now) const;
   // Time since the last confirmation.
   Millis Age(Millis now) const { return now - confirmed_at_; }
   bool ever_confirmed() const { return confirmed_; }
@@ -47,8 +50,8 @@
  private:
   const Millis bound_;
   const Millis refusal_bound_;
-  bool restored_ = false;
-  Millis restored_at_;
+  int64_t version_of_copy_ = 0;  // 0: did not start from a copy.
+  Millis started_from_copy_at_;
   bool confirmed_ = false;
   Millis confirmed_at_;
 };
--- a/libs/serving/include/serving/upstream_membership.h
+++ b/libs/serving/include/serving/upstream_membership.h
@@ -38,8 +38,10 @@
   bool Expire(Millis now);
 
  private:
+  void OnGone();
+
   State state_ = State::kServing;
-  Millis missing_until_;  // Zero: the entry is there.
+  Millis missing_until_;  // Zero: the entry is there, or gone for good.
 };
 
 }  // namespace bilberrypitch
--- a/libs/serving/src/freshness.cc
+++ b/libs/serving/src/freshness.cc
@@ -26,13 +26,15 @@
   return bound_ == Millis(0) || Age(now) < bound_ - kSendMargin;
 }
 
-void Freshness::OnRestored(Millis now) {
-  restored_ = true;
-  restored_at_ = now;
+void Freshness::OnStartedFromCopy(int64_t version, Millis now) {
+  version_of_copy_ = version;
+  started_from_copy_at_ = now;
 }
 
-bool Freshness::MayRefuse(Millis now) const {
-  if (!confirmed_ || (restored_ && now - restored_at_ < kRewriteTime)) {
+bool Freshness::MayRefuse(int64_t version, Millis now) const {
+  bool is_doubted = version_of_copy_ != 0 && version == version_of_copy_ &&
+                    now - started_from_copy_at_ < kRewriteTime;
+  if (!confirmed_ || is_doubted) {
     return false;
   }
   return refusal_bound_ == Millis(0) || Age(now) <= refusal_bound_;
--- a/libs/serving/src/upstream_membership.cc
+++ b/libs/serving/src/upstream_membership.cc
@@ -16,7 +16,7 @@
     return false;
   }
   if (return_deadline <= now || state_ == State::kLeaving) {
-    state_ = State::kGone;
+    OnGone();
     return true;
   }
   if (!is_missing()) {
@@ -32,11 +32,16 @@
 }
 
 bool UpstreamMembership::Expire(Millis now) {
-  if (is_gone() || !is_missing() || now < missing_until_) {
+  if (!is_missing() || now < missing_until_) {
     return false;
   }
-  state_ = State::kGone;
+  OnGone();
   return true;
 }
 
+void UpstreamMembership::OnGone() {
+  state_ = State::kGone;
+  missing_until_ = Millis(0);
+}
+
 }  // namespace bilberrypitch
--- a/libs/serving/src/upstream_registry.cc
+++ b/libs/serving/src/upstream_registry.cc
@@ -211,7 +211,7 @@
     const UpstreamMembership& membership = state->membership;
     if (state->membership.Expire(now)) {
       OnGone(*state);
-    } else if (membership.is_missing() && !membership.is_gone() &&
+    } else if (membership.is_missing() &&
                (next == Millis(0) || membership.missing_until() < next)) {
       next = membership.missing_until();
     }
--- a/libs/serving/test/store_follower_test.cc
+++ b/libs/serving/test/store_follower_test.cc
@@ -1049,7 +1049,7 @@
       bool knows = KnowsChangesUntil(instance, confirmed_at - Millis(kStepMs));
       REQUIRE(knows);
     }
-    if (instance.freshness->MayRefuse(now_) && now_.count() % 50 == 0) {
+    if (instance.freshness->MayRefuse(1, now_) && now_.count() % 50 == 0) {
       ++refusals_allowed_;
       // Also at an instance that is cut off, or whose reader is.
       bool knows =
